--- /dev/null
+++ b/internal/benchwire/wire.go
@@ -0,0 +1,496 @@
+// Package benchwire speaks the bench's wire for many independent instances of the decision module.
+// Wire words, microseconds and list numbers end here.
+package benchwire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"runtime/debug"
+	"strconv"
+
+	"fawnglade/policy"
+)
+
+const (
+	micro    = 1000 // nanoseconds
+	maxLine  = 8 << 20
+	catalogs = 16
+)
+
+var outcomes = map[string]policy.Outcome{
+	"Ok": policy.Satisfied, "Failed": policy.Error, "QueueFull": policy.Full, "TimedOut": policy.TimedOut,
+	"ConnectError": policy.Unreached, "ResetByPeer": policy.Reset, "Canceled": policy.Recalled,
+	"Ignored": policy.NeverSent,
+}
+
+var conditions = map[string]policy.State{
+	"active": policy.Active, "leaving": policy.Draining, "left": policy.Gone,
+}
+
+// instance is one node's module with the host that turns its calls into reply lines.
+type instance struct {
+	number []byte
+	policy *policy.Policy
+	link   *link
+}
+
+type link struct {
+	in        *bufio.Reader
+	out       *bufio.Writer
+	instances map[string]*instance
+	lists     [catalogs][]policy.Listed
+	given     [catalogs]bool
+	now       int64
+	line      int
+	scratch   []byte
+	long      []byte
+}
+
+// Run serves the wire until the input ends and returns the process's exit code.
+func Run(in io.Reader, out, complaints io.Writer) int {
+	debug.SetGCPercent(400) // the collector's time is booked to the nodes; the heap is small
+	l := &link{
+		in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<18),
+		instances: map[string]*instance{},
+	}
+	for {
+		err := l.batch()
+		if err == io.EOF {
+			return 0
+		}
+		if err != nil {
+			l.out.Flush()
+			fmt.Fprintf(complaints, "benchlink: line %d: %v\n", l.line, err)
+			return 1
+		}
+	}
+}
+
+func (l *link) readLine() ([]byte, error) {
+	line, err := l.in.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		l.long = append(l.long[:0], line...)
+		for errors.Is(err, bufio.ErrBufferFull) && len(l.long) <= maxLine {
+			line, err = l.in.ReadSlice('\n')
+			l.long = append(l.long, line...)
+		}
+		if len(l.long) > maxLine {
+			l.line++
+			return nil, fmt.Errorf("expected a line of at most %d bytes", maxLine)
+		}
+		line = l.long
+	}
+	l.line++
+	if err == io.EOF && len(line) > 0 {
+		return nil, errors.New("expected a whole line, the input ends within it")
+	}
+	if err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(line[:len(line)-1], []byte{'\r'}), nil
+}
+
+func (l *link) batch() error {
+	text, err := l.readLine()
+	if err != nil {
+		return err
+	}
+	f := fields{rest: text}
+	if name := f.word("message"); string(name) != "BEGIN_BATCH" {
+		return fmt.Errorf("message: expected BEGIN_BATCH, got %q", name)
+	}
+	l.now = f.time("clock")
+	if f.err != nil {
+		return f.err
+	}
+	for {
+		if text, err = l.readLine(); err == io.EOF {
+			return errors.New("message: expected EOB, the input ends within a batch")
+		} else if err != nil {
+			return err
+		}
+		f = fields{rest: text}
+		name := f.word("message")
+		if string(name) == "EOB" {
+			break
+		}
+		if err = l.event(name, &f); err != nil {
+			return err
+		}
+	}
+	l.out.WriteString("DONE\n")
+	return l.out.Flush()
+}
+
+func (l *link) event(name []byte, f *fields) error {
+	if string(name) == "CATALOG" {
+		return l.catalog(f)
+	}
+	switch string(name) {
+	case "CONFIGURE", "STOP", "REGISTRY", "REQ", "OPENED", "RESOLVED", "WITHDRAWN", "WAKEUP",
+		"HEALTH_RESULT", "PEER":
+	default:
+		return fmt.Errorf("message: expected an event of the wire, got %q", name)
+	}
+	who := f.word("who")
+	if _, err := strconv.ParseUint(string(who), 10, 64); err != nil && f.err == nil {
+		return fmt.Errorf("who: expected a whole number, got %q", who)
+	}
+	if string(name) == "CONFIGURE" {
+		return l.configure(who, f)
+	}
+	i := l.instances[string(who)]
+	if i == nil {
+		if f.err != nil {
+			return f.err
+		}
+		return fmt.Errorf("who: expected an instance that was configured, got %q", who)
+	}
+	if string(name) == "STOP" {
+		delete(l.instances, string(who))
+		return nil
+	}
+	return i.event(name, f, l)
+}
+
+func (l *link) configure(who []byte, f *fields) error {
+	seed := f.unsigned("entropy", 64)
+	if f.err != nil {
+		return f.err
+	}
+	settings, err := decodeSettings(string(f.rest))
+	if err != nil {
+		return err
+	}
+	i := &instance{number: append([]byte(nil), who...), link: l}
+	l.instances[string(who)] = i
+	return i.guarded(func() { i.policy = policy.New(settings, seed, i) })
+}
+
+func (l *link) catalog(f *fields) error {
+	sheet, count := f.sheet(), f.unsigned("nodes_list", 32)
+	if f.err != nil {
+		return f.err
+	}
+	list := l.lists[sheet][:0]
+	for ; count > 0; count-- {
+		text, err := l.readLine()
+		if err != nil {
+			return fmt.Errorf("nodes_list: expected %d more SERVER lines", count)
+		}
+		e := fields{rest: text}
+		if name := e.word("message"); string(name) != "SERVER" {
+			return fmt.Errorf("message: expected SERVER, got %q", name)
+		}
+		s := policy.Listed{
+			Server: policy.ServerID(e.unsigned("server", 32)),
+			Zone:   int(e.unsigned("site", 31)),
+			Kind:   int(e.unsigned("class_of_host", 31)),
+			Pod:    int(e.unsigned("cell", 31)),
+		}
+		condition := e.word("condition")
+		state, known := conditions[string(condition)]
+		s.State = state
+		s.Weight = e.decimal("share")
+		s.Started = e.timeOrNone("born_us")
+		if e.err == nil && !known {
+			e.err = fmt.Errorf("condition: expected active, leaving or left, got %q", condition)
+		}
+		if e.err != nil {
+			return e.err
+		}
+		list = append(list, s)
+	}
+	l.lists[sheet], l.given[sheet] = list, true
+	return nil
+}
+
+// guarded reports a panic in the decisions as the wire wants it instead of dying without a word.
+func (i *instance) guarded(act func()) error {
+	defer func() {
+		if broken := recover(); broken != nil {
+			text := bytes.ReplaceAll(fmt.Append(nil, broken), []byte{'\n'}, []byte{' '})
+			i.begin("FATAL").text(string(text)).end()
+		}
+	}()
+	act()
+	return nil
+}
+
+func (i *instance) event(name []byte, f *fields, l *link) (err error) {
+	defer func() {
+		if broken := recover(); broken != nil {
+			text := bytes.ReplaceAll(fmt.Append(nil, broken), []byte{'\n'}, []byte{' '})
+			i.begin("FATAL").text(string(text)).end()
+		}
+	}()
+	switch string(name) {
+	case "REGISTRY":
+		form := string(f.word("form"))
+		f.word("seq_no")
+		switch form {
+		case "FAILED":
+			if f.err == nil {
+				i.policy.ListFailed(l.now)
+			}
+			return f.err
+		case "INCREMENTAL", "FULL", "SAVED":
+		default:
+			return fmt.Errorf("form: expected INCREMENTAL, FULL, SAVED or FAILED, got %q", form)
+		}
+		sheet := f.sheet()
+		if f.err == nil && !l.given[sheet] {
+			return fmt.Errorf("sheet: expected a list that was given, got %d", sheet)
+		}
+		if f.err == nil {
+			i.policy.ListLearned(l.now, l.lists[sheet], form != "INCREMENTAL")
+		}
+	case "REQ":
+		t := policy.Task{
+			ID:        policy.TaskID(f.word("msg_id")),
+			Category:  int(f.unsigned("band", 31)),
+			Customer:  int(f.unsignedOrNone("project", 31)),
+			HardLimit: f.time("client_deadline_us"),
+		}
+		marks := f.unsignedOrNone("marks", 63)
+		t.Repeated = marks&2 != 0
+		if cost := f.timeOrNone("cost_guess_us"); marks&1 != 0 && cost > 0 {
+			t.Cost = cost
+		}
+		t.Key = f.maybe()
+		if f.err == nil && !i.policy.Knows(t.Category) {
+			return fmt.Errorf("band: expected a category of the settings, got %d", t.Category)
+		}
+		if f.err == nil {
+			i.policy.TaskArrived(l.now, t)
+		}
+	case "RESOLVED":
+		a := policy.Answer{
+			Task:    policy.TaskID(f.word("msg_id")),
+			Elapsed: f.time("lag_us"),
+			Server:  policy.ServerID(f.unsigned("server", 32)),
+			Final:   f.truth("over"),
+		}
+		a.Outcome = outcomes[string(f.word("disposition"))]
+		a.Number = int(f.unsigned("shot", 31))
+		a.Report = f.report()
+		if f.err == nil {
+			i.policy.HandOffAnswered(l.now, a)
+		}
+	case "OPENED":
+		id := policy.TaskID(f.word("msg_id"))
+		number := f.unsigned("shot", 31)
+		f.unsigned("server", 32)
+		f.time("lag_us")
+		if f.err == nil {
+			i.policy.AnswerStarted(l.now, id, int(number))
+		}
+	case "WITHDRAWN":
+		if id := policy.TaskID(f.word("msg_id")); f.err == nil {
+			i.policy.TaskWithdrawn(l.now, id)
+		}
+	case "WAKEUP":
+		if cookie := f.unsigned("cookie", 63); f.err == nil {
+			i.policy.Woken(l.now, cookie)
+		}
+	case "HEALTH_RESULT":
+		server := policy.ServerID(f.unsigned("server", 32))
+		outcome := outcomes[string(f.word("disposition"))]
+		elapsed := f.time("lag_us")
+		if report := f.report(); f.err == nil {
+			i.policy.ProbeAnswered(l.now, server, outcome, elapsed, report)
+		}
+	case "PEER": // nodes share nothing here
+		f.unsigned("neighbour", 31)
+		f.word("octets")
+	}
+	return f.err
+}
+
+// fields takes one line's values in turn and keeps the first complaint.
+type fields struct {
+	rest []byte
+	err  error
+}
+
+func (f *fields) word(field string) []byte {
+	word, rest, _ := bytes.Cut(f.rest, []byte{' '})
+	if len(word) == 0 && f.err == nil {
+		f.err = fmt.Errorf("%s: expected a value, got none", field)
+	}
+	f.rest = rest
+	return word
+}
+
+func (f *fields) maybe() string {
+	word, rest, _ := bytes.Cut(f.rest, []byte{' '})
+	f.rest = rest
+	if string(word) == "-" {
+		return ""
+	}
+	return string(word)
+}
+
+func (f *fields) unsigned(field string, bits int) uint64 {
+	word := f.word(field)
+	v, err := strconv.ParseUint(string(word), 10, bits)
+	if err != nil && f.err == nil {
+		f.err = fmt.Errorf("%s: expected a whole number below 2^%d, got %q", field, bits, word)
+	}
+	return v
+}
+
+func (f *fields) unsignedOrNone(field string, bits int) uint64 {
+	if f.absent() {
+		return 0
+	}
+	return f.unsigned(field, bits)
+}
+
+func (f *fields) absent() bool {
+	if len(f.rest) == 0 {
+		return true
+	}
+	if f.rest[0] == '-' && (len(f.rest) == 1 || f.rest[1] == ' ') {
+		f.word("")
+		return true
+	}
+	return false
+}
+
+func (f *fields) time(field string) int64 {
+	word := f.word(field)
+	v, err := strconv.ParseInt(string(word), 10, 64)
+	if (err != nil || v < math.MinInt64/micro || v > math.MaxInt64/micro) && f.err == nil {
+		f.err = fmt.Errorf("%s: expected a time in microseconds, got %q", field, word)
+	}
+	return v * micro
+}
+
+func (f *fields) timeOrNone(field string) int64 {
+	if f.absent() {
+		return 0
+	}
+	return f.time(field)
+}
+
+func (f *fields) decimal(field string) float64 {
+	if f.absent() {
+		return 0
+	}
+	word := f.word(field)
+	v, err := strconv.ParseFloat(string(word), 64)
+	if (err != nil || !(v >= 0) || math.IsInf(v, 0)) && f.err == nil {
+		f.err = fmt.Errorf("%s: expected a number of at least 0, got %q", field, word)
+	}
+	return v
+}
+
+func (f *fields) truth(field string) bool {
+	word := f.word(field)
+	if (len(word) != 1 || word[0] != '0' && word[0] != '1') && f.err == nil {
+		f.err = fmt.Errorf("%s: expected 1 or 0, got %q", field, word)
+	}
+	return len(word) == 1 && word[0] == '1'
+}
+
+func (f *fields) sheet() uint64 {
+	v := f.unsigned("sheet", 31)
+	if v >= catalogs {
+		if f.err == nil {
+			f.err = fmt.Errorf("sheet: expected a number from 0 to %d, got %d", catalogs-1, v)
+		}
+		return 0
+	}
+	return v
+}
+
+// report skips names it does not know and values that cannot be a load.
+func (f *fields) report() policy.Report {
+	r := policy.Report{Utilisation: -1, Held: -1, Queue: -1, ServiceTime: -1, Rate: -1, Errors: -1}
+	if f.absent() {
+		return r
+	}
+	for text := f.word("gauge"); len(text) > 0; {
+		var pair []byte
+		pair, text, _ = bytes.Cut(text, []byte{','})
+		name, value, ok := bytes.Cut(pair, []byte{':'})
+		if !ok {
+			if f.err == nil {
+				f.err = fmt.Errorf("gauge: expected name:value pairs, got %q", pair)
+			}
+			return r
+		}
+		v, err := strconv.ParseFloat(string(value), 64)
+		if err != nil && !errors.Is(err, strconv.ErrRange) && f.err == nil {
+			f.err = fmt.Errorf("gauge: expected a number for %s, got %q", name, value)
+		}
+		if !(v >= 0) || math.IsInf(v, 0) {
+			continue
+		}
+		switch string(name) {
+		case "util":
+			r.Utilisation = v
+		case "inflight":
+			r.Held = v
+		case "queue":
+			r.Queue = v
+		case "latency_ms":
+			r.ServiceTime = v
+		case "qps":
+			r.Rate = v
+		case "eps":
+			r.Errors = v
+		}
+	}
+	return r
+}
+
+// reply builds one action line in the link's scratch space.
+type reply struct{ link *link }
+
+func (i *instance) begin(name string) reply {
+	b := append(i.link.scratch[:0], name...)
+	b = append(b, ' ')
+	i.link.scratch = append(b, i.number...)
+	return reply{i.link}
+}
+
+func (r reply) text(s string) reply {
+	r.link.scratch = append(append(r.link.scratch, ' '), s...)
+	return r
+}
+
+func (r reply) int(v int64) reply {
+	r.link.scratch = strconv.AppendInt(append(r.link.scratch, ' '), v, 10)
+	return r
+}
+
+func (r reply) end() { r.link.out.Write(append(r.link.scratch, '\n')) }
+
+// inMicros rounds up, so that a timer never comes early and a wait is never nought.
+func inMicros(ns int64) int64 { return (ns + micro - 1) / micro }
+
+func (i *instance) HandOff(task policy.TaskID, server policy.ServerID, timeOut int64) {
+	i.begin("ISSUE").text(string(task)).int(int64(server)).int(max(1, timeOut/micro)).end()
+}
+
+func (i *instance) Recall(task policy.TaskID, number int) {
+	i.begin("RECALL").text(string(task)).int(int64(number)).end()
+}
+
+func (i *instance) Decline(task policy.TaskID, comeBackIn int64) {
+	i.begin("BUSY").text(string(task)).int(inMicros(comeBackIn)).end()
+}
+
+func (i *instance) BreakOff(task policy.TaskID) { i.begin("FINISH_ERROR").text(string(task)).end() }
+
+func (i *instance) WakeAt(at int64, cookie uint64) {
+	i.begin("AFTER").int(inMicros(at)).int(int64(cookie)).end()
+}
+
+func (i *instance) Subscribe() { i.begin("OBSERVE").int(1).end() }
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,647 @@
+// Package policy decides which server gets each task, and when a task is sent again, declined or broken off.
+//
+// How to call it: New takes the settings, a seed and a Host; after that call the one method for each thing
+// that happens, in order, with the clock. It answers by calling the Host before the method returns. It
+// keeps no clock and starts nothing, so one instance must not be entered twice at a time. The settings, the
+// events and the Host are in types.go; docs/design.md tells what follows the paper and what departs from it.
+package policy
+
+import "sort"
+
+const (
+	recalculate = int64(1e9) // the design's longest time between two recalculations
+	settling    = 3          // recalculations through which a rising server still sits at the mean
+	floorPart   = 20         // w is at least the mean over this
+	farAway     = 3          // w of a server in another zone is pushed up by this
+	learn       = 1.0 / 8    // part of a new value in a server's running means
+	highest     = 0.9        // the quantile of answer times by which a server is judged
+	failed      = 0.25       // running part of failures that puts a server out of the draw
+	mended      = 0.1        // and that lets it in again
+	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
+	copyPart    = 0.1        // second copies for each task
+	listCookie  = 0
+	tickCookie  = 1
+	firstTask   = 2
+)
+
+type handOff struct {
+	server     *server
+	sentAt     int64
+	cost       float64
+	crowd      int
+	open       bool
+	mayHaveRun bool
+}
+
+type task struct {
+	Task
+	category *Category
+	limit    int64 // the last moment at which an answer still earns
+	handOffs []handOff
+	open     int
+	cookie   uint64
+	over     bool
+	streams  bool
+}
+
+type server struct {
+	Listed
+
+	load        float64 // w before the exceptions: the last report and the drift since
+	reported    float64
+	drift       float64
+	sends       int
+	heard       bool
+	recalculate int64 // when next, if no report comes before
+	risingFrom  int64
+	queue       float64
+
+	out        int
+	known      bool
+	unit       float64 // answer time for each unit of expected work
+	high       float64 // a high quantile of the same
+	crowd      float64 // what this node had out there when those answers set off
+	answers    int     // since the last tick
+	silentFrom int64
+	failing    float64
+	unfit      bool
+	retryAt    int64
+	retryAfter int64
+	fullTill   int64
+	credit     float64
+}
+
+// Policy is one instance of the decisions.
+type Policy struct {
+	set     Settings
+	host    Host
+	state   uint64
+	servers []*server
+	byID    map[ServerID]*server
+	tasks   map[TaskID]*task
+	waking  map[uint64]*task
+	cookies uint64
+
+	typical []float64 // per category: mean answer time, to compare tasks that bring no hint
+	meanOf  float64   // mean cost of a task
+	copies  float64
+	askWait int64
+	started bool
+
+	drawn   []*server
+	weights []float64
+}
+
+// New makes an instance that knows nothing but its settings.
+func New(settings Settings, seed uint64, host Host) *Policy {
+	p := &Policy{set: settings, host: host, byID: map[ServerID]*server{}, tasks: map[TaskID]*task{},
+		waking: map[uint64]*task{}, cookies: firstTask, typical: make([]float64, len(settings.Categories))}
+	p.chance()
+	p.state += seed
+	p.chance()
+	return p
+}
+
+// Knows tells whether the settings hold the category.
+func (p *Policy) Knows(category int) bool { return category >= 0 && category < len(p.set.Categories) }
+
+// chance is a permuted congruential generator (XSH RR 64/32); it returns a number in [0,1).
+func (p *Policy) chance() float64 {
+	old := p.state
+	p.state = old*6364136223846793005 + 1442695040888963407
+	x, turn := uint32((old>>18^old)>>27), uint32(old>>59)
+	return float64(x>>turn|x<<(-turn&31)) / (1 << 32)
+}
+
+// ListLearned takes the server list, or what changed in it.
+func (p *Policy) ListLearned(now int64, list []Listed, whole bool) {
+	if !p.started {
+		p.started = true
+		p.host.WakeAt(now+recalculate, tickCookie)
+		if p.set.MustAsk {
+			p.host.Subscribe()
+		}
+	} else {
+		p.askWait = 0
+	}
+	if whole {
+		for _, s := range p.servers {
+			s.State = Gone
+		}
+	}
+	for _, l := range list {
+		s := p.byID[l.Server]
+		if s == nil {
+			s = &server{Listed: l}
+			p.byID[l.Server] = s
+			at := sort.Search(len(p.servers), func(i int) bool { return p.servers[i].Server > l.Server })
+			p.servers = append(p.servers, nil)
+			copy(p.servers[at+1:], p.servers[at:])
+			p.servers[at] = s
+		}
+		if l.Started > s.Started {
+			// A new process: what was learned of the old one misleads, hand-offs still out are its own.
+			*s = server{Listed: l, out: s.out}
+		}
+		s.Listed = l
+		if p.set.LiveWeights && l.Weight > 0 && l.State == Active {
+			s.hear(now, 1/l.Weight)
+		}
+	}
+}
+
+// ListFailed asks again, after waits that grow but stay well within the time the rules allow.
+func (p *Policy) ListFailed(now int64) {
+	p.askWait = min(max(2*p.askWait, p.set.AskWithin/64), p.set.AskWithin/4)
+	p.host.WakeAt(now+p.askWait, listCookie)
+}
+
+// hear takes a load report as the design has it: the rise since the last one, over the sends between, is
+// what each further send will add.
+func (s *server) hear(now int64, load float64) {
+	rise := load - s.reported
+	s.drift = 0
+	if s.heard && rise > 0 && s.sends > 0 {
+		s.drift = rise / float64(s.sends)
+	}
+	if rise > 0 && s.heard && s.risingFrom == 0 {
+		s.risingFrom = now
+	}
+	s.load, s.reported, s.heard, s.sends = load, load, true, 0
+	s.recalculate = now + recalculate
+}
+
+// report picks which reported value is the load; all else that depends on it asks the server.
+func (p *Policy) report(now int64, s *server, r *Report) {
+	if r.Queue >= 0 {
+		s.queue = r.Queue
+	}
+	load := -1.0
+	switch {
+	case p.set.Utilised && r.Utilisation >= 0:
+		load = r.Utilisation
+		if p.set.Timed && r.ServiceTime >= 0 {
+			load *= r.ServiceTime // servers are unequal: the same use of a slower one is a greater load
+		}
+	case p.set.LiveWeights:
+	case p.set.Held && r.Held >= 0:
+		load = 1 + r.Held
+	case r.Queue >= 0:
+		load = 1 + r.Queue
+	}
+	if load >= 0 && (!s.heard || load != s.reported) {
+		s.hear(now, load)
+	}
+}
+
+// TaskArrived takes a new task.
+func (p *Policy) TaskArrived(now int64, arrived Task) {
+	c := &p.set.Categories[arrived.Category]
+	t := &task{Task: arrived, category: c, limit: arrived.HardLimit}
+	if c.LateEarnings == 0 {
+		soft := c.SoftLimit + int64(c.SoftStretch*float64(arrived.Cost))
+		t.limit = min(t.limit, now+soft-soft/64-2*p.set.Tick)
+	}
+	p.tasks[t.ID] = t
+	p.copies = min(p.copies+copyPart, 4)
+	p.send(now, t)
+}
+
+func (p *Policy) cost(t *task) float64 {
+	if t.Cost > 0 {
+		return float64(t.Cost)
+	}
+	return p.typical[t.Task.Category]
+}
+
+// send hands the task to a drawn server, or gives it up.
+func (p *Policy) send(now int64, t *task) {
+	if t.over {
+		return
+	}
+	s := p.draw(now, t)
+	if s == nil {
+		p.giveUp(now, t)
+		return
+	}
+	p.handTo(now, t, s)
+}
+
+func (p *Policy) handTo(now int64, t *task, s *server) {
+	cost := p.cost(t)
+	if s.out == 0 {
+		s.silentFrom = now
+	}
+	t.handOffs = append(t.handOffs, handOff{server: s, sentAt: now, cost: cost, crowd: s.out, open: true})
+	t.open++
+	s.out++
+	s.sends++
+	s.load += s.drift
+	p.spendCold(now, s, cost)
+	p.host.HandOff(t.ID, s.Server, t.limit-now)
+	if patience := p.patience(s, cost); p.set.MayDuplicate && t.category.Repeat != Exclusive &&
+		t.open == 1 && patience > 0 && now+patience < t.limit-patience/2 {
+		if t.cookie == 0 {
+			t.cookie = p.cookies
+			p.cookies++
+			p.waking[t.cookie] = t
+		}
+		p.host.WakeAt(now+patience, t.cookie)
+	}
+}
+
+// patience is how long an answer may take before it counts as overdue.
+func (p *Policy) patience(s *server, cost float64) int64 {
+	if !s.known {
+		return int64(4 * cost)
+	}
+	return int64(2 * s.high * cost * (1 + float64(s.out)) / (1 + s.crowd))
+}
+
+// cold returns the part of its capacity that a server surely has; 1 when warm.
+func (p *Policy) cold(now int64, s *server) float64 {
+	age := now - s.Started
+	if s.Started == 0 || age >= p.set.WarmWithin {
+		return 1
+	}
+	return p.set.ColdFrom + (1-p.set.ColdFrom)*float64(max(age, 0))/float64(p.set.WarmWithin)
+}
+
+// spendCold keeps the books on cold servers: for each hand-off to its fellows a cold one earns what it could do
+// of an even part, and pays with the work it is given.
+func (p *Policy) spendCold(now int64, to *server, cost float64) {
+	relative := 1.0
+	if p.meanOf > 0 && cost > 0 {
+		relative = cost / p.meanOf
+	}
+	fellows := 0
+	for _, s := range p.servers {
+		if s.State == Active {
+			fellows++
+		}
+	}
+	for _, s := range p.servers {
+		if s.State != Active {
+			continue
+		}
+		if part := p.cold(now, s); part < 1 {
+			s.credit = min(s.credit+coldSafety*part*relative/float64(fellows), 2)
+			if s == to {
+				s.credit -= max(relative, 1)
+			}
+		}
+	}
+}
+
+// allowed tells whether rules 2 and 3 let the task go to the server.
+func (p *Policy) allowed(now int64, t *task, s *server) bool {
+	if s.State != Active || len(t.handOffs) >= p.set.MaxHandOffs {
+		return false
+	}
+	for i := range t.handOffs {
+		h := &t.handOffs[i]
+		if h.open && (!p.set.MayDuplicate || h.server == s) {
+			return false
+		}
+		if !h.mayHaveRun && !h.open {
+			continue
+		}
+		switch t.category.Repeat {
+		case Exclusive:
+			return false
+		case Ticketed:
+			group := t.category.Group
+			if now-h.sentAt >= t.category.Memory || group == SamePod && h.server.Pod != s.Pod ||
+				group == SameZone && h.server.Zone != s.Zone {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// mayDecline tells whether a client may be told that asking again does no harm.
+func mayDecline(t *task) bool {
+	if t.category.Repeat == Rerunnable || t.category.Repeat == Ticketed && t.category.Group == WholeFleet {
+		return true
+	}
+	for _, h := range t.handOffs {
+		if h.open || h.mayHaveRun {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Policy) predict(s *server, cost, unit float64) int64 {
+	return int64(unit * cost * (1 + float64(s.out)) / (1 + s.crowd))
+}
+
+// inDraw tells who takes part in a task's draw. The levels widen it: first the fit that will be in time even by
+// their high quantile, then the fit that will be in time by their mean.
+func (p *Policy) inDraw(now int64, t *task, s *server, level int) bool {
+	if !p.allowed(now, t, s) || now < s.fullTill {
+		return false
+	}
+	if len(t.handOffs) > 0 && t.handOffs[len(t.handOffs)-1].server == s {
+		return false
+	}
+	if p.cold(now, s) < 1 && s.credit < 1 {
+		return false
+	}
+	if s.unfit {
+		return level == 0 && now >= s.retryAt && s.out == 0 && t.category.Repeat == Rerunnable
+	}
+	cost := p.cost(t)
+	if s.out > 0 && s.known && now-s.silentFrom > p.patience(s, max(cost, p.meanOf)) {
+		return false // guards against servers that take tasks and answer nothing, and so report no load
+	}
+	if s.known {
+		unit := s.high
+		if level > 0 {
+			unit = s.unit
+		}
+		return now+p.predict(s, cost, unit) <= t.limit
+	}
+	return true
+}
+
+// draw picks a server with a chance proportional to 1/w.
+func (p *Policy) draw(now int64, t *task) *server {
+	if now >= t.limit {
+		return nil
+	}
+	p.drawn = p.drawn[:0]
+	for level := 0; level < 2 && len(p.drawn) == 0; level++ {
+		for _, s := range p.servers {
+			if p.inDraw(now, t, s, level) {
+				p.drawn = append(p.drawn, s)
+			}
+		}
+	}
+	if len(p.drawn) == 0 {
+		return nil
+	}
+	p.weigh(now)
+	return p.pick()
+}
+
+// weigh fills in w for those in the draw.
+func (p *Policy) weigh(now int64) {
+	mean, heard := 0.0, 0.0
+	for _, s := range p.servers {
+		if s.State == Active && s.heard {
+			mean, heard = mean+s.load, heard+1
+			if now >= s.recalculate {
+				s.drift, s.sends, s.recalculate = 0, 0, now+recalculate
+			}
+		}
+	}
+	if heard > 0 {
+		mean /= heard
+	}
+	if mean == 0 {
+		mean = 1
+	}
+	p.weights = p.weights[:0]
+	for _, s := range p.drawn {
+		w := max(s.load, mean/floorPart)
+		if !s.heard || s.risingFrom == 0 || now-s.risingFrom < settling*recalculate {
+			w = max(w, mean)
+		}
+		if !p.set.Timed && !p.set.LiveWeights && s.known {
+			w *= s.unit // the reported value does not tell a slow server from a quick one
+		}
+		if p.set.SizeWeights && s.Weight > 0 {
+			w /= s.Weight
+		}
+		w *= 1 + float64(s.out) // guards against herding on one low or late report
+		if s.Zone != p.set.Zone {
+			w *= farAway
+		}
+		p.weights = append(p.weights, w)
+	}
+}
+
+// pick is the design's draw: x is the sum of all w over w, sorted ascending into cumulative shares.
+func (p *Policy) pick() *server {
+	sum := 0.0
+	for _, w := range p.weights {
+		sum += w
+	}
+	all := 0.0
+	for i, w := range p.weights {
+		x := sum / w
+		all += x
+		at := i
+		s := p.drawn[i]
+		for ; at > 0 && p.weights[at-1] > x; at-- {
+			p.weights[at], p.drawn[at] = p.weights[at-1], p.drawn[at-1]
+		}
+		p.weights[at], p.drawn[at] = x, s
+	}
+	z, dice := 0.0, p.chance()*all
+	for i, x := range p.weights {
+		if z += x; z > dice {
+			return p.drawn[i]
+		}
+	}
+	return p.drawn[len(p.drawn)-1]
+}
+
+// giveUp answers at once: a decline where asking again does no harm, else a break-off.
+func (p *Policy) giveUp(now int64, t *task) {
+	decline := mayDecline(t)
+	p.recallRest(t)
+	if decline {
+		wait := int64(0)
+		if p.set.MayAdvise {
+			wait = min(p.set.MaxAdvice, t.category.SoftLimit/4)
+		}
+		p.host.Decline(t.ID, wait)
+	} else {
+		p.host.BreakOff(t.ID)
+	}
+	p.end(t)
+}
+
+func (p *Policy) recallRest(t *task) {
+	if !p.set.MayRecall {
+		return
+	}
+	for i := range t.handOffs {
+		if t.handOffs[i].open {
+			p.host.Recall(t.ID, i)
+		}
+	}
+}
+
+func (p *Policy) end(t *task) {
+	t.over = true
+	if t.cookie != 0 {
+		delete(p.waking, t.cookie)
+	}
+	if t.open == 0 {
+		delete(p.tasks, t.ID)
+	}
+}
+
+// HandOffAnswered takes the end of a hand-off.
+func (p *Policy) HandOffAnswered(now int64, a Answer) {
+	s := p.byID[a.Server]
+	if s != nil {
+		p.report(now, s, &a.Report)
+	}
+	t := p.tasks[a.Task]
+	if t == nil || a.Number < 0 || a.Number >= len(t.handOffs) || !t.handOffs[a.Number].open {
+		return
+	}
+	h := &t.handOffs[a.Number]
+	h.open = false
+	t.open--
+	h.server.out--
+	h.mayHaveRun = a.Outcome != Full && a.Outcome != Unreached && a.Outcome != NeverSent
+	p.judge(now, t, h, a)
+	switch {
+	case t.over:
+		if t.open == 0 {
+			delete(p.tasks, t.ID)
+		}
+	case a.Final || a.Outcome == Satisfied:
+		p.recallRest(t)
+		p.end(t)
+	case t.open > 0 || t.streams:
+	default:
+		p.send(now, t)
+	}
+}
+
+// judge learns from how a hand-off ended.
+func (p *Policy) judge(now int64, t *task, h *handOff, a Answer) {
+	s := h.server
+	if a.Outcome != TimedOut && a.Outcome != Recalled && a.Outcome != NeverSent {
+		s.silentFrom = now
+	}
+	bad := 0.0
+	switch a.Outcome {
+	case Satisfied:
+		took := float64(a.Elapsed)
+		typical := &p.typical[t.Task.Category]
+		if *typical == 0 {
+			*typical = took
+		}
+		*typical += (took - *typical) / 32
+		if h.cost == 0 {
+			h.cost = took
+		}
+		p.meanOf += (h.cost - p.meanOf) / 32
+		unit := took / h.cost
+		if !s.known {
+			s.known, s.unit, s.high = true, unit, 2*unit
+		}
+		s.answers++
+		s.unit += (unit - s.unit) * learn
+		s.crowd += (float64(h.crowd) - s.crowd) * learn
+		if unit > s.high {
+			s.high += s.unit * learn * highest
+		} else {
+			s.high = max(s.unit, s.high-s.unit*learn*(1-highest))
+		}
+	case Full:
+		s.fullTill = now + int64(p.meanOf)
+		return
+	case Recalled, NeverSent:
+		return
+	default:
+		bad = 1
+	}
+	s.failing += (bad - s.failing) * learn * 2
+	fellows, others := 0.0, 0.0
+	for _, o := range p.servers {
+		if o.State == Active && o != s {
+			others++
+			fellows += o.failing
+		}
+	}
+	limit := failed
+	if others > 0 {
+		// When everything fails together nobody is the odd one out.
+		limit = max(limit, 2*fellows/others)
+	}
+	switch {
+	case bad > 0 && (s.unfit || s.failing > limit):
+		s.unfit = true
+		s.retryAfter = min(max(2*s.retryAfter, recalculate/2), 4*recalculate)
+		s.retryAt = now + s.retryAfter
+	case s.unfit && (s.failing < mended || s.failing < limit/2):
+		s.unfit, s.retryAfter = false, 0
+	}
+}
+
+// AnswerStarted takes the start of a streamed answer: from here on the client owns the hand-off.
+func (p *Policy) AnswerStarted(now int64, id TaskID, number int) {
+	t := p.tasks[id]
+	if t == nil || number < 0 || number >= len(t.handOffs) {
+		return
+	}
+	t.streams = true
+	t.handOffs[number].server.silentFrom = now
+	for i := range t.handOffs {
+		if i != number && t.handOffs[i].open && p.set.MayRecall {
+			p.host.Recall(id, i)
+		}
+	}
+}
+
+// TaskWithdrawn takes the news that the client has gone; work still out for it can earn nothing.
+func (p *Policy) TaskWithdrawn(_ int64, id TaskID) {
+	if t := p.tasks[id]; t != nil && !t.over {
+		p.recallRest(t)
+		p.end(t)
+	}
+}
+
+// ProbeAnswered takes a probe's result.
+func (p *Policy) ProbeAnswered(now int64, id ServerID, _ Outcome, _ int64, r Report) {
+	if s := p.byID[id]; s != nil {
+		p.report(now, s, &r)
+	}
+}
+
+// Woken takes a timer that has come due.
+func (p *Policy) Woken(now int64, cookie uint64) {
+	switch cookie {
+	case listCookie:
+		p.host.Subscribe()
+		return
+	case tickCookie:
+		p.host.WakeAt(now+recalculate, tickCookie)
+		p.age()
+		return
+	}
+	t := p.waking[cookie]
+	if t == nil || t.over || t.streams || t.open != 1 || p.copies < 1 {
+		return
+	}
+	if s := p.draw(now, t); s != nil {
+		p.copies--
+		p.handTo(now, t, s)
+	}
+}
+
+// age lets what was learned of a server that is no longer heard drift to what its fellows show.
+func (p *Policy) age() {
+	unit, high, n := 0.0, 0.0, 0.0
+	for _, s := range p.servers {
+		if s.State == Active && s.known {
+			unit, high, n = unit+s.unit, high+s.high, n+1
+		}
+	}
+	for _, s := range p.servers {
+		if s.known && s.answers == 0 && n > 0 {
+			s.unit += (unit/n - s.unit) * learn
+			s.high += (high/n - s.high) * learn
+		}
+		s.answers = 0
+	}
+}
--- /dev/null
+++ b/policy/types.go
@@ -0,0 +1,144 @@
+package policy
+
+// TaskID and ServerID are kept as the protocol gives them and never looked into.
+type (
+	TaskID   string
+	ServerID uint32
+)
+
+// Repeat tells what running a task of a category twice does.
+type Repeat uint8
+
+const (
+	Rerunnable Repeat = iota
+	Ticketed
+	Exclusive
+)
+
+// Group names the servers that drop a repeat of a ticketed task.
+type Group uint8
+
+const (
+	WholeFleet Group = iota
+	SameZone
+	SamePod
+)
+
+// State is what the server list says of a server.
+type State uint8
+
+const (
+	Active State = iota
+	Draining
+	Gone
+)
+
+// Outcome is how a hand-off or a probe ended.
+type Outcome uint8
+
+const (
+	Unknown Outcome = iota // counts as may have run
+	Satisfied
+	Error
+	Full
+	TimedOut
+	Unreached
+	Reset
+	Recalled
+	NeverSent
+)
+
+// Category holds what is known of one category of tasks.
+type Category struct {
+	SoftLimit, HardLimit int64
+	SoftStretch          float64 // soft limit grows by this multiple of the task's own work
+	Repeat               Repeat
+	Group                Group
+	Memory               int64 // how long the group still drops a repeat
+	Earnings             float64
+	LateEarnings         float64 // share of the earnings paid between soft and hard limit
+}
+
+// Customer is one party that shares the fleet.
+type Customer struct {
+	Portion float64
+	Quota   float64 // tasks a second over all nodes
+}
+
+// Settings are the figures the decisions read; all times are nanoseconds.
+type Settings struct {
+	Categories []Category
+	Customers  []Customer
+	OverShare  float64 // earnings of a task beyond its customer's share
+	ByWork     bool    // earnings are counted for each unit of work
+
+	Nodes int
+	Zone  int
+	Tick  int64
+
+	MustAsk     bool // the list answers only when asked
+	AskWithin   int64
+	LiveWeights bool // the list's weight falls as a server fills
+	SizeWeights bool // the list's weight is a size
+	Utilised    bool // reports hold a utilisation
+	Timed       bool // reports hold a service time
+	Held        bool // reports hold the tasks in work
+	WarmKeys    bool // a key met lately costs less
+
+	MayDuplicate bool
+	MayRecall    bool
+	MayAdvise    bool
+	MaxAdvice    int64
+	MaxHandOffs  int
+
+	ColdFrom   float64
+	WarmWithin int64
+}
+
+// Listed is one line of the server list.
+type Listed struct {
+	Server  ServerID
+	Zone    int
+	Kind    int
+	Pod     int
+	State   State
+	Weight  float64
+	Started int64 // 0: long ago
+}
+
+// Task is one task as it arrives.
+type Task struct {
+	ID        TaskID
+	Category  int
+	Customer  int
+	HardLimit int64 // the clock time at which the client gives up
+	Repeated  bool  // the client says that it asks again
+	Cost      int64 // expected work, 0 if not told
+	Key       string
+}
+
+// Report holds the load values that came with an answer; a negative one was not sent.
+type Report struct {
+	Utilisation, Held, Queue, ServiceTime, Rate, Errors float64
+}
+
+// Answer tells how one hand-off ended.
+type Answer struct {
+	Task    TaskID
+	Number  int // which hand-off of its task, from 0
+	Server  ServerID
+	Outcome Outcome
+	Elapsed int64
+	Final   bool // the task has its final answer
+	Report  Report
+}
+
+// Host does what the decisions ask for. Calls take effect at the time of the event being handled.
+type Host interface {
+	HandOff(task TaskID, server ServerID, timeOut int64)
+	Recall(task TaskID, number int)
+	Decline(task TaskID, comeBackIn int64)
+	BreakOff(task TaskID)
+	WakeAt(at int64, cookie uint64)
+	Subscribe()
+}
