Learn answer times from hand-offs that timed out

Cause: only satisfied hand-offs taught answer times, so a jammed server kept the look of its last quick answers and was given more than it could finish; nearly all then timed out. Conclusion: kept; a time-out counts as half as long again as it had.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,6 +15,7 @@
 	farAway     = 3          // w of a server in another zone is pushed up by this
 	learn       = 1.0 / 8    // part of a new value in a server's running means
 	highest     = 0.9        // the quantile of answer times by which a server is judged
+	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
 	failed      = 0.25       // running part of failures that puts a server out of the draw
 	mended      = 0.1        // and that lets it in again
 	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
@@ -535,23 +536,17 @@
 			h.cost = took
 		}
 		p.meanOf += (h.cost - p.meanOf) / 32
-		unit := took / h.cost
-		if !s.known {
-			s.known, s.unit, s.high = true, unit, 2*unit
-		}
-		s.answers++
-		s.unit += (unit - s.unit) * learn
-		s.crowd += (float64(h.crowd) - s.crowd) * learn
-		if unit > s.high {
-			s.high += s.unit * learn * highest
-		} else {
-			s.high = max(s.unit, s.high-s.unit*learn*(1-highest))
-		}
+		s.timed(h, took)
 	case Full:
 		s.fullTill = now + int64(p.meanOf)
 		return
 	case Recalled, NeverSent:
 		return
+	case TimedOut:
+		// Guards against learning from the quick alone: what never answered took longer still, and a server
+		// that only times out would go on looking as good as its last few answers.
+		s.timed(h, float64(a.Elapsed)*overrun)
+		bad = 1
 	default:
 		bad = 1
 	}
@@ -578,6 +573,25 @@
 	}
 }
 
+// timed learns from how long a hand-off took.
+func (s *server) timed(h *handOff, took float64) {
+	if h.cost == 0 {
+		return
+	}
+	unit := took / h.cost
+	if !s.known {
+		s.known, s.unit, s.high = true, unit, 2*unit
+	}
+	s.answers++
+	s.unit += (unit - s.unit) * learn
+	s.crowd += (float64(h.crowd) - s.crowd) * learn
+	if unit > s.high {
+		s.high += s.unit * learn * highest
+	} else {
+		s.high = max(s.unit, s.high-s.unit*learn*(1-highest))
+	}
+}
+
 // AnswerStarted takes the start of a streamed answer: from here on the client owns the hand-off.
 func (p *Policy) AnswerStarted(now int64, id TaskID, number int) {
 	t := p.tasks[id]
