Let a server that lately met a task's key take part in the draw at a tenth of its w

Change: w of a server that met the key within 10 s, by this node's own hand-offs, is multiplied by a tenth; its expected work by a ratio learned from answer times.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,13 +20,23 @@
 	mended      = 0.1        // and that lets it in again
 	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
 	copyPart    = 0.1        // second copies for each task
+	keyMemory   = 10 * recalculate
+	keyServers  = 3
+	warmPull    = 0.1
 	listCookie  = 0
 	tickCookie  = 1
 	firstTask   = 2
 )
 
+// met remembers that a server was given a key.
+type met struct {
+	server *server
+	at     int64
+}
+
 type handOff struct {
 	server     *server
+	warm       bool
 	sentAt     int64
 	cost       float64
 	crowd      int
@@ -83,6 +93,8 @@
 	waking  map[uint64]*task
 	cookies uint64
 
+	met     map[string][]met
+	warmth  float64   // work that a warm hand-off needs, over that of a cold one
 	typical []float64 // per category: mean answer time, to compare tasks that bring no hint
 	meanOf  float64   // mean cost of a task
 	copies  float64
@@ -96,7 +108,7 @@
 // New makes an instance that knows nothing but its settings.
 func New(settings Settings, seed uint64, host Host) *Policy {
 	p := &Policy{set: settings, host: host, byID: map[ServerID]*server{}, tasks: map[TaskID]*task{},
-		waking: map[uint64]*task{}, cookies: firstTask, typical: make([]float64, len(settings.Categories))}
+		waking: map[uint64]*task{}, met: map[string][]met{}, warmth: 0.5, cookies: firstTask, typical: make([]float64, len(settings.Categories))}
 	p.chance()
 	p.state += seed
 	p.chance()
@@ -215,6 +227,39 @@
 	return p.typical[t.Task.Category]
 }
 
+// warm tells whether the server met the task's key lately.
+func (p *Policy) warm(now int64, t *task, s *server) bool {
+	if t.Key == "" || !p.set.WarmKeys {
+		return false
+	}
+	for _, m := range p.met[t.Key] {
+		if m.server == s && now-m.at < keyMemory && m.at > s.Started {
+			return true
+		}
+	}
+	return false
+}
+
+// meet notes that a server is given a key, in place of the one that met it longest ago.
+func (p *Policy) meet(now int64, key string, s *server) {
+	list := p.met[key]
+	at := 0
+	for i := range list {
+		if list[i].server == s {
+			at = i
+			break
+		}
+		if list[i].at < list[at].at {
+			at = i
+		}
+	}
+	if len(list) > 0 && (list[at].server == s || len(list) == keyServers) {
+		list[at] = met{s, now}
+		return
+	}
+	p.met[key] = append(list, met{s, now})
+}
+
 // send hands the task to a drawn server, or gives it up.
 func (p *Policy) send(now int64, t *task) {
 	if t.over {
@@ -229,11 +274,18 @@
 }
 
 func (p *Policy) handTo(now int64, t *task, s *server) {
-	cost := p.cost(t)
+	cost, warm := p.cost(t), p.warm(now, t, s)
+	if warm {
+		cost *= p.warmth
+	}
+	if t.Key != "" && p.set.WarmKeys {
+		p.meet(now, t.Key, s)
+	}
 	if s.out == 0 {
 		s.silentFrom = now
 	}
-	t.handOffs = append(t.handOffs, handOff{server: s, sentAt: now, cost: cost, crowd: s.out, open: true})
+	t.handOffs = append(t.handOffs,
+		handOff{server: s, warm: warm, sentAt: now, cost: cost, crowd: s.out, open: true})
 	t.open++
 	s.out++
 	s.sends++
@@ -358,6 +410,9 @@
 		return false // guards against servers that take tasks and answer nothing, and so report no load
 	}
 	if s.known {
+		if p.warm(now, t, s) {
+			cost *= p.warmth
+		}
 		unit := s.high
 		if level > 0 {
 			unit = s.unit
@@ -383,12 +438,12 @@
 	if len(p.drawn) == 0 {
 		return nil
 	}
-	p.weigh(now)
+	p.weigh(now, t)
 	return p.pick()
 }
 
 // weigh fills in w for those in the draw.
-func (p *Policy) weigh(now int64) {
+func (p *Policy) weigh(now int64, t *task) {
 	mean, heard := 0.0, 0.0
 	for _, s := range p.servers {
 		if s.State == Active && s.heard {
@@ -420,6 +475,9 @@
 		if s.Zone != p.set.Zone {
 			w *= farAway
 		}
+		if p.warm(now, t, s) {
+			w *= warmPull
+		}
 		p.weights = append(p.weights, w)
 	}
 }
@@ -527,6 +585,14 @@
 	switch a.Outcome {
 	case Satisfied:
 		took := float64(a.Elapsed)
+		if h.warm {
+			if s.known && s.unit > 0 && h.cost > 0 {
+				p.warmth += (min(took*p.warmth/(s.unit*h.cost), 2) - p.warmth) / 64
+				p.warmth = min(max(p.warmth, 0.2), 1)
+			}
+			took /= p.warmth
+			h.cost /= p.warmth
+		}
 		typical := &p.typical[t.Task.Category]
 		if *typical == 0 {
 			*typical = took
@@ -630,7 +696,7 @@
 		return
 	case tickCookie:
 		p.host.WakeAt(now+recalculate, tickCookie)
-		p.age()
+		p.age(now)
 		return
 	}
 	t := p.waking[cookie]
@@ -644,7 +710,16 @@
 }
 
 // age lets what was learned of a server that is no longer heard drift to what its fellows show.
-func (p *Policy) age() {
+func (p *Policy) age(now int64) {
+	for key, list := range p.met {
+		last := list[0].at
+		for _, m := range list {
+			last = max(last, m.at)
+		}
+		if now-last >= keyMemory {
+			delete(p.met, key)
+		}
+	}
 	unit, high, n := 0.0, 0.0, 0.0
 	for _, s := range p.servers {
 		if s.State == Active && s.known {
