--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	copyPart    = 0.1        // second copies for each task
 	keyMemory   = 10 * recalculate
 	keyServers  = 3
-	warmPull    = 0.1
+	warmPull    = 1.0 / floorPart
 	listCookie  = 0
 	tickCookie  = 1
 	firstTask   = 2
