--- a/policy/policy.go
+++ b/policy/policy.go
@@ -240,6 +240,30 @@
 	return false
 }
 
+// home is the server on which all nodes agree for a key without talking: the highest by a hash of both.
+func (p *Policy) home(t *task) *server {
+	if t.Key == "" || !p.set.WarmKeys {
+		return nil
+	}
+	key := uint64(14695981039346656037)
+	for i := range len(t.Key) {
+		key = (key ^ uint64(t.Key[i])) * 1099511628211
+	}
+	var best *server
+	top := uint64(0)
+	for _, s := range p.servers {
+		if s.State != Active {
+			continue
+		}
+		h := (key ^ uint64(s.Server)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+		h = (h ^ h>>31) * 0x94d049bb133111eb
+		if h ^= h >> 29; best == nil || h > top {
+			best, top = s, h
+		}
+	}
+	return best
+}
+
 // meet notes that a server is given a key, in place of the one that met it longest ago.
 func (p *Policy) meet(now int64, key string, s *server) {
 	list := p.met[key]
@@ -460,6 +484,7 @@
 		mean = 1
 	}
 	p.weights = p.weights[:0]
+	home := p.home(t)
 	for _, s := range p.drawn {
 		w := max(s.load, mean/floorPart)
 		if !s.heard || s.risingFrom == 0 || now-s.risingFrom < settling*recalculate {
@@ -475,7 +500,7 @@
 		if s.Zone != p.set.Zone {
 			w *= farAway
 		}
-		if p.warm(now, t, s) {
+		if s == home || p.warm(now, t, s) {
 			w *= warmPull
 		}
 		p.weights = append(p.weights, w)
