Relax bounds where nothing is taken, and cap what one slow answer teaches

Cause: once a bound was too high nothing was taken and so nothing measured; and one heavy task tripled a server's expected time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,6 +16,7 @@
 	learn       = 1.0 / 8    // part of a new value in a server's running means
 	highest     = 0.95       // the quantile of answer times by which a server is judged
 	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
+	outlier     = 3          // an answer time counts as at most this multiple of the mean
 	failed      = 0.25       // running part of failures that puts a server out of the draw
 	mended      = 0.1        // and that lets it in again
 	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
@@ -98,6 +99,7 @@
 	warmth  float64   // work that a warm hand-off needs, over that of a cold one
 	typical []float64 // per category: mean answer time, to compare tasks that bring no hint
 	spread  []float64 // per category: a high quantile of answer times over their prediction
+	taken   []int     // per category: answers since the last tick
 	meanOf  float64   // mean cost of a task
 	copies  float64
 	askWait int64
@@ -111,7 +113,8 @@
 func New(settings Settings, seed uint64, host Host) *Policy {
 	p := &Policy{set: settings, host: host, byID: map[ServerID]*server{}, tasks: map[TaskID]*task{},
 		waking: map[uint64]*task{}, met: map[string][]met{}, warmth: 0.5, cookies: firstTask, typical: make([]float64, len(settings.Categories)),
-		spread: make([]float64, len(settings.Categories))}
+		spread: make([]float64, len(settings.Categories)),
+		taken:  make([]int, len(settings.Categories))}
 	for i := range p.spread {
 		p.spread[i] = 2
 	}
@@ -685,6 +688,7 @@
 // calibrate learns how far above its prediction an answer may come.
 func (p *Policy) calibrate(t *task, h *handOff, took float64) {
 	spread := &p.spread[t.Task.Category]
+	p.taken[t.Task.Category]++
 	if took > h.predicted**spread && h.predicted > 0 {
 		*spread *= 1 + learn*highest
 	} else if h.predicted > 0 {
@@ -702,7 +706,7 @@
 		s.known, s.unit, s.high = true, unit, 2*unit
 	}
 	s.answers++
-	s.unit += (unit - s.unit) * learn
+	s.unit += (min(unit, outlier*s.unit) - s.unit) * learn
 	s.crowd += (float64(h.crowd) - s.crowd) * learn
 	if unit > s.high {
 		s.high += s.unit * learn * highest
@@ -781,9 +785,16 @@
 	}
 	for _, s := range p.servers {
 		if s.known && s.answers == 0 && n > 0 {
-			s.unit += (unit/n - s.unit) * learn
-			s.high += (high/n - s.high) * learn
+			s.unit += (min(unit/n, 1) - s.unit) * 2 * learn
+			s.high += (high/n - s.high) * 2 * learn
 		}
 		s.answers = 0
 	}
+	// Guards against a lock-out: a bound so high that no task is taken would never be measured again.
+	for i := range p.spread {
+		if p.taken[i] == 0 {
+			p.spread[i] = max(1, p.spread[i]*(1-2*learn))
+		}
+		p.taken[i] = 0
+	}
 }
