--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,7 +16,7 @@
 	learn       = 1.0 / 8    // part of a new value in a server's running means
 	highest     = 0.95       // the quantile of answer times by which a server is judged
 	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
-	outlier     = 3          // an answer time counts as at most this multiple of the mean
+	outlier     = 5          // an answer time counts as at most this multiple of the mean
 	failed      = 0.25       // running part of failures that puts a server out of the draw
 	mended      = 0.1        // and that lets it in again
 	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
