--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,6 +16,7 @@
 	learn       = 1.0 / 8    // part of a new value in a server's running means
 	highest     = 0.95       // the quantile of answer times by which a server is judged
 	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
+	single      = 0.8        // the same where each miss counts only for itself
 	outlier     = 5          // an answer time counts as at most this multiple of the mean
 	failed      = 0.25       // running part of failures that puts a server out of the draw
 	mended      = 0.1        // and that lets it in again
@@ -424,9 +425,8 @@
 	return int64(unit * cost * (1 + float64(s.out)) / (1 + s.crowd))
 }
 
-// inDraw tells who takes part in a task's draw. The levels widen it: first the fit that will be in time even by
-// their high quantile, then the fit that will be in time by their mean.
-func (p *Policy) inDraw(now int64, t *task, s *server, level int) bool {
+// inDraw tells who takes part in a task's draw: the fit that will be in time by a high quantile.
+func (p *Policy) inDraw(now int64, t *task, s *server) bool {
 	if !p.allowed(now, t, s) || now < s.fullTill {
 		return false
 	}
@@ -437,7 +437,7 @@
 		return false
 	}
 	if s.unfit {
-		return level == 0 && now >= s.retryAt && s.out == 0 && t.category.Repeat == Rerunnable
+		return now >= s.retryAt && s.out == 0 && t.category.Repeat == Rerunnable
 	}
 	cost := p.cost(t)
 	if s.out > 0 && s.known && now-s.silentFrom > p.patience(s, max(cost, p.meanOf)) {
@@ -447,35 +447,20 @@
 		if p.warm(now, t, s) {
 			cost *= p.warmth
 		}
-		unit := s.unit
-		if level == 0 {
-			unit *= p.spread[t.Task.Category]
-		}
-		return now+p.predict(s, cost, unit) <= t.limit
+		return now+p.predict(s, cost, s.unit*p.spread[t.Task.Category]) <= t.limit
 	}
 	return true
 }
 
-// daring is the level to which a task's draw may be widened: where more than a few misses cost a whole stretch,
-// a task is taken only on the high quantile.
-func (p *Policy) daring() int {
-	if p.set.BorneMisses > 0 {
-		return 0
-	}
-	return 1
-}
-
 // draw picks a server with a chance proportional to 1/w.
 func (p *Policy) draw(now int64, t *task) *server {
 	if now >= t.limit {
 		return nil
 	}
 	p.drawn = p.drawn[:0]
-	for level := 0; level <= p.daring() && len(p.drawn) == 0; level++ {
-		for _, s := range p.servers {
-			if p.inDraw(now, t, s, level) {
-				p.drawn = append(p.drawn, s)
-			}
+	for _, s := range p.servers {
+		if p.inDraw(now, t, s) {
+			p.drawn = append(p.drawn, s)
 		}
 	}
 	if len(p.drawn) == 0 {
@@ -689,10 +674,14 @@
 func (p *Policy) calibrate(t *task, h *handOff, took float64) {
 	spread := &p.spread[t.Task.Category]
 	p.taken[t.Task.Category]++
+	q := single
+	if p.set.BorneMisses > 0 {
+		q = highest
+	}
 	if took > h.predicted**spread && h.predicted > 0 {
-		*spread *= 1 + learn*highest
+		*spread *= 1 + learn*q
 	} else if h.predicted > 0 {
-		*spread = max(1, *spread*(1-learn*(1-highest)))
+		*spread = max(0.5, *spread*(1-learn*(1-q)))
 	}
 }
 
