--- a/policy/policy.go
+++ b/policy/policy.go
@@ -641,11 +641,7 @@
 	case TimedOut:
 		// Guards against learning from the quick alone: what never answered took longer still, and a server
 		// that only times out would go on looking as good as its last few answers.
-		if s.silentFrom > h.sentAt {
-			// Guards against one silent server raising the bound for all, so that tasks are declined
-			// that its fellows would have answered.
-			p.calibrate(t, h, float64(a.Elapsed)*overrun)
-		}
+		p.calibrate(t, h, float64(a.Elapsed)*overrun)
 		s.timed(h, float64(a.Elapsed)*overrun)
 		bad = 1
 	default:
