A category that fares better than the worst gives up part of its time

Change: the time a task may be predicted to take shrinks by the worst category's satisfied part over its own, to a quarter at the least.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,6 +17,7 @@
 	highest     = 0.95       // the quantile of answer times by which a server is judged
 	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
 	single      = 0.8        // the same where each miss counts only for itself
+	leastTime   = 0.25       // what a category keeps of its time at least when another fares worse
 	outlier     = 5          // an answer time counts as at most this multiple of the mean
 	failed      = 0.25       // running part of failures that puts a server out of the draw
 	mended      = 0.1        // and that lets it in again
@@ -85,6 +86,14 @@
 	credit     float64
 }
 
+// categoryState is what an instance learns of one category.
+type categoryState struct {
+	typical float64 // mean answer time, to compare tasks that bring no hint
+	spread  float64 // a high quantile of answer times over their prediction
+	fares   float64 // running part of the tasks that were satisfied
+	taken   int     // answers since the last tick
+}
+
 // Policy is one instance of the decisions.
 type Policy struct {
 	set     Settings
@@ -96,12 +105,10 @@
 	waking  map[uint64]*task
 	cookies uint64
 
+	of      []categoryState
 	met     map[string][]met
-	warmth  float64   // work that a warm hand-off needs, over that of a cold one
-	typical []float64 // per category: mean answer time, to compare tasks that bring no hint
-	spread  []float64 // per category: a high quantile of answer times over their prediction
-	taken   []int     // per category: answers since the last tick
-	meanOf  float64   // mean cost of a task
+	warmth  float64 // work that a warm hand-off needs, over that of a cold one
+	meanOf  float64 // mean cost of a task
 	copies  float64
 	askWait int64
 	started bool
@@ -113,11 +120,10 @@
 // New makes an instance that knows nothing but its settings.
 func New(settings Settings, seed uint64, host Host) *Policy {
 	p := &Policy{set: settings, host: host, byID: map[ServerID]*server{}, tasks: map[TaskID]*task{},
-		waking: map[uint64]*task{}, met: map[string][]met{}, warmth: 0.5, cookies: firstTask, typical: make([]float64, len(settings.Categories)),
-		spread: make([]float64, len(settings.Categories)),
-		taken:  make([]int, len(settings.Categories))}
-	for i := range p.spread {
-		p.spread[i] = 2
+		waking: map[uint64]*task{}, met: map[string][]met{}, warmth: 0.5, cookies: firstTask,
+		of: make([]categoryState, len(settings.Categories))}
+	for i := range p.of {
+		p.of[i] = categoryState{spread: 2, fares: 1}
 	}
 	p.chance()
 	p.state += seed
@@ -234,7 +240,7 @@
 	if t.Cost > 0 {
 		return float64(t.Cost)
 	}
-	return p.typical[t.Task.Category]
+	return p.of[t.Task.Category].typical
 }
 
 // warm tells whether the server met the task's key lately.
@@ -447,11 +453,21 @@
 		if p.warm(now, t, s) {
 			cost *= p.warmth
 		}
-		return now+p.predict(s, cost, s.unit*p.spread[t.Task.Category]) <= t.limit
+		return p.predict(s, cost, s.unit*p.of[t.Task.Category].spread) <= p.allowance(now, t)
 	}
 	return true
 }
 
+// allowance is the time a task may be predicted to take. A category that fares better than the worst gives up
+// some of its own, against a tight soft limit being starved by the work of those that can wait.
+func (p *Policy) allowance(now int64, t *task) int64 {
+	worst := 1.0
+	for i := range p.of {
+		worst = min(worst, p.of[i].fares)
+	}
+	return int64(float64(t.limit-now) * max(worst/p.of[t.Task.Category].fares, leastTime))
+}
+
 // draw picks a server with a chance proportional to 1/w.
 func (p *Policy) draw(now int64, t *task) *server {
 	if now >= t.limit {
@@ -539,6 +555,7 @@
 
 // giveUp answers at once: a decline where asking again does no harm, else a break-off.
 func (p *Policy) giveUp(now int64, t *task) {
+	p.fare(t, 0)
 	decline := mayDecline(t)
 	p.recallRest(t)
 	if decline {
@@ -553,6 +570,11 @@
 	p.end(t)
 }
 
+func (p *Policy) fare(t *task, satisfied float64) {
+	f := &p.of[t.Task.Category].fares
+	*f += (satisfied - *f) / 64
+}
+
 func (p *Policy) recallRest(t *task) {
 	if !p.set.MayRecall {
 		return
@@ -596,6 +618,9 @@
 			delete(p.tasks, t.ID)
 		}
 	case a.Final || a.Outcome == Satisfied:
+		if a.Outcome == Satisfied {
+			p.fare(t, 1)
+		}
 		p.recallRest(t)
 		p.end(t)
 	case t.open > 0 || t.streams:
@@ -622,7 +647,7 @@
 			took /= p.warmth
 			h.cost /= p.warmth
 		}
-		typical := &p.typical[t.Task.Category]
+		typical := &p.of[t.Task.Category].typical
 		if *typical == 0 {
 			*typical = took
 		}
@@ -672,8 +697,8 @@
 
 // calibrate learns how far above its prediction an answer may come.
 func (p *Policy) calibrate(t *task, h *handOff, took float64) {
-	spread := &p.spread[t.Task.Category]
-	p.taken[t.Task.Category]++
+	spread := &p.of[t.Task.Category].spread
+	p.of[t.Task.Category].taken++
 	q := single
 	if p.set.BorneMisses > 0 {
 		q = highest
@@ -780,10 +805,10 @@
 		s.answers = 0
 	}
 	// Guards against a lock-out: a bound so high that no task is taken would never be measured again.
-	for i := range p.spread {
-		if p.taken[i] == 0 {
-			p.spread[i] = max(1, p.spread[i]*(1-2*learn))
+	for i := range p.of {
+		if c := &p.of[i]; c.taken == 0 {
+			c.spread = max(1, c.spread*(1-2*learn))
 		}
-		p.taken[i] = 0
+		p.of[i].taken = 0
 	}
 }
