--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,6 @@
 	failed      = 0.25       // running part of failures that puts a server out of the draw
 	mended      = 0.1        // and that lets it in again
 	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
-	trialPart   = 0.03       // trials of unfit servers for each hand-off: nodes with little traffic try seldom
 	copyPart    = 0.1        // second copies for each task
 	keyMemory   = 10 * recalculate
 	keyServers  = 3
@@ -111,7 +110,6 @@
 	warmth  float64 // work that a warm hand-off needs, over that of a cold one
 	meanOf  float64 // mean cost of a task
 	copies  float64
-	trials  float64
 	askWait int64
 	started bool
 
@@ -332,10 +330,6 @@
 	t.open++
 	s.out++
 	s.sends++
-	p.trials = min(p.trials+trialPart, 2)
-	if s.unfit {
-		p.trials--
-	}
 	s.load += s.drift
 	p.spendCold(now, s, cost)
 	p.host.HandOff(t.ID, s.Server, t.limit-now)
@@ -449,7 +443,7 @@
 		return false
 	}
 	if s.unfit {
-		return now >= s.retryAt && s.out == 0 && t.category.Repeat == Rerunnable && p.trials >= 1
+		return now >= s.retryAt && s.out == 0 && t.category.Repeat == Rerunnable
 	}
 	cost := p.cost(t)
 	if s.out > 0 && s.known && now-s.silentFrom > p.patience(s, max(cost, p.meanOf)) {
