--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,10 +6,7 @@
 // events and the Host are in types.go; docs/design.md tells what follows the paper and what departs from it.
 package policy
 
-import (
-	"math"
-	"sort"
-)
+import "sort"
 
 const (
 	recalculate = int64(1e9) // the design's longest time between two recalculations
@@ -21,12 +18,11 @@
 	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
 	single      = 0.8        // the same where each miss counts only for itself
 	leastTime   = 0.25       // what a category keeps of its time at least when another fares worse
-	leastSpread = 0.1
-	outlier     = 5    // an answer time counts as at most this multiple of the mean
-	failed      = 0.25 // running part of failures that puts a server out of the draw
-	mended      = 0.1  // and that lets it in again
-	coldSafety  = 0.5  // part of its fair part that a cold server gets, to err on the low side
-	copyPart    = 0.1  // second copies for each task
+	outlier     = 5          // an answer time counts as at most this multiple of the mean
+	failed      = 0.25       // running part of failures that puts a server out of the draw
+	mended      = 0.1        // and that lets it in again
+	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
+	copyPart    = 0.1        // second copies for each task
 	keyMemory   = 10 * recalculate
 	keyServers  = 3
 	warmPull    = 1.0 / floorPart
@@ -330,7 +326,7 @@
 	}
 	t.handOffs = append(t.handOffs,
 		handOff{server: s, warm: warm, sentAt: now, cost: cost, crowd: s.out, open: true,
-			predicted: p.predict(s, cost, s.unit)})
+			predicted: float64(p.predict(s, cost, s.unit))})
 	t.open++
 	s.out++
 	s.sends++
@@ -431,8 +427,8 @@
 	return true
 }
 
-func (p *Policy) predict(s *server, cost, unit float64) float64 {
-	return unit * cost * (1 + float64(s.out)) / (1 + s.crowd)
+func (p *Policy) predict(s *server, cost, unit float64) int64 {
+	return int64(unit * cost * (1 + float64(s.out)) / (1 + s.crowd))
 }
 
 // inDraw tells who takes part in a task's draw: the fit that will be in time by a high quantile.
@@ -457,20 +453,19 @@
 		if p.warm(now, t, s) {
 			cost *= p.warmth
 		}
-		mean := p.predict(s, cost, s.unit)
-		return mean+p.of[t.Task.Category].spread*math.Sqrt(mean*cost) <= p.allowance(now, t)
+		return p.predict(s, cost, s.unit*p.of[t.Task.Category].spread) <= p.allowance(now, t)
 	}
 	return true
 }
 
 // allowance is the time a task may be predicted to take. A category that fares better than the worst gives up
 // some of its own, against a tight soft limit being starved by the work of those that can wait.
-func (p *Policy) allowance(now int64, t *task) float64 {
+func (p *Policy) allowance(now int64, t *task) int64 {
 	worst := 1.0
 	for i := range p.of {
 		worst = min(worst, p.of[i].fares)
 	}
-	return float64(t.limit-now) * max(worst/p.of[t.Task.Category].fares, leastTime)
+	return int64(float64(t.limit-now) * max(worst/p.of[t.Task.Category].fares, leastTime))
 }
 
 // draw picks a server with a chance proportional to 1/w.
@@ -708,13 +703,10 @@
 	if p.set.BorneMisses > 0 {
 		q = highest
 	}
-	if h.predicted == 0 {
-		return
-	}
-	if took > h.predicted+*spread*math.Sqrt(h.predicted*h.cost) {
+	if took > h.predicted**spread && h.predicted > 0 {
 		*spread *= 1 + learn*q
-	} else {
-		*spread = max(leastSpread, *spread*(1-learn*(1-q)))
+	} else if h.predicted > 0 {
+		*spread = max(0.5, *spread*(1-learn*(1-q)))
 	}
 }
 
@@ -815,7 +807,7 @@
 	// Guards against a lock-out: a bound so high that no task is taken would never be measured again.
 	for i := range p.of {
 		if c := &p.of[i]; c.taken == 0 {
-			c.spread = max(leastSpread, c.spread*(1-2*learn))
+			c.spread = max(1, c.spread*(1-2*learn))
 		}
 		p.of[i].taken = 0
 	}
