--- /dev/null
+++ b/policy/model_test.go
@@ -0,0 +1,293 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"testing/quick"
+)
+
+// sentOut is one hand-off as the plain model sees it.
+type sentOut struct {
+	server  ServerID
+	at      int64
+	open    bool
+	neverOK bool // provably never ran
+}
+
+type modelTask struct {
+	task     Task
+	handOffs []sentOut
+	over     bool
+	finals   int
+}
+
+// world is the plain model: it plays events at random, keeps what the wire would know and checks each call of
+// the module against the four rules.
+type world struct {
+	*rand.Rand
+	p       *Policy
+	set     Settings
+	now     int64
+	tasks   map[TaskID]*modelTask
+	ids     []TaskID
+	list    map[ServerID]Listed
+	broken  []string
+	cookies []uint64
+	coldFor map[ServerID]float64 // hand-offs given to a server since it started cold
+	part    map[ServerID]float64 // and its even part of all hand-offs, times what it surely can do
+}
+
+func (w *world) fail(format string, a ...any) { w.broken = append(w.broken, fmt.Sprintf(format, a...)) }
+
+func (w *world) HandOff(id TaskID, server ServerID, timeOut int64) {
+	t, c := w.tasks[id], &w.set.Categories[0]
+	if t == nil || t.over {
+		w.fail("rule 1: hand-off of a task that is over")
+		return
+	}
+	c = &w.set.Categories[t.task.Category]
+	if timeOut <= 0 || w.now+timeOut > t.task.HardLimit {
+		w.fail("rule 1: time-out %d leaves the hard limit", timeOut)
+	}
+	to, known := w.list[server]
+	if !known || to.State != Active {
+		w.fail("rule 3: hand-off to a server that drains, is gone or was never listed")
+	}
+	if len(t.handOffs) >= w.set.MaxHandOffs {
+		w.fail("more hand-offs than allowed")
+	}
+	for _, h := range t.handOffs {
+		if h.open && !w.set.MayDuplicate {
+			w.fail("rule 2: second copy")
+		}
+		if h.neverOK || c.Repeat == Rerunnable {
+			continue
+		}
+		from := w.list[h.server]
+		inGroup := c.Group == WholeFleet || c.Group == SameZone && from.Zone == to.Zone ||
+			c.Group == SamePod && from.Pod == to.Pod
+		if c.Repeat == Exclusive || !inGroup || w.now-h.at >= c.Memory {
+			w.fail("rule 2: %d may run twice", c.Repeat)
+		}
+	}
+	active := 0.0
+	for _, l := range w.list {
+		if l.State == Active {
+			active++
+		}
+	}
+	for id, l := range w.list {
+		if age := w.now - l.Started; l.Started > 0 && age < w.set.WarmWithin {
+			w.part[id] += (0.1 + 0.9*float64(age)/float64(w.set.WarmWithin)) / active
+		}
+	}
+	if to.Started > 0 && w.now < to.Started+w.set.WarmWithin {
+		w.coldFor[server]++
+	}
+	t.handOffs = append(t.handOffs, sentOut{server: server, at: w.now, open: true})
+}
+
+func (w *world) Recall(id TaskID, number int) {
+	if t := w.tasks[id]; !w.set.MayRecall || t == nil || number >= len(t.handOffs) {
+		w.fail("recall of a hand-off that was never made, or not allowed")
+	}
+}
+
+func (w *world) final(id TaskID) *modelTask {
+	t := w.tasks[id]
+	if t == nil || t.over {
+		w.fail("rule 1: second final answer")
+		return nil
+	}
+	t.over = true
+	t.finals++
+	return t
+}
+
+func (w *world) Decline(id TaskID, comeBackIn int64) {
+	t := w.final(id)
+	if t == nil {
+		return
+	}
+	c := w.set.Categories[t.task.Category]
+	for _, h := range t.handOffs {
+		if !h.neverOK && c.Repeat != Rerunnable && (c.Repeat == Exclusive || c.Group != WholeFleet) {
+			w.fail("rule 2: declined though it may have run")
+		}
+	}
+	if comeBackIn < 0 || comeBackIn > w.set.MaxAdvice {
+		w.fail("advice %d out of bounds", comeBackIn)
+	}
+}
+
+func (w *world) BreakOff(id TaskID) { w.final(id) }
+
+func (w *world) WakeAt(at int64, cookie uint64) {
+	if at < w.now {
+		w.fail("timer in the past")
+	}
+	w.cookies = append(w.cookies, cookie)
+}
+
+func (w *world) Subscribe() {}
+
+func newWorld(seed int64) *world {
+	w := &world{Rand: rand.New(rand.NewSource(seed)), tasks: map[TaskID]*modelTask{},
+		list: map[ServerID]Listed{}, coldFor: map[ServerID]float64{}, part: map[ServerID]float64{}, now: 5e12}
+	w.set = Settings{Nodes: 3, MaxHandOffs: 1 + w.Intn(5), MayDuplicate: w.Intn(2) == 0, MayRecall: w.Intn(2) == 0,
+		MayAdvise: true, MaxAdvice: 1e9, MustAsk: w.Intn(2) == 0, AskWithin: 1e10, ColdFrom: 0.1, WarmWithin: 2e10,
+		Utilised: w.Intn(2) == 0, WarmKeys: w.Intn(2) == 0, BorneMisses: float64(w.Intn(2)) / 50}
+	for _, repeat := range []Repeat{Rerunnable, Ticketed, Exclusive, Ticketed} {
+		w.set.Categories = append(w.set.Categories, Category{SoftLimit: 2e8 + w.Int63n(1e9), HardLimit: 2e9,
+			Repeat: repeat, Group: Group(w.Intn(3)), Memory: 1e8 + w.Int63n(2e9), LateEarnings: float64(w.Intn(2))})
+	}
+	w.p = New(w.set, uint64(seed), w)
+	w.relist(true)
+	return w
+}
+
+// relist changes the fleet and tells the module: drains, leavers, restarts and newcomers.
+func (w *world) relist(whole bool) {
+	var told []Listed
+	for id := ServerID(1); id <= 8; id++ {
+		l, known := w.list[id]
+		switch {
+		case !known:
+			l = Listed{Server: id, Zone: int(id) % 2, Pod: int(id) % 3, Weight: 1}
+		case w.Intn(6) == 0:
+			l.State = State(w.Intn(3))
+		case w.Intn(12) == 0:
+			l.State, l.Started = Active, w.now-1
+			w.coldFor[id], w.part[id] = 0, 0
+		default:
+			if !whole {
+				continue
+			}
+		}
+		if whole && l.State == Gone || whole && known && w.Intn(10) == 0 {
+			l.State = Gone // missing from a whole list
+			w.list[id] = l
+			continue
+		}
+		w.list[id] = l
+		told = append(told, l)
+	}
+	w.p.ListLearned(w.now, told, whole)
+}
+
+func (w *world) answer(t *modelTask, number int, outcome Outcome) {
+	h := &t.handOffs[number]
+	h.open = false
+	h.neverOK = outcome == Full || outcome == Unreached || outcome == NeverSent
+	a := Answer{Task: t.task.ID, Number: number, Server: h.server, Outcome: outcome, Elapsed: w.now - h.at,
+		Report: Report{Utilisation: w.Float64(), Held: -1, Queue: float64(w.Intn(3)), ServiceTime: -1}}
+	if outcome == Satisfied && !t.over {
+		t.over = true
+		t.finals++
+	}
+	a.Final = t.over
+	w.p.HandOffAnswered(w.now, a)
+	w.owed(t)
+}
+
+// owed checks that a task which is not over has work out: nothing else would ever answer it in time.
+func (w *world) owed(t *modelTask) {
+	if t.over {
+		return
+	}
+	for _, h := range t.handOffs {
+		if h.open {
+			return
+		}
+	}
+	w.fail("rule 1: a task is held with nothing out")
+}
+
+func (w *world) step() {
+	w.now += w.Int63n(2e7)
+	switch w.Intn(10) {
+	case 0, 1, 2, 3:
+		t := &modelTask{task: Task{ID: TaskID(fmt.Sprint(len(w.ids))), Category: w.Intn(4), Key: fmt.Sprint(w.Intn(5)),
+			HardLimit: w.now + 1e8 + w.Int63n(2e9)}}
+		w.tasks[t.task.ID] = t
+		w.ids = append(w.ids, t.task.ID)
+		w.p.TaskArrived(w.now, t.task)
+		w.owed(t)
+	case 4:
+		if w.Intn(4) == 0 {
+			w.relist(w.Intn(3) == 0)
+		}
+	case 5:
+		if len(w.ids) > 0 {
+			if t := w.tasks[w.ids[w.Intn(len(w.ids))]]; !t.over && w.Intn(3) == 0 {
+				t.over = true
+				w.p.TaskWithdrawn(w.now, t.task.ID)
+			}
+		}
+	case 6:
+		if len(w.cookies) > 0 {
+			at := w.Intn(len(w.cookies))
+			cookie := w.cookies[at]
+			w.cookies = append(w.cookies[:at], w.cookies[at+1:]...)
+			w.p.Woken(w.now, cookie)
+		}
+	default:
+		for range 3 {
+			if len(w.ids) == 0 {
+				return
+			}
+			t := w.tasks[w.ids[max(0, len(w.ids)-1-w.Intn(30))]]
+			for n := range t.handOffs {
+				if t.handOffs[n].open {
+					w.answer(t, n, Outcome(w.Intn(int(NeverSent)+1)))
+					if w.Intn(8) == 0 { // the same news twice must change nothing
+						w.p.HandOffAnswered(w.now, Answer{Task: t.task.ID, Number: n, Server: t.handOffs[n].server})
+					}
+					break
+				}
+			}
+		}
+	}
+	for id, given := range w.coldFor {
+		if given > w.part[id]+3 {
+			w.fail("rule 4: cold server %d was given %g, its part is %g", id, given, w.part[id])
+		}
+	}
+}
+
+func TestRulesAgainstThePlainModel(t *testing.T) {
+	play := func(seed int64) bool {
+		w := newWorld(seed)
+		for range 600 {
+			w.step()
+		}
+		w.now += 4e9
+		for _, id := range w.ids {
+			for n := 0; n < len(w.tasks[id].handOffs); n++ {
+				if w.tasks[id].handOffs[n].open {
+					w.answer(w.tasks[id], n, TimedOut)
+				}
+			}
+			if !w.tasks[id].over || w.tasks[id].finals > 1 {
+				w.fail("rule 1: task with %d final answers", w.tasks[id].finals)
+			}
+		}
+		if len(w.p.tasks) > 0 {
+			w.fail("%d tasks are kept after their end", len(w.p.tasks))
+		}
+		for _, s := range w.p.servers {
+			if s.out != 0 {
+				w.fail("%d hand-offs are counted out after all have ended", s.out)
+			}
+		}
+		if len(w.broken) > 0 {
+			t.Logf("seed %d: %s", seed, w.broken[0])
+		}
+		return len(w.broken) == 0
+	}
+	config := &quick.Config{MaxCount: 300, Rand: rand.New(rand.NewSource(1))}
+	if err := quick.Check(play, config); err != nil {
+		t.Error(err)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -379,7 +379,7 @@
 			continue
 		}
 		if part := p.cold(now, s); part < 1 {
-			s.credit = min(s.credit+coldSafety*part*relative/float64(fellows), 2)
+			s.credit = min(s.credit+coldSafety*part*min(relative, 1)/float64(fellows), 2)
 			if s == to {
 				s.credit -= max(relative, 1)
 			}
