--- a/policy/policy.go
+++ b/policy/policy.go
@@ -333,7 +333,7 @@
 	s.load += s.drift
 	p.spendCold(now, s, cost)
 	p.host.HandOff(t.ID, s.Server, t.limit-now)
-	if patience := p.patience(t, s, cost); p.set.MayDuplicate && t.category.Repeat != Exclusive &&
+	if patience := p.patience(s, cost); p.set.MayDuplicate && t.category.Repeat != Exclusive &&
 		t.open == 1 && patience > 0 && now+patience < t.limit-patience/2 {
 		if t.cookie == 0 {
 			t.cookie = p.cookies
@@ -345,11 +345,11 @@
 }
 
 // patience is how long an answer may take before it counts as overdue.
-func (p *Policy) patience(t *task, s *server, cost float64) int64 {
+func (p *Policy) patience(s *server, cost float64) int64 {
 	if !s.known {
 		return int64(4 * cost)
 	}
-	return p.predict(s, cost, s.unit*p.of[t.Task.Category].spread)
+	return int64(2 * s.high * cost * (1 + float64(s.out)) / (1 + s.crowd))
 }
 
 // cold returns the part of its capacity that a server surely has; 1 when warm.
@@ -446,7 +446,7 @@
 		return now >= s.retryAt && s.out == 0 && t.category.Repeat == Rerunnable
 	}
 	cost := p.cost(t)
-	if s.out > 0 && s.known && now-s.silentFrom > p.patience(t, s, max(cost, p.meanOf)) {
+	if s.out > 0 && s.known && now-s.silentFrom > p.patience(s, max(cost, p.meanOf)) {
 		return false // guards against servers that take tasks and answer nothing, and so report no load
 	}
 	if s.known {
