--- a/policy/policy.go
+++ b/policy/policy.go
@@ -635,7 +635,7 @@
 	if a.Outcome != TimedOut && a.Outcome != Recalled && a.Outcome != NeverSent {
 		s.silentFrom = now
 	}
-	bad, odd := 0.0, p.isOdd(s)
+	bad := 0.0
 	switch a.Outcome {
 	case Satisfied:
 		took := float64(a.Elapsed)
@@ -666,58 +666,51 @@
 	case TimedOut:
 		// Guards against learning from the quick alone: what never answered took longer still, and a server
 		// that only times out would go on looking as good as its last few answers.
-		took := float64(a.Elapsed) * overrun
-		if !odd || !s.unfit && s.silentFrom > h.sentAt {
-			// Guards against a few silent servers raising the bound for all, so that tasks are declined that
-			// their fellows would have answered.
-			p.calibrate(t, h, took)
+		if !s.unfit {
+			// Guards against trials of unfit servers raising the bound for all, so that tasks are declined
+			// that their fellows would have answered.
+			p.calibrate(t, h, float64(a.Elapsed)*overrun)
 		}
-		s.timed(h, took)
+		s.timed(h, float64(a.Elapsed)*overrun)
 		bad = 1
 	default:
 		bad = 1
 	}
 	s.failing += (bad - s.failing) * learn * 2
-	switch {
-	case bad > 0 && odd && (s.unfit || s.failing > failed):
-		s.unfit = true
-		s.retryAfter = min(max(2*s.retryAfter, recalculate/2), 4*recalculate)
-		s.retryAt = now + s.retryAfter
-	case s.unfit && (s.failing < mended || !odd):
-		s.unfit, s.retryAfter = false, 0
-	}
-}
-
-// isOdd tells whether most fellows of a server do well: when all fail together nobody is the odd one out.
-func (p *Policy) isOdd(s *server) bool {
-	others, ill := 0, 0
+	fellows, others := 0.0, 0.0
 	for _, o := range p.servers {
 		if o.State == Active && o != s {
 			others++
-			if o.failing > mended {
-				ill++
-			}
+			fellows += o.failing
 		}
 	}
-	return 2*ill < others || others == 0
-}
-
-func (p *Policy) quantile() float64 {
-	if p.set.BorneMisses > 0 {
-		return highest
+	limit := failed
+	if others > 0 {
+		// When everything fails together nobody is the odd one out.
+		limit = max(limit, 2*fellows/others)
+	}
+	switch {
+	case bad > 0 && (s.unfit || s.failing > limit):
+		s.unfit = true
+		s.retryAfter = min(max(2*s.retryAfter, recalculate/2), 4*recalculate)
+		s.retryAt = now + s.retryAfter
+	case s.unfit && (s.failing < mended || s.failing < limit/2):
+		s.unfit, s.retryAfter = false, 0
 	}
-	return single
 }
 
 // calibrate learns how far above its prediction an answer may come.
 func (p *Policy) calibrate(t *task, h *handOff, took float64) {
 	spread := &p.of[t.Task.Category].spread
 	p.of[t.Task.Category].taken++
-	q := p.quantile()
+	q := single
+	if p.set.BorneMisses > 0 {
+		q = highest
+	}
 	if took > h.predicted**spread && h.predicted > 0 {
-		*spread *= 1 + learn/2*q
+		*spread *= 1 + learn*q
 	} else if h.predicted > 0 {
-		*spread = max(0.5, *spread*(1-learn/2*(1-q)))
+		*spread = max(0.5, *spread*(1-learn*(1-q)))
 	}
 }
 
