A key's home and having met it lately pull w down each on its own

Cause: with one pull for both, the draw stayed even among the home and three other servers, so nodes did not gather a key where their fellows had warmed it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -520,7 +520,10 @@
 		if s.Zone != p.set.Zone {
 			w *= farAway
 		}
-		if s == home || p.warm(now, t, s) {
+		if s == home {
+			w *= warmPull
+		}
+		if p.warm(now, t, s) {
 			w *= warmPull
 		}
 		p.weights = append(p.weights, w)
