--- a/policy/policy.go
+++ b/policy/policy.go
@@ -516,12 +516,13 @@
 		if p.set.SizeWeights && s.Weight > 0 {
 			w /= s.Weight
 		}
-		w *= 1 + float64(s.out) // guards against herding on one low or late report
+		// Guards against herding on one low or late report, and against a key piling up at its home.
+		w *= (1 + float64(s.out)) * (1 + float64(s.out))
 		if s.Zone != p.set.Zone {
 			w *= farAway
 		}
 		if s == home {
-			w *= warmPull
+			w *= warmPull * warmPull // twice, or nodes gather a key wherever each happened to send it first
 		}
 		if p.warm(now, t, s) {
 			w *= warmPull
