--- a/policy/policy.go
+++ b/policy/policy.go
@@ -256,8 +256,9 @@
 	return false
 }
 
-// home is the server on which all nodes agree for a key without talking: the highest by a hash of both.
-func (p *Policy) home(t *task) *server {
+// home is the server on which nodes agree for a key without talking: of those in the draw and warm, the highest by
+// a hash of both. Where a home is unfit, late or cold, nodes fall back on the same next one.
+func (p *Policy) home(now int64, t *task) *server {
 	if t.Key == "" || !p.set.WarmKeys {
 		return nil
 	}
@@ -267,13 +268,10 @@
 	}
 	var best *server
 	top := uint64(0)
-	for _, s := range p.servers {
-		if s.State != Active {
-			continue
-		}
+	for _, s := range p.drawn {
 		h := (key ^ uint64(s.Server)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
 		h = (h ^ h>>31) * 0x94d049bb133111eb
-		if h ^= h >> 29; best == nil || h > top {
+		if h ^= h >> 29; (best == nil || h > top) && p.cold(now, s) == 1 {
 			best, top = s, h
 		}
 	}
@@ -504,7 +502,7 @@
 		mean = 1
 	}
 	p.weights = p.weights[:0]
-	home := p.home(t)
+	home := p.home(now, t)
 	for _, s := range p.drawn {
 		w := max(s.load, mean/floorPart)
 		if !s.heard || s.risingFrom == 0 || now-s.risingFrom < settling*recalculate {
