--- a/policy/policy.go
+++ b/policy/policy.go
@@ -377,7 +377,7 @@
 			continue
 		}
 		if part := p.cold(now, s); part < 1 {
-			s.credit = min(s.credit+coldSafety*part*min(relative, 1)/float64(fellows), 2)
+			s.credit = min(s.credit+coldSafety*part*min(relative, 1)/float64(fellows), 1)
 			if s == to {
 				s.credit -= max(relative, 1)
 			}
@@ -514,6 +514,11 @@
 		if p.set.SizeWeights && s.Weight > 0 {
 			w /= s.Weight
 		}
+		if p.cold(now, s) < 1 {
+			// It has earned this hand-off. Guards against never being drawn, and so never warming, while keys
+			// pull everything elsewhere.
+			w *= warmPull * warmPull
+		}
 		// Guards against herding on one low or late report, and against a key piling up at its home.
 		w *= (1 + float64(s.out)) * (1 + float64(s.out))
 		if s.Zone != p.set.Zone {
