--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,6 +16,7 @@
 	learn       = 1.0 / 8    // part of a new value in a server's running means
 	highest     = 0.95       // the quantile of answer times by which a server is judged
 	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
+	lowest      = 0.25       // the quantile that tells a category's work from its waiting
 	single      = 0.8        // the same where each miss counts only for itself
 	leastTime   = 0.25       // what a category keeps of its time at least when another fares worse
 	outlier     = 5          // an answer time counts as at most this multiple of the mean
@@ -88,7 +89,7 @@
 
 // categoryState is what an instance learns of one category.
 type categoryState struct {
-	typical float64 // mean answer time, to compare tasks that bring no hint
+	typical float64 // a low quantile of answer times, to compare tasks that bring no hint
 	spread  float64 // a high quantile of answer times over their prediction
 	fares   float64 // running part of the tasks that were satisfied
 	taken   int     // answers since the last tick
@@ -655,10 +656,16 @@
 			h.cost /= p.warmth
 		}
 		typical := &p.of[t.Task.Category].typical
-		if *typical == 0 {
+		// Guards against a lock-out: measured by the mean, a jam would make every server look late even when
+		// idle, and what is declined is never measured again. The quick quarter hardly feels a jam.
+		switch {
+		case *typical == 0:
 			*typical = took
+		case took > *typical:
+			*typical *= 1 + lowest*learn/2
+		default:
+			*typical *= 1 - (1-lowest)*learn/2
 		}
-		*typical += (took - *typical) / 32
 		if h.cost == 0 {
 			h.cost = took
 		}
