--- a/policy/policy.go
+++ b/policy/policy.go
@@ -378,7 +378,7 @@
 			continue
 		}
 		if part := p.cold(now, s); part < 1 {
-			s.credit = min(s.credit+coldSafety*part*min(relative, 1)/float64(fellows), 1)
+			s.credit = min(s.credit+part*(coldSafety+(1-coldSafety)*part)*min(relative, 1)/float64(fellows), 1)
 			if s == to {
 				s.credit -= max(relative, 1)
 			}
