Where a miss counts only for itself, be cautious in the measure that tasks are turned away

The bound over a prediction now goes from the mean to the whole quantile with the unsatisfied part of the worst category. Other deployments have a tail goal and are not touched.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,7 +17,7 @@
 	highest     = 0.95       // the quantile of answer times by which a server is judged
 	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
 	lowest      = 0.25       // the quantile that tells a category's work from its waiting
-	single      = 0.8        // the same where each miss counts only for itself
+	single      = 0.9        // the same where each miss counts only for itself
 	leastTime   = 0.25       // what a category keeps of its time at least when another fares worse
 	outlier     = 5          // an answer time counts as at most this multiple of the mean
 	failed      = 0.25       // running part of failures that puts a server out of the draw
@@ -452,11 +452,30 @@
 		if p.warm(now, t, s) {
 			cost *= p.warmth
 		}
-		return p.predict(s, cost, s.unit*p.of[t.Task.Category].spread) <= p.allowance(now, t)
+		return p.predict(s, cost, s.unit*p.bound(t)) <= p.allowance(now, t)
 	}
 	return true
 }
 
+// worst is the satisfied part of the category that fares worst.
+func (p *Policy) worst() float64 {
+	worst := 1.0
+	for i := range p.of {
+		worst = min(worst, p.of[i].fares)
+	}
+	return worst
+}
+
+// bound is what a prediction is multiplied by before it must be in time. Where a miss counts only for itself, a
+// risk costs nothing while there is room, and more the more is turned away.
+func (p *Policy) bound(t *task) float64 {
+	spread := p.of[t.Task.Category].spread
+	if p.set.BorneMisses > 0 || spread < 1 {
+		return spread
+	}
+	return 1 + (spread-1)*(1-p.worst())
+}
+
 // allowance is the time a task may be predicted to take. A category that fares better than the worst gives up
 // some of its own, against a tight soft limit being starved by the work of those that can wait.
 func (p *Policy) allowance(now int64, t *task) int64 {
