--- a/policy/policy.go
+++ b/policy/policy.go
@@ -111,6 +111,7 @@
 	warmth  float64 // work that a warm hand-off needs, over that of a cold one
 	meanOf  float64 // mean cost of a task
 	copies  float64
+	high    float64 // mean of the fit servers' high quantiles
 	askWait int64
 	started bool
 
@@ -343,12 +344,17 @@
 	}
 }
 
-// patience is how long an answer may take before it counts as overdue.
+// patience is how long an answer may take before it counts as overdue: by the server's own high quantile, but
+// no longer than by its fit fellows', against a silent server's time-outs stretching its own.
 func (p *Policy) patience(s *server, cost float64) int64 {
-	if !s.known {
+	if p.high == 0 {
 		return int64(4 * cost)
 	}
-	return int64(2 * s.high * cost * (1 + float64(s.out)) / (1 + s.crowd))
+	high := p.high
+	if s.known && !s.unfit {
+		high = min(2*high, s.high)
+	}
+	return int64(2 * high * cost * (1 + float64(s.out)) / (1 + min(s.crowd, float64(s.out))))
 }
 
 // cold returns the part of its capacity that a server surely has; 1 when warm.
@@ -830,14 +836,17 @@
 	}
 	unit, high, n := 0.0, 0.0, 0.0
 	for _, s := range p.servers {
-		if s.State == Active && s.known {
+		if s.State == Active && s.known && !s.unfit {
 			unit, high, n = unit+s.unit, high+s.high, n+1
 		}
 	}
+	if n > 0 {
+		p.high = high / n
+	}
 	for _, s := range p.servers {
 		if s.known && s.answers == 0 && n > 0 {
 			s.unit += (min(unit/n, 1) - s.unit) * 2 * learn
-			s.high += (high/n - s.high) * 2 * learn
+			s.high += (p.high - s.high) * 2 * learn
 		}
 		s.answers = 0
 	}
