--- a/policy/policy.go
+++ b/policy/policy.go
@@ -700,8 +700,14 @@
 	case Full:
 		s.fullTill = now + int64(p.meanOf)
 		return
-	case Recalled, NeverSent:
+	case NeverSent:
 		return
+	case Recalled:
+		// Guards against a silent server that looks fit because second copies always overtake it.
+		if a.Elapsed < p.patience(s, h.cost) || s.silentFrom > h.sentAt {
+			return
+		}
+		bad = 1
 	case TimedOut:
 		// Guards against learning from the quick alone: what never answered took longer still, and a server
 		// that only times out would go on looking as good as its last few answers.
