--- a/policy/policy.go
+++ b/policy/policy.go
@@ -711,9 +711,9 @@
 	case TimedOut:
 		// Guards against learning from the quick alone: what never answered took longer still, and a server
 		// that only times out would go on looking as good as its last few answers.
-		if !s.unfit {
-			// Guards against trials of unfit servers raising the bound for all, so that tasks are declined
-			// that their fellows would have answered.
+		if s.silentFrom > h.sentAt {
+			// Guards against a silent server raising the bound for all, so that tasks are declined that its
+			// fellows would have answered.
 			p.calibrate(t, h, float64(a.Elapsed)*overrun)
 		}
 		s.timed(h, float64(a.Elapsed)*overrun)
