Small tests for each failure found; a category not yet satisfied costs the mean of all

The tests found two things: hand-offs of a category of which nothing was satisfied yet taught nothing, and a server without fellows could be judged unfit, so that all its tasks were declined. Each guard was broken once by hand and its test seen to fail.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -242,7 +242,10 @@
 	if t.Cost > 0 {
 		return float64(t.Cost)
 	}
-	return p.of[t.Task.Category].typical
+	if typical := p.of[t.Task.Category].typical; typical > 0 {
+		return typical
+	}
+	return p.meanOf // nothing of this category was satisfied yet
 }
 
 // warm tells whether the server met the task's key lately.
@@ -729,10 +732,10 @@
 			fellows += o.failing
 		}
 	}
-	limit := failed
+	// When everything fails together nobody is the odd one out, nor is a server without fellows.
+	limit := 2.0
 	if others > 0 {
-		// When everything fails together nobody is the odd one out.
-		limit = max(limit, 2*fellows/others)
+		limit = max(failed, 2*fellows/others)
 	}
 	switch {
 	case bad > 0 && (s.unfit || s.failing > limit):
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,10 +1,97 @@
 package policy
 
 import (
+	"fmt"
 	"math"
 	"testing"
 )
 
+const ms = int64(1e6)
+
+// recorder is a host that notes what it is told, for the small tests of single failures.
+type recorder struct {
+	sent               []ServerID
+	waits              []int64
+	recalled           int
+	declined, brokeOff int
+	cookies            []uint64
+	advice             int64
+}
+
+func (r *recorder) HandOff(_ TaskID, s ServerID, wait int64) {
+	r.sent, r.waits = append(r.sent, s), append(r.waits, wait)
+}
+func (r *recorder) Recall(TaskID, int)             { r.recalled++ }
+func (r *recorder) Decline(_ TaskID, advice int64) { r.declined, r.advice = r.declined+1, advice }
+func (r *recorder) BreakOff(TaskID)                { r.brokeOff++ }
+func (r *recorder) WakeAt(_ int64, cookie uint64)  { r.cookies = append(r.cookies, cookie) }
+func (r *recorder) Subscribe()                     {}
+func (r *recorder) last() ServerID                 { return r.sent[len(r.sent)-1] }
+func (r *recorder) given(id ServerID) (count int) {
+	for _, s := range r.sent {
+		if s == id {
+			count++
+		}
+	}
+	return count
+}
+
+type bench struct {
+	*testing.T
+	*Policy
+	*recorder
+	now   int64
+	tasks int
+}
+
+// fleet starts a module with so many servers and three categories: rerunnable, ticketed in a pod, exclusive.
+func fleet(t *testing.T, servers int, change func(*Settings)) *bench {
+	s := Settings{Nodes: 3, MaxHandOffs: 5, MayDuplicate: true, MayRecall: true, MayAdvise: true, MaxAdvice: 1e9,
+		ColdFrom: 0.1, WarmWithin: 2e10, Categories: []Category{
+			{SoftLimit: 500 * ms, HardLimit: 1000 * ms, Repeat: Rerunnable},
+			{SoftLimit: 500 * ms, HardLimit: 1000 * ms, Repeat: Ticketed, Group: SamePod, Memory: 1000 * ms},
+			{SoftLimit: 500 * ms, HardLimit: 1000 * ms, Repeat: Exclusive}}}
+	if change != nil {
+		change(&s)
+	}
+	r := &recorder{}
+	b := &bench{T: t, Policy: New(s, 1, r), recorder: r, now: 1e12}
+	var list []Listed
+	for id := range servers {
+		list = append(list, Listed{Server: ServerID(id + 1), Pod: id / 2, Weight: 1})
+	}
+	b.ListLearned(b.now, list, true)
+	return b
+}
+
+func (b *bench) arrive(category int, key string) TaskID {
+	b.tasks++
+	id := TaskID(fmt.Sprint(b.tasks))
+	b.TaskArrived(b.now, Task{ID: id, Category: category, HardLimit: b.now + 1000*ms, Key: key})
+	return id
+}
+
+func (b *bench) end(id TaskID, number int, o Outcome, took int64) {
+	t := b.Policy.tasks[id]
+	b.HandOffAnswered(b.now, Answer{Task: id, Number: number, Server: t.handOffs[number].server.Server, Outcome: o,
+		Elapsed: took, Final: o == Satisfied, Report: Report{-1, -1, -1, -1, -1, -1}})
+}
+
+// serve plays rerunnable tasks one after another, each answered as its server does.
+func (b *bench) serve(tasks int, how func(ServerID) (Outcome, int64)) {
+	for range tasks {
+		id := b.arrive(0, "")
+		for b.Policy.tasks[id] != nil {
+			o, took := how(b.last())
+			b.now += took
+			b.end(id, len(b.Policy.tasks[id].handOffs)-1, o, took)
+		}
+		b.now += ms
+	}
+}
+
+func prompt(ServerID) (Outcome, int64) { return Satisfied, 40 * ms }
+
 // TestDrawFollowsTheFormula compares the draw's frequencies with shares worked by hand: for w of 1, 2 and 4
 // the sum is 7, x is 7, 3.5 and 1.75, and the shares are 4/7, 2/7 and 1/7.
 func TestDrawFollowsTheFormula(t *testing.T) {
@@ -23,3 +110,228 @@
 		}
 	}
 }
+
+func TestDriftIsTheLastRisePerHandOff(t *testing.T) {
+	s := &server{}
+	s.hear(0, 0.2)
+	s.sends = 4
+	s.hear(1, 0.6)
+	if math.Abs(s.drift-0.1) > 1e-9 {
+		t.Errorf("a rise of 0.4 over 4 hand-offs gives a drift of %g", s.drift)
+	}
+	s.sends = 4
+	if s.hear(2, 0.5); s.drift != 0 {
+		t.Errorf("a falling load gives a drift of %g", s.drift)
+	}
+	if s.hear(3, 0.9); s.drift != 0 {
+		t.Errorf("a rise over no hand-offs gives a drift of %g", s.drift)
+	}
+}
+
+func TestTimeOutsTeachAnswerTimes(t *testing.T) {
+	b := fleet(t, 1, nil)
+	b.serve(20, prompt)
+	before := b.servers[0].unit
+	for range 4 {
+		id := b.arrive(2, "")
+		b.now += 480 * ms
+		b.end(id, 0, TimedOut, 480*ms)
+	}
+	if b.servers[0].unit < 2*before {
+		t.Errorf("after four time-outs the server is expected at %.1f, before at %.1f", b.servers[0].unit, before)
+	}
+}
+
+func TestFastFailingServerLeavesAndReturns(t *testing.T) {
+	b := fleet(t, 4, nil)
+	bad := ServerID(2)
+	how := func(s ServerID) (Outcome, int64) {
+		if s == bad {
+			return Error, ms
+		}
+		return Satisfied, 40 * ms
+	}
+	b.serve(100, how)
+	b.sent = nil
+	b.serve(100, how)
+	if n := b.given(bad); n > 8 {
+		t.Errorf("a failing server got %d of %d hand-offs", n, len(b.sent))
+	}
+	b.arrive(2, "")
+	if bad = 0; b.declined+b.brokeOff > 0 {
+		t.Errorf("%d tasks were given up beside three good servers", b.declined+b.brokeOff)
+	}
+	b.serve(800, how)
+	b.sent = nil
+	if b.serve(100, how); b.given(2) < 10 || b.byID[2].unfit {
+		t.Errorf("a mended server got %d of 100 hand-offs", b.given(2))
+	}
+}
+
+func TestNobodyIsTheOddOneWhenAllFail(t *testing.T) {
+	b := fleet(t, 4, nil)
+	b.serve(20, prompt)
+	b.serve(60, func(ServerID) (Outcome, int64) { return Error, ms })
+	unfit := 0
+	for _, s := range b.servers {
+		if s.unfit {
+			unfit++
+		}
+	}
+	if unfit > 2 {
+		t.Errorf("%d of 4 servers were judged unfit when all failed alike", unfit)
+	}
+}
+
+func TestSilentServerGetsNoMoreTasks(t *testing.T) {
+	b := fleet(t, 3, nil)
+	b.serve(60, prompt)
+	b.tick()
+	id := b.arrive(2, "")
+	silent := b.last()
+	b.now += 400 * ms
+	b.sent = nil
+	b.serve(30, prompt)
+	if b.given(silent) > 0 {
+		t.Errorf("a server silent for ten answer times got %d more tasks", b.given(silent))
+	}
+	b.now += 80 * ms
+	b.end(id, 0, TimedOut, 480*ms)
+	if b.brokeOff != 1 || b.declined != 0 {
+		t.Errorf("the exclusive task was declined %d and broken off %d times", b.declined, b.brokeOff)
+	}
+}
+
+func (b *bench) tick() { b.Woken(b.now, tickCookie) }
+
+func TestOverdueTaskGetsACopyAndItsServerIsNoted(t *testing.T) {
+	b := fleet(t, 3, nil)
+	b.serve(60, prompt)
+	b.tick()
+	id := b.arrive(0, "")
+	b.now += 200 * ms
+	b.Woken(b.now, b.recorder.cookies[len(b.recorder.cookies)-1])
+	task := b.Policy.tasks[id]
+	if task.open != 2 || task.handOffs[0].server == task.handOffs[1].server {
+		t.Fatalf("the overdue task has %d hand-offs out", task.open)
+	}
+	slow := task.handOffs[0].server
+	b.end(id, 1, Satisfied, 40*ms)
+	if b.recalled != 1 {
+		t.Errorf("%d hand-offs were recalled after the copy's answer", b.recalled)
+	}
+	if b.end(id, 0, Recalled, 240*ms); slow.failing == 0 {
+		t.Error("the overtaken server still looks as good as the others")
+	}
+}
+
+func TestKeysGatherWhereTheyWereMet(t *testing.T) {
+	b := fleet(t, 10, func(s *Settings) { s.WarmKeys = true })
+	b.serve(50, prompt)
+	b.sent = nil
+	for range 100 {
+		id := b.arrive(0, "k")
+		b.now += 20 * ms
+		b.end(id, 0, Satisfied, 20*ms)
+	}
+	most := 0
+	for id := range 10 {
+		most = max(most, b.given(ServerID(id+1)))
+	}
+	if most < 80 {
+		t.Errorf("the server most used for a key got %d of 100 of its tasks", most)
+	}
+	b.drawn = append(b.drawn[:0], b.servers...)
+	task := &task{Task: Task{Key: "k"}}
+	home := b.home(b.now, task)
+	home.out = 39 // unanswered: the key must not pile up
+	b.weigh(b.now, task)
+	for i, s := range b.drawn {
+		if s == home && b.weights[i] < 0.1*b.weights[(i+1)%10] {
+			t.Errorf("w of the home is %g with 39 out, an idle server's %g", b.weights[i], b.weights[(i+1)%10])
+		}
+	}
+	home.out = 0
+	for key := range 40 { // met lately pulls by itself, without the home
+		task.Key = fmt.Sprint(key)
+		s := b.servers[key%10]
+		b.meet(b.now, task.Key, s)
+		b.drawn = append(b.drawn[:0], s, b.servers[(key+1)%10])
+		if b.weigh(b.now, task); b.home(b.now, task) != s {
+			continue
+		}
+		if b.weights[0] > b.weights[1]/7000 {
+			t.Fatalf("w is %g at the home that met the key, %g elsewhere", b.weights[0], b.weights[1])
+		}
+	}
+}
+
+func TestColdServerIsNoKeysHome(t *testing.T) {
+	b := fleet(t, 4, func(s *Settings) { s.WarmKeys = true })
+	for key := range 40 {
+		task := &task{Task: Task{Key: fmt.Sprint(key)}}
+		b.drawn = append(b.drawn[:0], b.servers...)
+		home := b.home(b.now, task)
+		home.Started = b.now - ms
+		if next := b.home(b.now, task); next == nil || next == home {
+			t.Fatalf("the key's home stays on a cold server")
+		}
+		home.Started = 0
+	}
+}
+
+func TestLateCategoryGivesUpTimeForTheStarved(t *testing.T) {
+	b := fleet(t, 2, nil)
+	b.of[0].fares, b.of[1].fares = 0.2, 0.8
+	starved, other := &task{limit: b.now + 400*ms}, &task{Task: Task{Category: 1}, limit: b.now + 400*ms}
+	if got := b.allowance(b.now, starved); got != 400*ms {
+		t.Errorf("the starved category may take %d", got)
+	}
+	if got := b.allowance(b.now, other); got != 100*ms {
+		t.Errorf("the other may take %d, want a quarter of 400 ms", got)
+	}
+}
+
+func TestIdleServersAreMeasuredAgainAfterAJam(t *testing.T) {
+	b := fleet(t, 2, func(s *Settings) { s.BorneMisses = 0.02 })
+	b.serve(40, prompt)
+	b.serve(40, func(ServerID) (Outcome, int64) { return Satisfied, 450 * ms })
+	jammed := b.servers[0].unit
+	for range 10 {
+		b.now += recalculate
+		b.tick()
+	}
+	if relaxed := b.servers[0].unit; relaxed > jammed/2 {
+		t.Errorf("answer times expected at %.1f in the jam are still expected at %.1f", jammed, relaxed)
+	}
+	b.declined = 0
+	if b.serve(20, prompt); b.declined > 0 {
+		t.Errorf("%d of 20 tasks were declined ten idle seconds after a jam", b.declined)
+	}
+}
+
+func TestSilentServerDoesNotRaiseTheBoundForAll(t *testing.T) {
+	b := fleet(t, 3, func(s *Settings) { s.BorneMisses = 0.02 })
+	b.serve(60, prompt)
+	before := b.of[2].spread
+	for range 5 {
+		id := b.arrive(2, "")
+		b.now += 480 * ms
+		b.end(id, 0, TimedOut, 480*ms)
+	}
+	if b.of[2].spread > before {
+		t.Errorf("the bound rose from %.2f to %.2f", before, b.of[2].spread)
+	}
+}
+
+func TestListIsAskedForAgainWithGrowingWaits(t *testing.T) {
+	p := New(Settings{MustAsk: true, AskWithin: 10e9}, 1, &recorder{})
+	last := int64(10e9 / 128)
+	for range 10 {
+		p.ListFailed(0)
+		if p.askWait != min(2*last, 25e8) {
+			t.Fatalf("waits %d after %d", p.askWait, last)
+		}
+		last = p.askWait
+	}
+}
