--- a/policy/policy.go
+++ b/policy/policy.go
@@ -84,6 +84,7 @@
 	retryAt    int64
 	retryAfter int64
 	fullTill   int64
+	turned     int // hand-offs turned away in a row
 	credit     float64
 }
 
@@ -675,6 +676,7 @@
 	switch a.Outcome {
 	case Satisfied:
 		took := float64(a.Elapsed)
+		s.turned = 0
 		if h.warm {
 			if s.known && s.unit > 0 && h.cost > 0 {
 				p.warmth += (min(took*p.warmth/(s.unit*h.cost), 2) - p.warmth) / 64
@@ -700,9 +702,15 @@
 		p.meanOf += (h.cost - p.meanOf) / 32
 		p.calibrate(t, h, float64(a.Elapsed))
 		s.timed(h, took)
-	case Full:
-		s.fullTill = now + int64(p.meanOf)
-		return
+	case Full, Unreached:
+		// Guards against a server that turns hand-offs away in no time and so uses up a task's few hand-offs: it
+		// is left alone, longer each time until it takes one.
+		s.turned = min(s.turned+1, 6)
+		s.fullTill = now + int64(p.meanOf)<<(s.turned-1)
+		if a.Outcome == Full {
+			return
+		}
+		bad = 1
 	case NeverSent:
 		return
 	case Recalled:
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -335,3 +335,18 @@
 		last = p.askWait
 	}
 }
+
+func TestServerThatTurnsAwayIsLeftAloneLonger(t *testing.T) {
+	b := fleet(t, 3, nil)
+	b.serve(30, prompt)
+	b.sent = nil
+	b.serve(60, func(s ServerID) (Outcome, int64) {
+		if s == 1 {
+			return Full, ms
+		}
+		return Satisfied, 10 * ms
+	})
+	if n := b.given(1); n > 8 {
+		t.Errorf("a full server was asked %d times during 60 tasks", n)
+	}
+}
