--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -71,18 +71,7 @@
 			w.fail("rule 2: %d may run twice", c.Repeat)
 		}
 	}
-	active := 0.0
-	for _, l := range w.list {
-		if l.State == Active {
-			active++
-		}
-	}
-	for id, l := range w.list {
-		if age := w.now - l.Started; l.Started > 0 && age < w.set.WarmWithin {
-			w.part[id] += (0.1 + 0.9*float64(age)/float64(w.set.WarmWithin)) / active
-		}
-	}
-	if to.Started > 0 && w.now < to.Started+w.set.WarmWithin {
+	if w.surely(to) < 1 {
 		w.coldFor[server]++
 	}
 	t.handOffs = append(t.handOffs, sentOut{server: server, at: w.now, open: true})
@@ -147,6 +136,37 @@
 	return w
 }
 
+func (w *world) surely(l Listed) float64 {
+	if age := w.now - l.Started; l.Started > 0 && age < w.set.WarmWithin {
+		return 0.1 + 0.9*float64(age)/float64(w.set.WarmWithin)
+	}
+	return 1
+}
+
+// carried adds to each cold server's part what a warm fellow satisfied, or an arrival where none is warm.
+func (w *world) carried(by ServerID) {
+	active, warm := 0.0, 0.0
+	for _, l := range w.list {
+		if l.State == Active {
+			active++
+			if w.surely(l) == 1 {
+				warm++
+			}
+		}
+	}
+	if by == 0 && warm > 0 || by != 0 && w.surely(w.list[by]) < 1 {
+		return
+	}
+	if by == 0 || warm == 0 {
+		warm = active
+	}
+	for id, l := range w.list {
+		if part := w.surely(l); part < 1 {
+			w.part[id] += part / max(warm, 1)
+		}
+	}
+}
+
 // relist changes the fleet and tells the module: drains, leavers, restarts and newcomers.
 func (w *world) relist(whole bool) {
 	var told []Listed
@@ -187,6 +207,9 @@
 		t.finals++
 	}
 	a.Final = t.over
+	if outcome == Satisfied {
+		w.carried(h.server)
+	}
 	w.p.HandOffAnswered(w.now, a)
 	w.owed(t)
 }
@@ -212,6 +235,7 @@
 			HardLimit: w.now + 1e8 + w.Int63n(2e9)}}
 		w.tasks[t.task.ID] = t
 		w.ids = append(w.ids, t.task.ID)
+		w.carried(0)
 		w.p.TaskArrived(w.now, t.task)
 		w.owed(t)
 	case 4:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -235,6 +235,7 @@
 		t.limit = min(t.limit, now+soft-soft/64-2*p.set.Tick)
 	}
 	p.tasks[t.ID] = t
+	p.earnCold(now, nil, 0)
 	p.copies = min(p.copies+copyPart, 4)
 	p.send(now, t)
 }
@@ -335,7 +336,7 @@
 	s.out++
 	s.sends++
 	s.load += s.drift
-	p.spendCold(now, s, cost)
+	s.credit -= max(p.relative(cost), 1)
 	p.host.HandOff(t.ID, s.Server, t.limit-now)
 	if patience := p.patience(s, cost); p.set.MayDuplicate && t.category.Repeat != Exclusive &&
 		t.open == 1 && patience > 0 && now+patience < t.limit-patience/2 {
@@ -370,28 +371,37 @@
 	return p.set.ColdFrom + (1-p.set.ColdFrom)*float64(max(age, 0))/float64(p.set.WarmWithin)
 }
 
-// spendCold keeps the books on cold servers: for each hand-off to its fellows a cold one earns what it could do
-// of an even part, and pays with the work it is given.
-func (p *Policy) spendCold(now int64, to *server, cost float64) {
-	relative := 1.0
-	if p.meanOf > 0 && cost > 0 {
-		relative = cost / p.meanOf
+// relative is a cost set against the mean.
+func (p *Policy) relative(cost float64) float64 {
+	if p.meanOf == 0 || cost == 0 {
+		return 1
 	}
-	fellows := 0
+	return cost / p.meanOf
+}
+
+// earnCold keeps the books on cold servers: for each task that a warm fellow satisfies, a cold one earns what it
+// surely can do of that fellow's even part; what it is given it pays for. Satisfied tasks are the measure, as no
+// fellow satisfies more than it can carry. Only where none is warm do arrivals count.
+func (p *Policy) earnCold(now int64, by *server, cost float64) {
+	warm, active := 0, 0
 	for _, s := range p.servers {
 		if s.State == Active {
-			fellows++
+			active++
+			if p.cold(now, s) == 1 {
+				warm++
+			}
 		}
 	}
+	if warm == active || (by == nil) != (warm == 0) || by != nil && p.cold(now, by) < 1 {
+		return
+	}
+	if warm == 0 {
+		warm = active
+	}
 	for _, s := range p.servers {
-		if s.State != Active {
-			continue
-		}
-		if part := p.cold(now, s); part < 1 {
-			s.credit = min(s.credit+part*(coldSafety+(1-coldSafety)*part)*min(relative, 1)/float64(fellows), 1)
-			if s == to {
-				s.credit -= max(relative, 1)
-			}
+		if part := p.cold(now, s); part < 1 && s.State == Active {
+			s.credit += part * (coldSafety + (1-coldSafety)*part) * min(p.relative(cost), 1) / float64(warm)
+			s.credit = min(s.credit, 1)
 		}
 	}
 }
@@ -702,6 +712,7 @@
 		p.meanOf += (h.cost - p.meanOf) / 32
 		p.calibrate(t, h, float64(a.Elapsed))
 		s.timed(h, took)
+		p.earnCold(now, s, h.cost)
 	case Full, Unreached:
 		// Guards against a server that turns hand-offs away in no time and so uses up a task's few hand-offs: it
 		// is left alone, longer each time until it takes one.
