--- a/policy/policy.go
+++ b/policy/policy.go
@@ -743,7 +743,7 @@
 	default:
 		bad = 1
 	}
-	s.failing += (bad - s.failing) * learn * 2
+	s.failing += (bad - s.failing) * learn
 	fellows, others := 0.0, 0.0
 	for _, o := range p.servers {
 		if o.State == Active && o != s {
@@ -873,15 +873,15 @@
 	}
 	for _, s := range p.servers {
 		if s.known && s.answers == 0 && n > 0 {
-			s.unit += (min(unit/n, 1) - s.unit) * 2 * learn
-			s.high += (p.high - s.high) * 2 * learn
+			s.unit += (min(unit/n, 1) - s.unit) * learn
+			s.high += (p.high - s.high) * learn
 		}
 		s.answers = 0
 	}
 	// Guards against a lock-out: a bound so high that no task is taken would never be measured again.
 	for i := range p.of {
 		if c := &p.of[i]; c.taken == 0 {
-			c.spread = max(1, c.spread*(1-2*learn))
+			c.spread = max(1, c.spread*(1-learn))
 		}
 		p.of[i].taken = 0
 	}
