Tasks beyond a customer's share give up time first

Cause: customers were not told apart at all; in overload one task beyond a share was as likely to be taken as one within. Each customer's share is kept against this node's own traffic. The time a task beyond may take shrinks with the square of the worst category's satisfied part, down to what such a task is worth. Settings and report values that nothing reads are gone.

--- a/internal/benchwire/settings.go
+++ b/internal/benchwire/settings.go
@@ -93,9 +93,7 @@
 		at := fmt.Sprintf("profiles.%d.", i)
 		c := policy.Category{
 			SoftLimit:    p.time(at+"objective_us", 1),
-			HardLimit:    p.time(at+"deadline_us", 1),
 			SoftStretch:  p.numberOr(at+"aim_stretch", 0, 0),
-			Earnings:     p.numberOr(at+"worth", 0, 1),
 			LateEarnings: p.numberOr(at+"late_worth", 0, 0),
 			Repeat: choice(p, at+"repeat", map[string]policy.Repeat{
 				"safe": policy.Rerunnable, "keyed": policy.Ticketed, "unsafe": policy.Exclusive}),
@@ -111,13 +109,11 @@
 		for i := range p.count("parties.count", 0) {
 			at := fmt.Sprintf("parties.%d.", i)
 			s.Customers = append(s.Customers, policy.Customer{
-				Portion: p.number(at+"portion", 0), Quota: p.numberOr(at+"quota_per_s", 0, 0)})
+				Portion: p.number(at+"portion", 0)})
 		}
 	}
 	s.OverShare = p.numberOr("over_share_worth", 0, 1)
-	s.ByWork = p.values["value_by"] == "work"
 	s.BorneMisses = p.numberOr("goal.borne_misses", 0, 0)
-	s.Nodes = int(p.number("group_size", 1))
 	s.Zone = int(p.number("zone", 0))
 	s.Tick = p.time("quantum_us", 0)
 	s.MustAsk = choice(p, "discovery", map[string]bool{"push": false, "ask": true})
--- a/internal/benchwire/wire.go
+++ b/internal/benchwire/wire.go
@@ -189,9 +189,9 @@
 		s := policy.Listed{
 			Server: policy.ServerID(e.unsigned("server", 32)),
 			Zone:   int(e.unsigned("site", 31)),
-			Kind:   int(e.unsigned("class_of_host", 31)),
-			Pod:    int(e.unsigned("cell", 31)),
 		}
+		e.unsigned("class_of_host", 31) // nothing is decided on machine kinds
+		s.Pod = int(e.unsigned("cell", 31))
 		condition := e.word("condition")
 		state, known := conditions[string(condition)]
 		s.State = state
@@ -411,7 +411,7 @@
 
 // report skips names it does not know and values that cannot be a load.
 func (f *fields) report() policy.Report {
-	r := policy.Report{Utilisation: -1, Held: -1, Queue: -1, ServiceTime: -1, Rate: -1, Errors: -1}
+	r := policy.Report{Utilisation: -1, Held: -1, Queue: -1, ServiceTime: -1}
 	if f.absent() {
 		return r
 	}
@@ -441,10 +441,6 @@
 			r.Queue = v
 		case "latency_ms":
 			r.ServiceTime = v
-		case "qps":
-			r.Rate = v
-		case "eps":
-			r.Errors = v
 		}
 	}
 	return r
--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -124,12 +124,11 @@
 func newWorld(seed int64) *world {
 	w := &world{Rand: rand.New(rand.NewSource(seed)), tasks: map[TaskID]*modelTask{},
 		list: map[ServerID]Listed{}, coldFor: map[ServerID]float64{}, part: map[ServerID]float64{}, now: 5e12}
-	w.set = Settings{Nodes: 3, MaxHandOffs: 1 + w.Intn(5), MayDuplicate: w.Intn(2) == 0, MayRecall: w.Intn(2) == 0,
+	w.set = Settings{MaxHandOffs: 1 + w.Intn(5), MayDuplicate: w.Intn(2) == 0, MayRecall: w.Intn(2) == 0,
 		MayAdvise: true, MaxAdvice: 1e9, MustAsk: w.Intn(2) == 0, AskWithin: 1e10, ColdFrom: 0.1, WarmWithin: 2e10,
 		Utilised: w.Intn(2) == 0, WarmKeys: w.Intn(2) == 0, BorneMisses: float64(w.Intn(2)) / 50}
 	for _, repeat := range []Repeat{Rerunnable, Ticketed, Exclusive, Ticketed} {
-		w.set.Categories = append(w.set.Categories, Category{SoftLimit: 2e8 + w.Int63n(1e9), HardLimit: 2e9,
-			Repeat: repeat, Group: Group(w.Intn(3)), Memory: 1e8 + w.Int63n(2e9), LateEarnings: float64(w.Intn(2))})
+		w.set.Categories = append(w.set.Categories, Category{SoftLimit: 2e8 + w.Int63n(1e9), Repeat: repeat, Group: Group(w.Intn(3)), Memory: 1e8 + w.Int63n(2e9), LateEarnings: float64(w.Intn(2))})
 	}
 	w.p = New(w.set, uint64(seed), w)
 	w.relist(true)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,6 +19,7 @@
 	lowest      = 0.25       // the quantile that tells a category's work from its waiting
 	single      = 0.9        // the same where each miss counts only for itself
 	leastTime   = 0.25       // what a category keeps of its time at least when another fares worse
+	shareStore  = 8          // tasks that a customer may ask for at once after asking for less than its share
 	outlier     = 5          // an answer time counts as at most this multiple of the mean
 	failed      = 0.25       // running part of failures that puts a server out of the draw
 	mended      = 0.1        // and that lets it in again
@@ -58,6 +59,7 @@
 	cookie   uint64
 	over     bool
 	streams  bool
+	beyond   bool // its customer's share
 }
 
 type server struct {
@@ -70,7 +72,6 @@
 	heard       bool
 	recalculate int64 // when next, if no report comes before
 	risingFrom  int64
-	queue       float64
 
 	out        int
 	known      bool
@@ -108,6 +109,7 @@
 	cookies uint64
 
 	of      []categoryState
+	shares  []float64 // per customer: tasks that it may still ask for within its share
 	met     map[string][]met
 	warmth  float64 // work that a warm hand-off needs, over that of a cold one
 	meanOf  float64 // mean cost of a task
@@ -124,7 +126,8 @@
 func New(settings Settings, seed uint64, host Host) *Policy {
 	p := &Policy{set: settings, host: host, byID: map[ServerID]*server{}, tasks: map[TaskID]*task{},
 		waking: map[uint64]*task{}, met: map[string][]met{}, warmth: 0.5, cookies: firstTask,
-		of: make([]categoryState, len(settings.Categories))}
+		of:     make([]categoryState, len(settings.Categories)),
+		shares: make([]float64, len(settings.Customers))}
 	for i := range p.of {
 		p.of[i] = categoryState{spread: 2, fares: 1}
 	}
@@ -205,9 +208,6 @@
 
 // report picks which reported value is the load; all else that depends on it asks the server.
 func (p *Policy) report(now int64, s *server, r *Report) {
-	if r.Queue >= 0 {
-		s.queue = r.Queue
-	}
 	load := -1.0
 	switch {
 	case p.set.Utilised && r.Utilisation >= 0:
@@ -235,11 +235,32 @@
 		t.limit = min(t.limit, now+soft-soft/64-2*p.set.Tick)
 	}
 	p.tasks[t.ID] = t
+	t.beyond = p.askBeyond(&arrived)
 	p.earnCold(now, nil, 0)
 	p.copies = min(p.copies+copyPart, 4)
 	p.send(now, t)
 }
 
+// askBeyond keeps the customers' shares of what this node is asked for and tells whether a task is beyond its own.
+// Set against the node's own traffic, they need no guess at how traffic is spread over the nodes.
+func (p *Policy) askBeyond(t *Task) bool {
+	if t.Customer >= len(p.shares) {
+		return false
+	}
+	if !t.Repeated {
+		for i := range p.shares {
+			p.shares[i] = min(p.shares[i]+p.set.Customers[i].Portion, shareStore)
+		}
+	}
+	if p.shares[t.Customer] < 1 {
+		return true
+	}
+	if !t.Repeated {
+		p.shares[t.Customer]--
+	}
+	return false
+}
+
 func (p *Policy) cost(t *task) float64 {
 	if t.Cost > 0 {
 		return float64(t.Cost)
@@ -499,11 +520,12 @@
 // allowance is the time a task may be predicted to take. A category that fares better than the worst gives up
 // some of its own, against a tight soft limit being starved by the work of those that can wait.
 func (p *Policy) allowance(now int64, t *task) int64 {
-	worst := 1.0
-	for i := range p.of {
-		worst = min(worst, p.of[i].fares)
+	worst := p.worst()
+	part := max(worst/p.of[t.Task.Category].fares, leastTime)
+	if t.beyond {
+		part *= max(worst*worst, p.set.OverShare)
 	}
-	return int64(float64(t.limit-now) * max(worst/p.of[t.Task.Category].fares, leastTime))
+	return int64(float64(t.limit-now) * part)
 }
 
 // draw picks a server with a chance proportional to 1/w.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -46,11 +46,11 @@
 
 // fleet starts a module with so many servers and three categories: rerunnable, ticketed in a pod, exclusive.
 func fleet(t *testing.T, servers int, change func(*Settings)) *bench {
-	s := Settings{Nodes: 3, MaxHandOffs: 5, MayDuplicate: true, MayRecall: true, MayAdvise: true, MaxAdvice: 1e9,
+	s := Settings{MaxHandOffs: 5, MayDuplicate: true, MayRecall: true, MayAdvise: true, MaxAdvice: 1e9,
 		ColdFrom: 0.1, WarmWithin: 2e10, Categories: []Category{
-			{SoftLimit: 500 * ms, HardLimit: 1000 * ms, Repeat: Rerunnable},
-			{SoftLimit: 500 * ms, HardLimit: 1000 * ms, Repeat: Ticketed, Group: SamePod, Memory: 1000 * ms},
-			{SoftLimit: 500 * ms, HardLimit: 1000 * ms, Repeat: Exclusive}}}
+			{SoftLimit: 500 * ms, Repeat: Rerunnable},
+			{SoftLimit: 500 * ms, Repeat: Ticketed, Group: SamePod, Memory: 1000 * ms},
+			{SoftLimit: 500 * ms, Repeat: Exclusive}}}
 	if change != nil {
 		change(&s)
 	}
@@ -74,7 +74,7 @@
 func (b *bench) end(id TaskID, number int, o Outcome, took int64) {
 	t := b.Policy.tasks[id]
 	b.HandOffAnswered(b.now, Answer{Task: id, Number: number, Server: t.handOffs[number].server.Server, Outcome: o,
-		Elapsed: took, Final: o == Satisfied, Report: Report{-1, -1, -1, -1, -1, -1}})
+		Elapsed: took, Final: o == Satisfied, Report: Report{-1, -1, -1, -1}})
 }
 
 // serve plays rerunnable tasks one after another, each answered as its server does.
@@ -350,3 +350,21 @@
 		t.Errorf("a full server was asked %d times during 60 tasks", n)
 	}
 }
+
+func TestCustomerBeyondItsShareIsShedFirst(t *testing.T) {
+	b := fleet(t, 2, func(s *Settings) { s.Customers, s.OverShare = []Customer{{0.7}, {0.3}}, 0.2 })
+	beyond := [2]int{}
+	for i := range 1000 { // both ask for as much
+		if b.askBeyond(&Task{Customer: i % 2}) {
+			beyond[i%2]++
+		}
+	}
+	if beyond[0] > 20 || beyond[1] < 150 {
+		t.Errorf("beyond their shares: %d of the one below it, %d of the one above", beyond[0], beyond[1])
+	}
+	b.of[0].fares = 0.5
+	within, over := &task{limit: b.now + 400*ms}, &task{limit: b.now + 400*ms, beyond: true}
+	if w, o := b.allowance(b.now, within), b.allowance(b.now, over); w != 400*ms || o != 100*ms {
+		t.Errorf("with half turned away a task within may take %d, one beyond %d", w, o)
+	}
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -50,19 +50,17 @@
 
 // Category holds what is known of one category of tasks.
 type Category struct {
-	SoftLimit, HardLimit int64
-	SoftStretch          float64 // soft limit grows by this multiple of the task's own work
-	Repeat               Repeat
-	Group                Group
-	Memory               int64 // how long the group still drops a repeat
-	Earnings             float64
-	LateEarnings         float64 // share of the earnings paid between soft and hard limit
+	SoftLimit    int64
+	SoftStretch  float64 // soft limit grows by this multiple of the task's own work
+	Repeat       Repeat
+	Group        Group
+	Memory       int64   // how long the group still drops a repeat
+	LateEarnings float64 // share of the earnings paid between soft and hard limit
 }
 
 // Customer is one party that shares the fleet.
 type Customer struct {
 	Portion float64
-	Quota   float64 // tasks a second over all nodes
 }
 
 // Settings are the figures the decisions read; all times are nanoseconds.
@@ -70,13 +68,11 @@
 	Categories []Category
 	Customers  []Customer
 	OverShare  float64 // earnings of a task beyond its customer's share
-	ByWork     bool    // earnings are counted for each unit of work
 
 	BorneMisses float64 // part of the tasks taken that may miss their soft limit unpunished; 0: no such goal
 
-	Nodes int
-	Zone  int
-	Tick  int64
+	Zone int
+	Tick int64
 
 	MustAsk     bool // the list answers only when asked
 	AskWithin   int64
@@ -101,7 +97,6 @@
 type Listed struct {
 	Server  ServerID
 	Zone    int
-	Kind    int
 	Pod     int
 	State   State
 	Weight  float64
@@ -121,7 +116,7 @@
 
 // Report holds the load values that came with an answer; a negative one was not sent.
 type Report struct {
-	Utilisation, Held, Queue, ServiceTime, Rate, Errors float64
+	Utilisation, Held, Queue, ServiceTime float64
 }
 
 // Answer tells how one hand-off ended.
