Close four holes found by reading the module through

A category that is no longer asked for held back the others for good; its satisfied part could reach nought and the allowance then had no value; an answer in no time at all gave a server a w of nought; a stream that broke without a final answer left its task open.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -571,7 +571,7 @@
 			w = max(w, mean)
 		}
 		if !p.set.Timed && !p.set.LiveWeights && s.known {
-			w *= s.unit // the reported value does not tell a slow server from a quick one
+			w *= max(s.unit, 1.0/floorPart) // the reported value does not tell a slow server from a quick one
 		}
 		if p.set.SizeWeights && s.Weight > 0 {
 			w /= s.Weight
@@ -641,7 +641,7 @@
 
 func (p *Policy) fare(t *task, satisfied float64) {
 	f := &p.of[t.Task.Category].fares
-	*f += (satisfied - *f) / 64
+	*f = max(*f+(satisfied-*f)/64, 0.01)
 }
 
 func (p *Policy) recallRest(t *task) {
@@ -692,7 +692,9 @@
 		}
 		p.recallRest(t)
 		p.end(t)
-	case t.open > 0 || t.streams:
+	case t.open > 0:
+	case t.streams:
+		p.giveUp(now, t) // a broken stream is not tried again
 	default:
 		p.send(now, t)
 	}
@@ -900,11 +902,14 @@
 		}
 		s.answers = 0
 	}
-	// Guards against a lock-out: a bound so high that no task is taken would never be measured again.
 	for i := range p.of {
-		if c := &p.of[i]; c.taken == 0 {
+		c := &p.of[i]
+		if c.taken == 0 {
+			// Guards against a lock-out: a bound so high that no task is taken would never be measured again,
+			// and a category that is no longer asked for would hold back the others.
 			c.spread = max(1, c.spread*(1-learn))
+			c.fares += (1 - c.fares) * learn
 		}
-		p.of[i].taken = 0
+		c.taken = 0
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -292,6 +292,18 @@
 	}
 }
 
+func TestCategoryNoLongerAskedForHoldsNobodyBack(t *testing.T) {
+	b := fleet(t, 2, nil)
+	b.of[0].fares = 0.01
+	for range 40 {
+		b.now += recalculate
+		b.tick()
+	}
+	if got := b.allowance(b.now, &task{Task: Task{Category: 1}, limit: b.now + 400*ms}); got < 380*ms {
+		t.Errorf("another category may take %d of 400 ms", got)
+	}
+}
+
 func TestIdleServersAreMeasuredAgainAfterAJam(t *testing.T) {
 	b := fleet(t, 2, func(s *Settings) { s.BorneMisses = 0.02 })
 	b.serve(40, prompt)
