--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,7 +6,10 @@
 // events and the Host are in types.go; docs/design.md tells what follows the paper and what departs from it.
 package policy
 
-import "sort"
+import (
+	"slices"
+	"sort"
+)
 
 const (
 	recalculate = int64(1e9) // the design's longest time between two recalculations
@@ -18,15 +21,12 @@
 	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
 	lowest      = 0.25       // the quantile that tells a category's work from its waiting
 	single      = 0.9        // the same where each miss counts only for itself
-	leastTime   = 0.25       // what a category keeps of its time at least when another fares worse
 	shareStore  = 8          // tasks that a customer may ask for at once after asking for less than its share
-	outlier     = 5          // an answer time counts as at most this multiple of the mean
 	failed      = 0.25       // running part of failures that puts a server out of the draw
 	mended      = 0.1        // and that lets it in again
 	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
 	copyPart    = 0.1        // second copies for each task
 	keyMemory   = 10 * recalculate
-	keyServers  = 3
 	warmPull    = 1.0 / floorPart
 	listCookie  = 0
 	tickCookie  = 1
@@ -306,23 +306,15 @@
 	return best
 }
 
-// meet notes that a server is given a key, in place of the one that met it longest ago.
+// meet notes that a server is given a key.
 func (p *Policy) meet(now int64, key string, s *server) {
 	list := p.met[key]
-	at := 0
 	for i := range list {
 		if list[i].server == s {
-			at = i
-			break
-		}
-		if list[i].at < list[at].at {
-			at = i
+			list[i].at = now
+			return
 		}
 	}
-	if len(list) > 0 && (list[at].server == s || len(list) == keyServers) {
-		list[at] = met{s, now}
-		return
-	}
 	p.met[key] = append(list, met{s, now})
 }
 
@@ -521,7 +513,7 @@
 // some of its own, against a tight soft limit being starved by the work of those that can wait.
 func (p *Policy) allowance(now int64, t *task) int64 {
 	worst := p.worst()
-	part := max(worst/p.of[t.Task.Category].fares, leastTime)
+	part := worst / p.of[t.Task.Category].fares
 	if t.beyond {
 		part *= max(worst*worst, p.set.OverShare)
 	}
@@ -815,7 +807,7 @@
 		s.known, s.unit, s.high = true, unit, 2*unit
 	}
 	s.answers++
-	s.unit += (min(unit, outlier*s.unit) - s.unit) * learn
+	s.unit += (unit - s.unit) * learn
 	s.crowd += (float64(h.crowd) - s.crowd) * learn
 	if unit > s.high {
 		s.high += s.unit * learn * highest
@@ -878,11 +870,8 @@
 // age lets what was learned of a server that is no longer heard drift to what its fellows show.
 func (p *Policy) age(now int64) {
 	for key, list := range p.met {
-		last := list[0].at
-		for _, m := range list {
-			last = max(last, m.at)
-		}
-		if now-last >= keyMemory {
+		list = slices.DeleteFunc(list, func(m met) bool { return now-m.at >= keyMemory })
+		if p.met[key] = list; len(list) == 0 {
 			delete(p.met, key)
 		}
 	}
