--- a/policy/policy.go
+++ b/policy/policy.go
@@ -241,8 +241,7 @@
 	p.send(now, t)
 }
 
-// askBeyond keeps the customers' shares of what this node is asked for and tells whether a task is beyond its own.
-// Set against the node's own traffic, they need no guess at how traffic is spread over the nodes.
+// askBeyond keeps the customers' shares of what this node is asked for and tells if a task is beyond its own. Set against the node's own traffic, they need no guess at how traffic is spread over the nodes.
 func (p *Policy) askBeyond(t *Task) bool {
 	if t.Customer >= len(p.shares) {
 		return false
@@ -284,8 +283,8 @@
 	return false
 }
 
-// home is the server on which nodes agree for a key without talking: of those in the draw and warm, the highest by
-// a hash of both. Where a home is unfit, late or cold, nodes fall back on the same next one.
+// home is the server on which nodes agree for a key without talking: of those in the draw and warm, the
+// highest by a hash of both. Where a home is unfit, late or cold, nodes fall back on the same next one.
 func (p *Policy) home(now int64, t *task) *server {
 	if t.Key == "" || !p.set.WarmKeys {
 		return nil
@@ -392,9 +391,9 @@
 	return cost / p.meanOf
 }
 
-// earnCold keeps the books on cold servers: for each task that a warm fellow satisfies, a cold one earns what it
-// surely can do of that fellow's even part; what it is given it pays for. Satisfied tasks are the measure, as no
-// fellow satisfies more than it can carry. Only where none is warm do arrivals count.
+// earnCold keeps the books on cold servers: for each task that a warm fellow satisfies, a cold one earns what
+// it surely can do of that fellow's even part; what it is given it pays for. Satisfied tasks are the measure,
+// as no fellow satisfies more than it can carry. Only where none is warm do arrivals count.
 func (p *Policy) earnCold(now int64, by *server, cost float64) {
 	warm, active := 0, 0
 	for _, s := range p.servers {
@@ -499,8 +498,8 @@
 	return worst
 }
 
-// bound is what a prediction is multiplied by before it must be in time. Where a miss counts only for itself, a
-// risk costs nothing while there is room, and more the more is turned away.
+// bound is what a prediction is multiplied by before it must be in time. Where a miss counts only for itself,
+// a risk costs nothing while there is room, and more the more is turned away.
 func (p *Policy) bound(t *task) float64 {
 	spread := p.of[t.Task.Category].spread
 	if p.set.BorneMisses > 0 || spread < 1 {
