--- a/policy/policy.go
+++ b/policy/policy.go
@@ -241,7 +241,8 @@
 	p.send(now, t)
 }
 
-// askBeyond keeps the customers' shares of what this node is asked for and tells if a task is beyond its own. Set against the node's own traffic, they need no guess at how traffic is spread over the nodes.
+// askBeyond keeps the customers' shares of what this node is asked for and tells if a task is beyond its own.
+// Set against the node's own traffic, they need no guess at how traffic is spread over the nodes.
 func (p *Policy) askBeyond(t *Task) bool {
 	if t.Customer >= len(p.shares) {
 		return false
