--- a/policy/policy.go
+++ b/policy/policy.go
@@ -891,11 +891,12 @@
 		}
 		s.answers = 0
 	}
+	idle := !slices.ContainsFunc(p.servers, func(s *server) bool { return s.out > 0 })
 	for i := range p.of {
 		c := &p.of[i]
-		if c.taken == 0 {
-			// Guards against a lock-out: a bound so high that no task is taken would never be measured again,
-			// and a category that is no longer asked for would hold back the others.
+		if idle || c.taken == 0 {
+			// Guards against a lock-out: a bound so high that next to no task is taken would hardly be measured
+			// again, and a category that is no longer asked for would hold back the others.
 			c.spread = max(1, c.spread*(1-learn))
 			c.fares += (1 - c.fares) * learn
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -304,6 +304,19 @@
 	}
 }
 
+func TestIdleNodeRelaxesItsBound(t *testing.T) {
+	b := fleet(t, 2, func(s *Settings) { s.BorneMisses = 0.02 })
+	b.of[0].spread = 50
+	for range 10 {
+		b.serve(1, prompt) // a task now and then must not keep the bound up
+		b.now += recalculate
+		b.tick()
+	}
+	if b.of[0].spread > 25 {
+		t.Errorf("the bound of an idle node is still %.1f of 50", b.of[0].spread)
+	}
+}
+
 func TestIdleServersAreMeasuredAgainAfterAJam(t *testing.T) {
 	b := fleet(t, 2, func(s *Settings) { s.BorneMisses = 0.02 })
 	b.serve(40, prompt)
