--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,7 +16,7 @@
 	settling    = 3          // recalculations through which a rising server still sits at the mean
 	floorPart   = 20         // w is at least the mean over this
 	farAway     = 6          // w of a server in another zone is pushed up by this
-	learn       = 1.0 / 12    // part of a new value in a server's running means
+	learn       = 1.0 / 12   // part of a new value in a server's running means
 	highest     = 0.95       // the quantile of answer times by which a server is judged
 	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
 	lowest      = 0.25       // the quantile that tells a category's work from its waiting
