--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,6 +18,7 @@
 	farAway     = 6          // w of a server in another zone is pushed up by this
 	learn       = 1.0 / 12   // part of a new value in a server's running means
 	highest     = 0.95       // the quantile of answer times by which a server is judged
+	mostSpread  = 5          // the bound over a prediction is at most this multiple
 	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
 	lowest      = 0.25       // the quantile that tells a category's work from its waiting
 	single      = 0.9        // the same where each miss counts only for itself
@@ -791,7 +792,9 @@
 		q = highest
 	}
 	if took > h.predicted**spread && h.predicted > 0 {
-		*spread *= 1 + learn*q
+		// Guards against heavy tasks that nobody told of: they come late on any server, so past some multiple the
+		// bound tells of the tasks, not of waiting, and declining the others mends nothing.
+		*spread = min(*spread*(1+learn*q), mostSpread)
 	} else if h.predicted > 0 {
 		*spread = max(0.5, *spread*(1-learn*(1-q)))
 	}
