--- a/internal/benchwire/settings.go
+++ b/internal/benchwire/settings.go
@@ -69,7 +69,7 @@
 	if !ok {
 		names := ""
 		for _, name := range []string{"safe", "keyed", "unsafe", "all", "zone", "cell", "push", "ask",
-			"off", "nominal", "rough", "live", "request", "work"} {
+			"off", "nominal", "rough", "live"} {
 			if _, known := of[name]; known {
 				names += " " + name
 			}
@@ -120,10 +120,10 @@
 	if s.MustAsk {
 		s.AskWithin = p.time("rules.ask_within_us", 1)
 	}
-	switch p.values["weights"] {
+	switch choice(p, "weights", map[string]string{"off": "", "nominal": "size", "rough": "size", "live": "live"}) {
 	case "live":
 		s.LiveWeights = true
-	case "nominal", "rough":
+	case "size":
 		s.SizeWeights = true
 	}
 	if p.values["report.how"] != "off" {
--- a/internal/benchwire/wire.go
+++ b/internal/benchwire/wire.go
@@ -168,7 +168,8 @@
 	}
 	i := &instance{number: append([]byte(nil), who...), link: l}
 	l.instances[string(who)] = i
-	return i.guarded(func() { i.policy = policy.New(settings, seed, i) })
+	i.policy = policy.New(settings, seed, i)
+	return nil
 }
 
 func (l *link) catalog(f *fields) error {
@@ -209,25 +210,16 @@
 	return nil
 }
 
-// guarded reports a panic in the decisions as the wire wants it instead of dying without a word.
-func (i *instance) guarded(act func()) error {
-	defer func() {
-		if broken := recover(); broken != nil {
-			text := bytes.ReplaceAll(fmt.Append(nil, broken), []byte{'\n'}, []byte{' '})
-			i.begin("FATAL").text(string(text)).end()
-		}
-	}()
-	act()
-	return nil
+// caught, when deferred, reports a panic in the decisions as the wire wants it instead of dying without a word.
+func (i *instance) caught() {
+	if broken := recover(); broken != nil {
+		text := bytes.ReplaceAll(fmt.Append(nil, broken), []byte{'\n'}, []byte{' '})
+		i.begin("FATAL").text(string(text)).end()
+	}
 }
 
-func (i *instance) event(name []byte, f *fields, l *link) (err error) {
-	defer func() {
-		if broken := recover(); broken != nil {
-			text := bytes.ReplaceAll(fmt.Append(nil, broken), []byte{'\n'}, []byte{' '})
-			i.begin("FATAL").text(string(text)).end()
-		}
-	}()
+func (i *instance) event(name []byte, f *fields, l *link) error {
+	defer i.caught()
 	switch string(name) {
 	case "REGISTRY":
 		form := string(f.word("form"))
--- a/internal/benchwire/wire_test.go
+++ b/internal/benchwire/wire_test.go
@@ -12,7 +12,7 @@
 	"profiles.2.repeat=unsafe profiles.2.streaming=true group_size=3 zone=0 quantum_us=5000 discovery=ask " +
 	"limits.cancelling=true limits.may_duplicate=true limits.retry_after=true limits.max_retry_after_us=3000000 " +
 	"limits.try_limit=5 report.fields=latency_ms,util report.how=inline rules.ask_within_us=10000000 " +
-	"rules.cold_from=0.12 rules.warm_within_us=24000000 weights=off value_by=request future.key=7"
+	"rules.cold_from=0.12 rules.warm_within_us=24000000 weights=off future.key=7"
 
 const start = "BEGIN_BATCH 1000000\nCONFIGURE 3 42 " + settings + "\nCATALOG 0 1\nSERVER 51530247 0 0 0 active 1 -\n" +
 	"REGISTRY 3 SAVED 41 0\nEOB\n"
@@ -84,6 +84,7 @@
 		batch + "RESOLVED 3 aa 1 1 1 Ok 0 util\n":                 "line 8: gauge: expected name:value",
 		batch + "CONFIGURE 4 1 group_size=3\n":                    "line 8: profile_data: profiles.count: expected",
 		batch + "CONFIGURE 4 1 " + settings + " zone=-1\n":        "line 8: profile_data: zone: expected a number of at least 0",
+		batch + "CONFIGURE 4 1 " + settings + " weights=heavy\n":  "weights: expected one of off nominal rough live, got heavy",
 		batch + "CONFIGURE 4 1 " + settings + " discovery=call\n": "discovery: expected one of push ask, got call",
 	} {
 		_, complaint, code := serve(in)
