--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,6 @@
 	single      = 0.9        // the same where each miss counts only for itself
 	shareStore  = 8          // tasks that a customer may ask for at once after asking for less than its share
 	failed      = 0.25       // running part of failures that puts a server out of the draw
-	mended      = 0.1        // and that lets it in again
 	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
 	copyPart    = 0.1        // second copies for each task
 	keyMemory   = 10 * recalculate
@@ -778,7 +777,7 @@
 		s.unfit = true
 		s.retryAfter = min(max(2*s.retryAfter, recalculate/2), 4*recalculate)
 		s.retryAt = now + s.retryAfter
-	case s.unfit && (s.failing < mended || s.failing < limit/2):
+	case s.unfit && s.failing < limit/2:
 		s.unfit, s.retryAfter = false, 0
 	}
 }
