--- a/policy/policy.go
+++ b/policy/policy.go
@@ -459,8 +459,9 @@
 	return true
 }
 
+// predict counts own hand-offs out double: what draws this node to a server draws its fellows too, unseen.
 func (p *Policy) predict(s *server, cost, unit float64) int64 {
-	return int64(unit * cost * (1 + float64(s.out)) / (1 + s.crowd))
+	return int64(unit * cost * (1 + 2*float64(s.out)) / (1 + 2*s.crowd))
 }
 
 // inDraw tells who takes part in a task's draw: the fit that will be in time by a high quantile.
