--- a/policy/policy.go
+++ b/policy/policy.go
@@ -618,9 +618,8 @@
 // giveUp answers at once: a decline where asking again does no harm, else a break-off.
 func (p *Policy) giveUp(now int64, t *task) {
 	p.fare(t, 0)
-	decline := mayDecline(t)
-	p.recallRest(t)
-	if decline {
+	p.recallRest(t, -1)
+	if mayDecline(t) {
 		wait := int64(0)
 		if p.set.MayAdvise {
 			wait = min(p.set.MaxAdvice, t.category.SoftLimit/4)
@@ -637,12 +636,10 @@
 	*f = max(*f+(satisfied-*f)/64, 0.01)
 }
 
-func (p *Policy) recallRest(t *task) {
-	if !p.set.MayRecall {
-		return
-	}
+// recallRest recalls what is still out for a task but for one hand-off, or for none (-1).
+func (p *Policy) recallRest(t *task, but int) {
 	for i := range t.handOffs {
-		if t.handOffs[i].open {
+		if t.handOffs[i].open && i != but && p.set.MayRecall {
 			p.host.Recall(t.ID, i)
 		}
 	}
@@ -683,7 +680,7 @@
 		if a.Outcome == Satisfied {
 			p.fare(t, 1)
 		}
-		p.recallRest(t)
+		p.recallRest(t, -1)
 		p.end(t)
 	case t.open > 0:
 	case t.streams:
@@ -827,17 +824,13 @@
 	}
 	t.streams = true
 	t.handOffs[number].server.silentFrom = now
-	for i := range t.handOffs {
-		if i != number && t.handOffs[i].open && p.set.MayRecall {
-			p.host.Recall(id, i)
-		}
-	}
+	p.recallRest(t, number)
 }
 
 // TaskWithdrawn takes the news that the client has gone; work still out for it can earn nothing.
 func (p *Policy) TaskWithdrawn(_ int64, id TaskID) {
 	if t := p.tasks[id]; t != nil && !t.over {
-		p.recallRest(t)
+		p.recallRest(t, -1)
 		p.end(t)
 	}
 }
