--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,7 +20,7 @@
 	highest     = 0.95       // the quantile of answer times by which a server is judged
 	mostSpread  = 5          // the bound over a prediction is at most this multiple
 	overrun     = 1.5        // what a hand-off that timed out would have taken, over what it had
-	lowest      = 0.25       // the quantile that tells a category's work from its waiting
+	lowest      = 0.4        // the quantile that tells a category's work from its waiting
 	single      = 0.9        // the same where each miss counts only for itself
 	shareStore  = 8          // tasks that a customer may ask for at once after asking for less than its share
 	failed      = 0.25       // running part of failures that puts a server out of the draw
@@ -711,7 +711,7 @@
 		}
 		typical := &p.of[t.Task.Category].typical
 		// Guards against a lock-out: measured by the mean, a jam would make every server look late even when
-		// idle, and what is declined is never measured again. The quick quarter hardly feels a jam.
+		// idle, and what is declined is never measured again. The quicker answers hardly feel a jam.
 		switch {
 		case *typical == 0:
 			*typical = took
