A server seldom heard is predicted from its pod's and the fleet's answers

Now expectation is the server's own last answers over its pod's over the fleet's over the work alone; they fade by a quarter a second, and one odd answer counts for at most three times what fellows show.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,6 +23,8 @@
 	lowest      = 0.4        // the quantile that tells a category's work from its waiting
 	single      = 0.9        // the same where each miss counts only for itself
 	shareStore  = 8          // tasks that a customer may ask for at once after asking for less than its share
+	forget      = 0.75       // part of what answers showed that still counts a second later
+	odd         = 3          // an answer counts for at most this multiple of what its fellows show
 	failed      = 0.25       // running part of failures that puts a server out of the draw
 	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
 	copyPart    = 0.1        // second copies for each task
@@ -75,10 +77,9 @@
 
 	out        int
 	known      bool
-	unit       float64 // answer time for each unit of expected work
-	high       float64 // a high quantile of the same
-	crowd      float64 // what this node had out there when those answers set off
-	answers    int     // since the last tick
+	own        evidence
+	pod        *evidence
+	high       float64 // a high quantile of answer time for each unit of expected work
 	silentFrom int64
 	failing    float64
 	unfit      bool
@@ -89,6 +90,21 @@
 	credit     float64
 }
 
+// evidence is the mean of the last few answers, fading as they age. What it lacks, a prior stands in for: a node
+// among hundreds hears of one server once in many seconds, of its pod and of the fleet far oftener.
+type evidence struct{ unit, crowd, n float64 } // sums of answer time for each unit of work, and of own ones out
+
+func (e *evidence) add(unit, crowd float64) {
+	e.fade(min(1, (1/learn-1)/max(e.n, 1)))
+	e.unit, e.crowd, e.n = e.unit+unit, e.crowd+crowd, e.n+1
+}
+
+func (e *evidence) fade(part float64) { e.unit, e.crowd, e.n = e.unit*part, e.crowd*part, e.n*part }
+
+func (e *evidence) over(unit, crowd float64) (float64, float64) {
+	return (e.unit + unit) / (e.n + 1), (e.crowd + crowd) / (e.n + 1)
+}
+
 // categoryState is what an instance learns of one category.
 type categoryState struct {
 	typical float64 // a low quantile of answer times, to compare tasks that bring no hint
@@ -107,6 +123,8 @@
 	tasks   map[TaskID]*task
 	waking  map[uint64]*task
 	cookies uint64
+	pods    map[int]*evidence
+	fleet   evidence
 
 	of      []categoryState
 	shares  []float64 // per customer: tasks that it may still ask for within its share
@@ -125,7 +143,7 @@
 // New makes an instance that knows nothing but its settings.
 func New(settings Settings, seed uint64, host Host) *Policy {
 	p := &Policy{set: settings, host: host, byID: map[ServerID]*server{}, tasks: map[TaskID]*task{},
-		waking: map[uint64]*task{}, met: map[string][]met{}, warmth: 0.5, cookies: firstTask,
+		pods: map[int]*evidence{}, waking: map[uint64]*task{}, met: map[string][]met{}, warmth: 0.5, cookies: firstTask,
 		of:     make([]categoryState, len(settings.Categories)),
 		shares: make([]float64, len(settings.Customers))}
 	for i := range p.of {
@@ -179,6 +197,10 @@
 			*s = server{Listed: l, out: s.out}
 		}
 		s.Listed = l
+		if p.pods[l.Pod] == nil {
+			p.pods[l.Pod] = &evidence{}
+		}
+		s.pod = p.pods[l.Pod]
 		if p.set.LiveWeights && l.Weight > 0 && l.State == Active {
 			s.hear(now, 1/l.Weight)
 		}
@@ -344,7 +366,7 @@
 	}
 	t.handOffs = append(t.handOffs,
 		handOff{server: s, warm: warm, sentAt: now, cost: cost, crowd: s.out, open: true,
-			predicted: float64(p.predict(s, cost, s.unit))})
+			predicted: float64(p.predict(s, cost))})
 	t.open++
 	s.out++
 	s.sends++
@@ -372,7 +394,8 @@
 	if s.known && !s.unfit {
 		high = min(2*high, s.high)
 	}
-	return int64(2 * high * cost * (1 + float64(s.out)) / (1 + min(s.crowd, float64(s.out))))
+	_, crowd := p.expect(s)
+	return int64(2 * high * cost * (1 + float64(s.out)) / (1 + min(crowd, float64(s.out))))
 }
 
 // cold returns the part of its capacity that a server surely has; 1 when warm.
@@ -460,8 +483,15 @@
 }
 
 // predict counts own hand-offs out double: what draws this node to a server draws its fellows too, unseen.
-func (p *Policy) predict(s *server, cost, unit float64) int64 {
-	return int64(unit * cost * (1 + 2*float64(s.out)) / (1 + 2*s.crowd))
+func (p *Policy) predict(s *server, cost float64) int64 {
+	unit, crowd := p.expect(s)
+	return int64(unit * cost * (1 + 2*float64(s.out)) / (1 + 2*crowd))
+}
+
+// expect is the answer time for each unit of work: the server's own answers, over its pod's, over the fleet's, over
+// the work alone.
+func (p *Policy) expect(s *server) (unit, crowd float64) {
+	return s.own.over(s.pod.over(p.fleet.over(1, 0)))
 }
 
 // inDraw tells who takes part in a task's draw: the fit that will be in time by a high quantile.
@@ -482,13 +512,10 @@
 	if s.out > 0 && s.known && now-s.silentFrom > p.patience(s, max(cost, p.meanOf)) {
 		return false // guards against servers that take tasks and answer nothing, and so report no load
 	}
-	if s.known {
-		if p.warm(now, t, s) {
-			cost *= p.warmth
-		}
-		return p.predict(s, cost, s.unit*p.bound(t)) <= p.allowance(now, t)
+	if p.warm(now, t, s) {
+		cost *= p.warmth
 	}
-	return true
+	return p.predict(s, cost*p.bound(t)) <= p.allowance(now, t)
 }
 
 // worst is the satisfied part of the category that fares worst.
@@ -563,8 +590,9 @@
 		if !s.heard || s.risingFrom == 0 || now-s.risingFrom < settling*recalculate {
 			w = max(w, mean)
 		}
-		if !p.set.Timed && !p.set.LiveWeights && s.known {
-			w *= max(s.unit, 1.0/floorPart) // the reported value does not tell a slow server from a quick one
+		if !p.set.Timed && !p.set.LiveWeights {
+			unit, _ := p.expect(s)
+			w *= max(unit, 1.0/floorPart) // the reported value does not tell a slow server from a quick one
 		}
 		if p.set.SizeWeights && s.Weight > 0 {
 			w /= s.Weight
@@ -702,8 +730,8 @@
 		took := float64(a.Elapsed)
 		s.turned = 0
 		if h.warm {
-			if s.known && s.unit > 0 && h.cost > 0 {
-				p.warmth += (min(took*p.warmth/(s.unit*h.cost), 2) - p.warmth) / 64
+			if unit, _ := p.expect(s); unit > 0 && h.cost > 0 {
+				p.warmth += (min(took*p.warmth/(unit*h.cost), 2) - p.warmth) / 64
 				p.warmth = min(max(p.warmth, 0.2), 1)
 			}
 			took /= p.warmth
@@ -725,7 +753,7 @@
 		}
 		p.meanOf += (h.cost - p.meanOf) / 32
 		p.calibrate(t, h, float64(a.Elapsed))
-		s.timed(h, took)
+		p.timed(h, took)
 		p.earnCold(now, s, h.cost)
 	case Full, Unreached:
 		// Guards against a server that turns hand-offs away in no time and so uses up a task's few hand-offs: it
@@ -752,7 +780,7 @@
 			// fellows would have answered.
 			p.calibrate(t, h, float64(a.Elapsed)*overrun)
 		}
-		s.timed(h, float64(a.Elapsed)*overrun)
+		p.timed(h, float64(a.Elapsed)*overrun)
 		bad = 1
 	default:
 		bad = 1
@@ -798,21 +826,26 @@
 }
 
 // timed learns from how long a hand-off took.
-func (s *server) timed(h *handOff, took float64) {
+func (p *Policy) timed(h *handOff, took float64) {
 	if h.cost == 0 {
 		return
 	}
-	unit := took / h.cost
+	s, unit, crowd := h.server, took/h.cost, float64(h.crowd)
+	// Guards against a few odd servers making the whole fleet look late: while most answers are prompt, one counts
+	// for little more than they do.
+	fleet, _ := p.fleet.over(1, 0)
+	pod, _ := s.pod.over(p.fleet.over(1, 0))
+	p.fleet.add(min(unit, odd*fleet), crowd)
+	s.pod.add(min(unit, odd*pod), crowd)
+	s.own.add(unit, crowd)
 	if !s.known {
-		s.known, s.unit, s.high = true, unit, 2*unit
+		s.known, s.high = true, 2*unit
 	}
-	s.answers++
-	s.unit += (unit - s.unit) * learn
-	s.crowd += (float64(h.crowd) - s.crowd) * learn
+	mean, _ := p.expect(s)
 	if unit > s.high {
-		s.high += s.unit * learn * highest
+		s.high += mean * learn * highest
 	} else {
-		s.high = max(s.unit, s.high-s.unit*learn*(1-highest))
+		s.high = max(mean, s.high-mean*learn*(1-highest))
 	}
 }
 
@@ -871,22 +904,23 @@
 			delete(p.met, key)
 		}
 	}
-	unit, high, n := 0.0, 0.0, 0.0
+	high, n := 0.0, 0.0
 	for _, s := range p.servers {
 		if s.State == Active && s.known && !s.unfit {
-			unit, high, n = unit+s.unit, high+s.high, n+1
+			high, n = high+s.high, n+1
 		}
 	}
 	if n > 0 {
 		p.high = high / n
 	}
 	for _, s := range p.servers {
-		if s.known && s.answers == 0 && n > 0 {
-			s.unit += (min(unit/n, 1) - s.unit) * learn
-			s.high += (p.high - s.high) * learn
-		}
-		s.answers = 0
+		s.high += (p.high - s.high) * learn * (1 - min(1, s.own.n*learn))
+		s.own.fade(forget)
+	}
+	for _, pod := range p.pods {
+		pod.fade(forget)
 	}
+	p.fleet.fade(forget)
 	idle := !slices.ContainsFunc(p.servers, func(s *server) bool { return s.out > 0 })
 	for i := range p.of {
 		c := &p.of[i]
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -131,14 +131,14 @@
 func TestTimeOutsTeachAnswerTimes(t *testing.T) {
 	b := fleet(t, 1, nil)
 	b.serve(20, prompt)
-	before := b.servers[0].unit
+	before, _ := b.expect(b.servers[0])
 	for range 4 {
 		id := b.arrive(2, "")
 		b.now += 480 * ms
 		b.end(id, 0, TimedOut, 480*ms)
 	}
-	if b.servers[0].unit < 2*before {
-		t.Errorf("after four time-outs the server is expected at %.1f, before at %.1f", b.servers[0].unit, before)
+	if after, _ := b.expect(b.servers[0]); after < 2*before {
+		t.Errorf("after four time-outs the server is expected at %.1f, before at %.1f", after, before)
 	}
 }
 
@@ -335,12 +335,12 @@
 	b := fleet(t, 2, func(s *Settings) { s.BorneMisses = 0.02 })
 	b.serve(40, prompt)
 	b.serve(40, func(ServerID) (Outcome, int64) { return Satisfied, 450 * ms })
-	jammed := b.servers[0].unit
+	jammed, _ := b.expect(b.servers[0])
 	for range 20 {
 		b.now += recalculate
 		b.tick()
 	}
-	if relaxed := b.servers[0].unit; relaxed > jammed/2 {
+	if relaxed, _ := b.expect(b.servers[0]); relaxed > jammed/2 {
 		t.Errorf("answer times expected at %.1f in the jam are still expected at %.1f", jammed, relaxed)
 	}
 	b.declined = 0
@@ -407,3 +407,29 @@
 		t.Errorf("with half turned away a task within may take %d, one beyond %d", w, o)
 	}
 }
+
+func TestFellowsStandInForAServerSeldomHeard(t *testing.T) {
+	b := fleet(t, 100, nil)
+	b.serve(40, prompt)
+	b.serve(40, func(s ServerID) (Outcome, int64) {
+		if s <= 20 {
+			return TimedOut, 450 * ms
+		}
+		return Satisfied, 40 * ms
+	})
+	if unit, _ := b.fleet.over(1, 0); unit > 3 {
+		t.Errorf("one server in five times out and the whole fleet is expected at %.1f", unit)
+	}
+	b.serve(60, func(ServerID) (Outcome, int64) { return TimedOut, 450 * ms })
+	unheard := &server{Listed: Listed{Server: 101}, pod: &evidence{}}
+	if unit, _ := b.expect(unheard); unit < 5 {
+		t.Errorf("nearly all time out and a server not heard yet is expected at %.1f", unit)
+	}
+	for range 60 {
+		b.now += recalculate
+		b.tick()
+	}
+	if unit, _ := b.expect(unheard); unit > 1.5 {
+		t.Errorf("a minute later it is still expected at %.1f", unit)
+	}
+}
