--- a/policy/policy.go
+++ b/policy/policy.go
@@ -761,6 +761,8 @@
 		s.turned = min(s.turned+1, 6)
 		s.fullTill = now + int64(p.meanOf)<<(s.turned-1)
 		if a.Outcome == Full {
+			// Guards against a storm of resends in a jam: who has no room left would have answered late.
+			p.timed(h, float64(t.limit-h.sentAt)*overrun)
 			return
 		}
 		bad = 1
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -433,3 +433,13 @@
 		t.Errorf("a minute later it is still expected at %.1f", unit)
 	}
 }
+
+func TestFullServersTeachThatTheFleetIsLate(t *testing.T) {
+	b := fleet(t, 100, nil)
+	b.serve(40, prompt)
+	b.sent = nil
+	b.serve(60, func(ServerID) (Outcome, int64) { return Full, ms })
+	if len(b.sent) > 120 {
+		t.Errorf("%d hand-offs for 60 tasks while every server is full", len(b.sent))
+	}
+}
