A popular key has as many homes as its part of the tasks asks for

Homes now number one and a half times the key's part of the tasks times the servers, counted from the node's own fading tally, where a first sight counts by how many keys come again.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,16 +29,18 @@
 	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
 	copyPart    = 0.1        // second copies for each task
 	keyMemory   = 10 * recalculate
+	keyFade     = 0.9 // part of the tasks asked for a key that still counts a second later
+	homesPart   = 1.5 // homes of a key, over its part of the tasks times the servers
 	warmPull    = 1.0 / floorPart
 	listCookie  = 0
 	tickCookie  = 1
 	firstTask   = 2
 )
 
-// met remembers that a server was given a key.
-type met struct {
-	server *server
-	at     int64
+// keyState is what an instance knows of one key.
+type keyState struct {
+	asked float64           // fading count of its tasks
+	met   map[*server]int64 // when each server was last given it
 }
 
 type handOff struct {
@@ -59,6 +61,7 @@
 	handOffs []handOff
 	open     int
 	cookie   uint64
+	key      *keyState // nil where keys save no work
 	over     bool
 	streams  bool
 	beyond   bool // its customer's share
@@ -88,11 +91,17 @@
 	fullTill   int64
 	turned     int // hand-offs turned away in a row
 	credit     float64
+	rank       uint64 // for the key of the task being drawn
+	home       bool
 }
 
-// evidence is the mean of the last few answers, fading as they age. What it lacks, a prior stands in for: a node
-// among hundreds hears of one server once in many seconds, of its pod and of the fleet far oftener.
-type evidence struct{ unit, crowd, n float64 } // sums of answer time for each unit of work, and of own ones out
+// evidence sums up the last few answers, fading as they age. What it lacks, a prior stands in for: a node among
+// hundreds hears of one server once in many seconds, of its pod and of the fleet far oftener.
+type evidence struct {
+	unit  float64 // answer times for each unit of expected work
+	crowd float64 // what this node had out at the server when the answered set off
+	n     float64
+}
 
 func (e *evidence) add(unit, crowd float64) {
 	e.fade(min(1, (1/learn-1)/max(e.n, 1)))
@@ -128,7 +137,10 @@
 
 	of      []categoryState
 	shares  []float64 // per customer: tasks that it may still ask for within its share
-	met     map[string][]met
+	keys    map[string]*keyState
+	asked   float64 // of all keys
+	again   float64 // running part of the tasks whose key was asked for lately
+	ranks   []uint64
 	warmth  float64 // work that a warm hand-off needs, over that of a cold one
 	meanOf  float64 // mean cost of a task
 	copies  float64
@@ -143,7 +155,8 @@
 // New makes an instance that knows nothing but its settings.
 func New(settings Settings, seed uint64, host Host) *Policy {
 	p := &Policy{set: settings, host: host, byID: map[ServerID]*server{}, tasks: map[TaskID]*task{},
-		pods: map[int]*evidence{}, waking: map[uint64]*task{}, met: map[string][]met{}, warmth: 0.5, cookies: firstTask,
+		pods: map[int]*evidence{}, waking: map[uint64]*task{}, keys: map[string]*keyState{},
+		warmth: 0.5, cookies: firstTask,
 		of:     make([]categoryState, len(settings.Categories)),
 		shares: make([]float64, len(settings.Customers))}
 	for i := range p.of {
@@ -258,6 +271,16 @@
 	}
 	p.tasks[t.ID] = t
 	t.beyond = p.askBeyond(&arrived)
+	if t.Key != "" && p.set.WarmKeys {
+		if t.key = p.keys[t.Key]; t.key == nil {
+			t.key = &keyState{met: map[*server]int64{}}
+			p.keys[t.Key] = t.key
+			p.again -= 1.0 / 32
+		}
+		p.again += (1 - p.again) / 32
+		t.key.asked++
+		p.asked++
+	}
 	p.earnCold(now, nil, 0)
 	p.copies = min(p.copies+copyPart, 4)
 	p.send(now, t)
@@ -295,49 +318,41 @@
 
 // warm tells whether the server met the task's key lately.
 func (p *Policy) warm(now int64, t *task, s *server) bool {
-	if t.Key == "" || !p.set.WarmKeys {
+	if t.key == nil {
 		return false
 	}
-	for _, m := range p.met[t.Key] {
-		if m.server == s && now-m.at < keyMemory && m.at > s.Started {
-			return true
-		}
-	}
-	return false
+	at, met := t.key.met[s]
+	return met && now-at < keyMemory && at > s.Started
 }
 
-// home is the server on which nodes agree for a key without talking: of those in the draw and warm, the
-// highest by a hash of both. Where a home is unfit, late or cold, nodes fall back on the same next one.
-func (p *Policy) home(now int64, t *task) *server {
-	if t.Key == "" || !p.set.WarmKeys {
-		return nil
+// home marks the servers on which nodes agree for a key without talking: of those in the draw and warm, the
+// highest by a hash of both. Where a home is unfit, late or cold, nodes fall back on the same next one. A key
+// has as many homes as its part of the tasks asks for: a popular key would jam a single one, as each of
+// hundreds of nodes has hardly a hand-off out there.
+func (p *Policy) home(now int64, t *task) {
+	if t.key == nil {
+		return
 	}
 	key := uint64(14695981039346656037)
 	for i := range len(t.Key) {
 		key = (key ^ uint64(t.Key[i])) * 1099511628211
 	}
-	var best *server
-	top := uint64(0)
+	p.ranks = p.ranks[:0]
 	for _, s := range p.drawn {
 		h := (key ^ uint64(s.Server)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
 		h = (h ^ h>>31) * 0x94d049bb133111eb
-		if h ^= h >> 29; (best == nil || h > top) && p.cold(now, s) == 1 {
-			best, top = s, h
+		if s.rank = h ^ h>>29; p.cold(now, s) == 1 {
+			p.ranks = append(p.ranks, s.rank)
 		}
 	}
-	return best
-}
-
-// meet notes that a server is given a key.
-func (p *Policy) meet(now int64, key string, s *server) {
-	list := p.met[key]
-	for i := range list {
-		if list[i].server == s {
-			list[i].at = now
-			return
-		}
+	slices.Sort(p.ranks)
+	// A key asked for once tells little of its part; how many keys come again tells how much.
+	asked := max(0, t.key.asked-1+p.again) / p.asked
+	homes := 1 + int(homesPart*float64(len(p.servers))*asked)
+	p.ranks = p.ranks[max(0, len(p.ranks)-homes):]
+	for _, s := range p.drawn {
+		s.home = len(p.ranks) > 0 && s.rank >= p.ranks[0] && p.cold(now, s) == 1
 	}
-	p.met[key] = append(list, met{s, now})
 }
 
 // send hands the task to a drawn server, or gives it up.
@@ -358,8 +373,8 @@
 	if warm {
 		cost *= p.warmth
 	}
-	if t.Key != "" && p.set.WarmKeys {
-		p.meet(now, t.Key, s)
+	if t.key != nil {
+		t.key.met[s] = now
 	}
 	if s.out == 0 {
 		s.silentFrom = now
@@ -488,8 +503,8 @@
 	return int64(unit * cost * (1 + 2*float64(s.out)) / (1 + 2*crowd))
 }
 
-// expect is the answer time for each unit of work: the server's own answers, over its pod's, over the fleet's, over
-// the work alone.
+// expect is the answer time for each unit of work: the server's own answers, over its pod's, over the fleet's,
+// over the work alone.
 func (p *Policy) expect(s *server) (unit, crowd float64) {
 	return s.own.over(s.pod.over(p.fleet.over(1, 0)))
 }
@@ -584,7 +599,7 @@
 		mean = 1
 	}
 	p.weights = p.weights[:0]
-	home := p.home(now, t)
+	p.home(now, t)
 	for _, s := range p.drawn {
 		w := max(s.load, mean/floorPart)
 		if !s.heard || s.risingFrom == 0 || now-s.risingFrom < settling*recalculate {
@@ -607,7 +622,7 @@
 		if s.Zone != p.set.Zone {
 			w *= farAway
 		}
-		if s == home {
+		if s.home {
 			w *= warmPull * warmPull // twice, or nodes gather a key wherever each happened to send it first
 		}
 		if p.warm(now, t, s) {
@@ -833,8 +848,8 @@
 		return
 	}
 	s, unit, crowd := h.server, took/h.cost, float64(h.crowd)
-	// Guards against a few odd servers making the whole fleet look late: while most answers are prompt, one counts
-	// for little more than they do.
+	// Guards against a few odd servers making the whole fleet look late: while most answers are prompt, one
+	// counts for little more than they do.
 	fleet, _ := p.fleet.over(1, 0)
 	pod, _ := s.pod.over(p.fleet.over(1, 0))
 	p.fleet.add(min(unit, odd*fleet), crowd)
@@ -900,12 +915,12 @@
 
 // age lets what was learned of a server that is no longer heard drift to what its fellows show.
 func (p *Policy) age(now int64) {
-	for key, list := range p.met {
-		list = slices.DeleteFunc(list, func(m met) bool { return now-m.at >= keyMemory })
-		if p.met[key] = list; len(list) == 0 {
-			delete(p.met, key)
+	for name, key := range p.keys {
+		if key.asked *= keyFade; key.asked < 0.1 {
+			delete(p.keys, name)
 		}
 	}
+	p.asked *= keyFade
 	high, n := 0.0, 0.0
 	for _, s := range p.servers {
 		if s.State == Active && s.known && !s.unfit {
