--- a/policy/policy.go
+++ b/policy/policy.go
@@ -95,8 +95,8 @@
 	home       bool
 }
 
-// evidence sums up the last few answers, fading as they age. What it lacks, a prior stands in for: a node among
-// hundreds hears of one server once in many seconds, of its pod and of the fleet far oftener.
+// evidence sums up the last few answers, fading as they age. What it lacks, a prior stands in for: a node
+// among hundreds hears of one server once in many seconds, of its pod and of the fleet far oftener.
 type evidence struct {
 	unit  float64 // answer times for each unit of expected work
 	crowd float64 // what this node had out at the server when the answered set off
@@ -503,8 +503,8 @@
 	return int64(unit * cost * (1 + 2*float64(s.out)) / (1 + 2*crowd))
 }
 
-// expect is the answer time for each unit of work: the server's own answers, over its pod's, over the fleet's,
-// over the work alone.
+// expect is the answer time for each unit of work: the server's own answers, over its pod's, over the
+// fleet's, over the work alone.
 func (p *Policy) expect(s *server) (unit, crowd float64) {
 	return s.own.over(s.pod.over(p.fleet.over(1, 0)))
 }
