Nothing out is no reason to relax the bound, nor to forget how a category fares

Cause: a node with nothing out relaxed its bound by a twelfth each second, and a node among hundreds nearly always has nothing out; time-outs did not raise the bound as the server is hardly heard of twice; how a category fares was a mean over 64 tasks, a minute here. Others ruled out: no errors, no server apart, zones and kinds alike. Now the bound relaxes only while most is turned away, a time-out no odder than the fleet counts, and fares is counted over seconds.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -118,8 +118,10 @@
 type categoryState struct {
 	typical float64 // a low quantile of answer times, to compare tasks that bring no hint
 	spread  float64 // a high quantile of answer times over their prediction
-	fares   float64 // running part of the tasks that were satisfied
+	fares   float64 // part of the tasks of late that were satisfied
+	asked   float64 // fading count of the tasks it is taken over
 	taken   int     // answers since the last tick
+	away    int     // tasks given up since
 }
 
 // Policy is one instance of the decisions.
@@ -675,8 +677,10 @@
 }
 
 func (p *Policy) fare(t *task, satisfied float64) {
-	f := &p.of[t.Task.Category].fares
-	*f = max(*f+(satisfied-*f)/64, 0.01)
+	c := &p.of[t.Task.Category]
+	c.asked = min(c.asked+1, 64)
+	c.fares = max(c.fares+(satisfied-c.fares)/(c.asked+1), 0.01)
+	c.away += 1 - int(satisfied)
 }
 
 // recallRest recalls what is still out for a task but for one hand-off, or for none (-1).
@@ -792,7 +796,7 @@
 	case TimedOut:
 		// Guards against learning from the quick alone: what never answered took longer still, and a server
 		// that only times out would go on looking as good as its last few answers.
-		if s.silentFrom > h.sentAt {
+		if fleet, _ := p.fleet.over(1, 0); s.silentFrom > h.sentAt || odd*fleet*h.cost > float64(a.Elapsed) {
 			// Guards against a silent server raising the bound for all, so that tasks are declined that its
 			// fellows would have answered.
 			p.calibrate(t, h, float64(a.Elapsed)*overrun)
@@ -941,12 +945,13 @@
 	idle := !slices.ContainsFunc(p.servers, func(s *server) bool { return s.out > 0 })
 	for i := range p.of {
 		c := &p.of[i]
-		if idle || c.taken == 0 {
+		if c.taken == 0 || idle && c.away > c.taken {
 			// Guards against a lock-out: a bound so high that next to no task is taken would hardly be measured
-			// again, and a category that is no longer asked for would hold back the others.
+			// again. Having nothing out is no sign of it: a node among hundreds mostly has nothing out.
 			c.spread = max(1, c.spread*(1-learn))
-			c.fares += (1 - c.fares) * learn
 		}
-		c.taken = 0
+		c.asked *= keyFade
+		c.fares += (1 - c.fares) * (1 - keyFade) / (c.asked + 1) // what is no longer asked for holds back nobody
+		c.taken, c.away = 0, 0
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -318,13 +318,23 @@
 	b := fleet(t, 2, func(s *Settings) { s.BorneMisses = 0.02 })
 	b.of[0].spread = 5
 	for range 10 {
-		b.serve(1, prompt) // a task now and then must not keep the bound up
+		b.serve(1, prompt) // a task now and then must not keep the bound up while most are turned away
+		b.of[0].away = 2
 		b.now += recalculate
 		b.tick()
 	}
 	if b.of[0].spread > 2.5 {
 		t.Errorf("the bound of an idle node is still %.1f of 5", b.of[0].spread)
 	}
+	b.of[0].spread = 3
+	for range 10 {
+		b.serve(1, prompt)
+		b.now += recalculate
+		b.tick()
+	}
+	if b.of[0].spread < 2.5 {
+		t.Errorf("the bound of a node that mostly has nothing out fell to %.1f of 3", b.of[0].spread)
+	}
 }
 
 func TestIdleServersAreMeasuredAgainAfterAJam(t *testing.T) {
