--- a/policy/policy.go
+++ b/policy/policy.go
@@ -146,6 +146,7 @@
 	warmth  float64 // work that a warm hand-off needs, over that of a cold one
 	meanOf  float64 // mean cost of a task
 	copies  float64
+	failing float64 // running part of failures, of all servers
 	high    float64 // mean of the fit servers' high quantiles
 	askWait int64
 	started bool
@@ -809,19 +810,14 @@
 	default:
 		bad = 1
 	}
-	s.failing += (bad - s.failing) * learn
-	fellows, others := 0.0, 0.0
-	for _, o := range p.servers {
-		if o.State == Active && o != s {
-			others++
-			fellows += o.failing
-		}
-	}
-	// When everything fails together nobody is the odd one out, nor is a server without fellows.
-	limit := 2.0
-	if others > 0 {
-		limit = max(failed, 2*fellows/others)
+	part := learn
+	if bad == 0 || a.Outcome == Error {
+		part = max(learn, 1/(s.own.n+2)) // one seldom heard is judged by the little there is
 	}
+	s.failing += (bad - s.failing) * part
+	p.failing += (bad - p.failing) * learn / 2
+	// When everything fails together nobody is the odd one out.
+	limit := max(failed, 2*p.failing)
 	switch {
 	case bad > 0 && (s.unfit || s.failing > limit):
 		s.unfit = true
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -449,3 +449,14 @@
 		t.Errorf("%d hand-offs for 60 tasks while every server is full", len(b.sent))
 	}
 }
+
+func TestOneErrorOfAServerSeldomHeardPutsItOut(t *testing.T) {
+	b := fleet(t, 40, nil)
+	b.serve(20, prompt)
+	id := b.arrive(2, "")
+	s := b.byID[b.last()]
+	s.own, s.failing = evidence{}, 0
+	if b.end(id, 0, Error, ms); !s.unfit {
+		t.Errorf("its failing part is taken for %.2f", s.failing)
+	}
+}
