--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,7 +23,7 @@
 	lowest      = 0.4        // the quantile that tells a category's work from its waiting
 	single      = 0.9        // the same where each miss counts only for itself
 	shareStore  = 8          // tasks that a customer may ask for at once after asking for less than its share
-	forget      = 0.75       // part of what answers showed that still counts a second later
+	forget      = 0.5        // part of what answers showed that still counts a second later
 	odd         = 3          // an answer counts for at most this multiple of what its fellows show
 	failed      = 0.25       // running part of failures that puts a server out of the draw
 	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
