A cold server's credit starts at a drawn place, so that many nodes together warm it

Cause: each node alone earns less than one hand-off for a cold server in its whole warming time, so nobody gives one. Others ruled out: the added servers answered whoever asked, drains were prompt. Credit now starts at a place drawn between nought and one: together the nodes give what they earn, spread evenly in time, and none gives before its turn.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -201,7 +201,7 @@
 	for _, l := range list {
 		s := p.byID[l.Server]
 		if s == nil {
-			s = &server{Listed: l}
+			s = &server{}
 			p.byID[l.Server] = s
 			at := sort.Search(len(p.servers), func(i int) bool { return p.servers[i].Server > l.Server })
 			p.servers = append(p.servers, nil)
@@ -209,8 +209,10 @@
 			p.servers[at] = s
 		}
 		if l.Started > s.Started {
-			// A new process: what was learned of the old one misleads, hand-offs still out are its own.
-			*s = server{Listed: l, out: s.out}
+			// A new process: what was learned of the old one misleads, hand-offs still out are its own. Where in its
+			// first part it stands is drawn: hundreds of nodes that earn less than a hand-off would else never warm
+			// it, or all give theirs at one moment.
+			*s = server{out: s.out, credit: p.chance()}
 		}
 		s.Listed = l
 		if p.pods[l.Pod] == nil {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -460,3 +460,19 @@
 		t.Errorf("its failing part is taken for %.2f", s.failing)
 	}
 }
+
+func TestHundredsOfNodesTogetherGiveAColdServerItsPart(t *testing.T) {
+	given, most := 0, 0.0
+	for seed := range uint64(400) {
+		b := fleet(t, 20, nil)
+		b.Policy.state += seed * 977
+		b.Policy.chance()
+		b.ListLearned(b.now, []Listed{{Server: 21, Weight: 1, Started: b.now - 4e9}}, false)
+		b.serve(8, prompt)
+		given += b.given(21)
+		most += 8 * 0.28 / 20 // what it surely can do four of twenty seconds after its start
+	}
+	if float64(given) < most/4 || float64(given) > most {
+		t.Errorf("400 nodes with eight tasks each gave it %d hand-offs, it surely can do %.0f", given, most)
+	}
+}
