w grows by the square of the expected answer time, whatever the reports hold

Others ruled out: with the bound mended the time-outs stayed on the same servers. The factor was the answer time itself, and only where reports hold no time; now it is its square and the same everywhere.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -613,10 +613,10 @@
 		if !s.heard || s.risingFrom == 0 || now-s.risingFrom < settling*recalculate {
 			w = max(w, mean)
 		}
-		if !p.set.Timed && !p.set.LiveWeights {
-			unit, _ := p.expect(s)
-			w *= max(unit, 1.0/floorPart) // the reported value does not tell a slow server from a quick one
-		}
+		// Reports are late and do not tell a slow server from a quick one; the square, as a slow one that gets its
+		// part by speed still answers too late.
+		unit, _ := p.expect(s)
+		w *= max(unit*unit, 1.0/floorPart)
 		if p.set.SizeWeights && s.Weight > 0 {
 			w /= s.Weight
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -476,3 +476,16 @@
 		t.Errorf("400 nodes with eight tasks each gave it %d hand-offs, it surely can do %.0f", given, most)
 	}
 }
+
+func TestSlowServerWithAlikeReportsGetsLittle(t *testing.T) {
+	b := fleet(t, 4, nil)
+	b.serve(400, func(s ServerID) (Outcome, int64) {
+		if s == 1 {
+			return Satisfied, 120 * ms
+		}
+		return Satisfied, 40 * ms
+	})
+	if n := b.given(1); n > 40 {
+		t.Errorf("a server three times as slow got %d of 400 hand-offs, by speed it would be 40", n)
+	}
+}
