A server that turns away is left alone the longer the seldomer a node hears of it

Cause: the wait after a refusal was tens of milliseconds, and a node that comes by once in seconds asked again each time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -204,9 +204,7 @@
 			s = &server{}
 			p.byID[l.Server] = s
 			at := sort.Search(len(p.servers), func(i int) bool { return p.servers[i].Server > l.Server })
-			p.servers = append(p.servers, nil)
-			copy(p.servers[at+1:], p.servers[at:])
-			p.servers[at] = s
+			p.servers = slices.Insert(p.servers, at, s)
 		}
 		if l.Started > s.Started {
 			// A new process: what was learned of the old one misleads, hand-offs still out are its own. Where in its
@@ -600,9 +598,7 @@
 			}
 		}
 	}
-	if heard > 0 {
-		mean /= heard
-	}
+	mean /= max(heard, 1)
 	if mean == 0 {
 		mean = 1
 	}
@@ -782,9 +778,10 @@
 		p.earnCold(now, s, h.cost)
 	case Full, Unreached:
 		// Guards against a server that turns hand-offs away in no time and so uses up a task's few hand-offs: it
-		// is left alone, longer each time until it takes one.
+		// is left alone, longer each time until it takes one, and longer the seldomer this node comes by.
 		s.turned = min(s.turned+1, 6)
-		s.fullTill = now + int64(p.meanOf)<<(s.turned-1)
+		wait := max(int64(p.meanOf), int64(float64(recalculate)/(2*s.own.n+1)))
+		s.fullTill = now + wait<<(s.turned-1)
 		if a.Outcome == Full {
 			// Guards against a storm of resends in a jam: who has no room left would have answered late.
 			p.timed(h, float64(t.limit-h.sentAt)*overrun)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -394,6 +394,11 @@
 	if n := b.given(1); n > 8 {
 		t.Errorf("a full server was asked %d times during 60 tasks", n)
 	}
+	seldom := &server{pod: &evidence{}}
+	h := &handOff{server: seldom, sentAt: b.now, open: true}
+	if b.judge(b.now, &task{}, h, Answer{Outcome: Unreached}); seldom.fullTill < b.now+recalculate/2 {
+		t.Errorf("a server not heard of late is asked again after %d ms", (seldom.fullTill-b.now)/ms)
+	}
 }
 
 func TestCustomerBeyondItsShareIsShedFirst(t *testing.T) {
