--- /dev/null
+++ b/cmd/fawnglade/main.go
@@ -0,0 +1,84 @@
+// Fawnglade is one node of the reverse proxy.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"fawnglade/internal/node"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:           "fawnglade",
+		Short:         "A reverse proxy that spreads tasks over HTTP servers",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(serve(), check(), version())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "fawnglade:", err)
+		os.Exit(1)
+	}
+}
+
+func configFlag(c *cobra.Command) *string {
+	return c.Flags().String("config", os.Getenv("NODE_CONFIG"), "configuration file; by default the one that NODE_CONFIG names")
+}
+
+func read(path string) (*node.Config, error) {
+	if path == "" {
+		return nil, fmt.Errorf("no configuration: give --config or set NODE_CONFIG")
+	}
+	return node.ReadConfig(path)
+}
+
+func serve() *cobra.Command {
+	c := &cobra.Command{Use: "serve", Short: "Run one node in the foreground", Args: cobra.NoArgs}
+	path := configFlag(c)
+	c.RunE = func(*cobra.Command, []string) error {
+		config, err := read(*path)
+		if err != nil {
+			return err
+		}
+		log, err := zap.NewProduction()
+		if err != nil {
+			return err
+		}
+		defer log.Sync()
+		n, err := node.New(config, log)
+		if err != nil {
+			return err
+		}
+		return n.Run()
+	}
+	return c
+}
+
+func check() *cobra.Command {
+	c := &cobra.Command{Use: "check", Short: "Check a configuration without starting", Args: cobra.NoArgs}
+	path := configFlag(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		config, err := read(*path)
+		if err == nil {
+			fmt.Fprintf(c.OutOrStdout(), "%s: a node named %s on %s\n", *path, config.Name, config.Listen)
+		}
+		return err
+	}
+	return c
+}
+
+func version() *cobra.Command {
+	return &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) {
+			text := "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				text = info.Main.Version + " " + info.GoVersion
+			}
+			fmt.Fprintln(c.OutOrStdout(), "fawnglade", text)
+		}}
+}
--- a/internal/benchwire/wire.go
+++ b/internal/benchwire/wire.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"strconv"
 
+	"fawnglade/internal/settings"
 	"fawnglade/policy"
 )
 
@@ -162,13 +163,13 @@
 	if f.err != nil {
 		return f.err
 	}
-	settings, err := decodeSettings(string(f.rest))
+	decoded, err := settings.FromLine(string(f.rest))
 	if err != nil {
-		return err
+		return fmt.Errorf("profile_data: %w", err)
 	}
 	i := &instance{number: append([]byte(nil), who...), link: l}
 	l.instances[string(who)] = i
-	i.policy = policy.New(settings, seed, i)
+	i.policy = policy.New(decoded.Policy, seed, i)
 	return nil
 }
 
--- a/internal/benchwire/wire_test.go
+++ b/internal/benchwire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-const settings = "profiles.count=3 profiles.0.deadline_us=8000000 profiles.0.objective_us=2000000 profiles.0.repeat=safe " +
+const settingsLine = "profiles.count=3 profiles.0.deadline_us=8000000 profiles.0.objective_us=2000000 profiles.0.repeat=safe " +
 	"profiles.1.deadline_us=4000000 profiles.1.objective_us=1500000 profiles.1.repeat=keyed profiles.1.group=cell " +
 	"profiles.1.memory_span_us=20000000 profiles.2.deadline_us=4000000 profiles.2.objective_us=1500000 " +
 	"profiles.2.repeat=unsafe profiles.2.streaming=true group_size=3 zone=0 quantum_us=5000 discovery=ask " +
@@ -14,7 +14,7 @@
 	"limits.try_limit=5 report.fields=latency_ms,util report.how=inline rules.ask_within_us=10000000 " +
 	"rules.cold_from=0.12 rules.warm_within_us=24000000 weights=off future.key=7"
 
-const start = "BEGIN_BATCH 1000000\nCONFIGURE 3 42 " + settings + "\nCATALOG 0 1\nSERVER 51530247 0 0 0 active 1 -\n" +
+const start = "BEGIN_BATCH 1000000\nCONFIGURE 3 42 " + settingsLine + "\nCATALOG 0 1\nSERVER 51530247 0 0 0 active 1 -\n" +
 	"REGISTRY 3 SAVED 41 0\nEOB\n"
 
 // serve runs the adapter on the input and returns its replies, its complaint and its exit code.
@@ -32,7 +32,7 @@
 		"empty batch": {"BEGIN_BATCH 8412250\nEOB\n", "DONE\n"},
 		"start":       {start, began},
 		"killed and started again in one batch": {
-			start + "BEGIN_BATCH 1500000\nSTOP 3\nCONFIGURE 3 43 " + settings + "\nREGISTRY 3 SAVED 41 0\nEOB\n",
+			start + "BEGIN_BATCH 1500000\nSTOP 3\nCONFIGURE 3 43 " + settingsLine + "\nREGISTRY 3 SAVED 41 0\nEOB\n",
 			began + "AFTER 3 2500000 1\nOBSERVE 3 1\nDONE\n"},
 		"a task goes out and is answered": {
 			start + task + "BEGIN_BATCH 1020000\nRESOLVED 3 aa 18500 51530247 1 Ok 0 latency_ms:14.5,util:0.6,new:1\nEOB\n",
@@ -77,15 +77,15 @@
 		batch + "REQ 3 aa 0 0 x\n":   "line 8: client_deadline_us: expected",
 		batch + "CATALOG 16 0\n":     "line 8: sheet: expected a number from 0 to 15",
 		batch + "CATALOG 1 1\nEOB\n": "line 9: message: expected SERVER",
-		batch + "CATALOG 1 1\nSERVER 1 0 0 0 asleep 1 -\n":        "line 9: condition: expected active",
-		batch + "REGISTRY 3 FULL 1 5\n":                           "line 8: sheet: expected a list that was given, got 5",
-		batch + "REGISTRY 3 SOME 1 0\n":                           "line 8: form: expected",
-		batch + "RESOLVED 3 aa 1 1 2 Ok 0 -\n":                    "line 8: over: expected 1 or 0",
-		batch + "RESOLVED 3 aa 1 1 1 Ok 0 util\n":                 "line 8: gauge: expected name:value",
-		batch + "CONFIGURE 4 1 group_size=3\n":                    "line 8: profile_data: profiles.count: expected",
-		batch + "CONFIGURE 4 1 " + settings + " zone=-1\n":        "line 8: profile_data: zone: expected a number of at least 0",
-		batch + "CONFIGURE 4 1 " + settings + " weights=heavy\n":  "weights: expected one of off nominal rough live, got heavy",
-		batch + "CONFIGURE 4 1 " + settings + " discovery=call\n": "discovery: expected one of push ask, got call",
+		batch + "CATALOG 1 1\nSERVER 1 0 0 0 asleep 1 -\n":            "line 9: condition: expected active",
+		batch + "REGISTRY 3 FULL 1 5\n":                               "line 8: sheet: expected a list that was given, got 5",
+		batch + "REGISTRY 3 SOME 1 0\n":                               "line 8: form: expected",
+		batch + "RESOLVED 3 aa 1 1 2 Ok 0 -\n":                        "line 8: over: expected 1 or 0",
+		batch + "RESOLVED 3 aa 1 1 1 Ok 0 util\n":                     "line 8: gauge: expected name:value",
+		batch + "CONFIGURE 4 1 group_size=3\n":                        "line 8: profile_data: profiles.count: expected",
+		batch + "CONFIGURE 4 1 " + settingsLine + " zone=-1\n":        "line 8: profile_data: zone: expected a number of at least 0",
+		batch + "CONFIGURE 4 1 " + settingsLine + " weights=heavy\n":  "weights: expected one of off nominal rough live, got heavy",
+		batch + "CONFIGURE 4 1 " + settingsLine + " discovery=call\n": "discovery: expected one of push ask, got call",
 	} {
 		_, complaint, code := serve(in)
 		if code == 0 || !strings.Contains(complaint, want) || strings.Count(complaint, "\n") != 1 {
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,138 @@
+package node
+
+// This file owns the one connection to discovery: it watches the list, notices when the watch falls silent and calls
+// again when told to. It must never decide when to call; where nobody asks for calls it makes them by itself.
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	listConnect = time.Second
+	listHead    = 3 * time.Second         // discovery works through calls in turn
+	listSilence = 4500 * time.Millisecond // an empty line comes every 2 s while nothing changes
+	longestLine = 4 << 20
+	firstWait   = 200 * time.Millisecond
+	longestWait = 3 * time.Second
+)
+
+type discovery struct {
+	node    *Node
+	address string
+	version int64
+	calls   chan struct{}
+}
+
+func newDiscovery(n *Node) *discovery {
+	return &discovery{node: n, address: n.config.Discovery, calls: make(chan struct{}, 1)}
+}
+
+// call asks for a watch; one that is already asked for is enough.
+func (d *discovery) call() {
+	select {
+	case d.calls <- struct{}{}:
+	default:
+	}
+}
+
+func (d *discovery) run() {
+	wait := firstWait
+	if !d.node.settings.Policy.MustAsk {
+		d.call() // the decisions expect to be told unasked
+	}
+	for range d.calls {
+		began, version := time.Now(), d.version
+		err := d.watch()
+		d.node.counters.add(listCallsFailed)
+		d.node.log.Warn("watch of the list ended", zap.Error(err), zap.Duration("lasted", time.Since(began)))
+		if d.node.settings.Policy.MustAsk {
+			d.node.loop.enter(d.node.loop.listFailed)
+			continue
+		}
+		if wait = min(2*wait, longestWait); d.version != version {
+			wait = firstWait
+		}
+		time.Sleep(wait)
+		d.call()
+	}
+}
+
+// watch follows the list until it ends, and returns why.
+func (d *discovery) watch() (err error) {
+	defer d.node.caught("discovery", func() { err = errors.New("panic") })
+	d.node.counters.add(listCalls)
+	c, err := net.DialTimeout("tcp", d.address, listConnect)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(listHead))
+	if _, err := c.Write([]byte(watchHead(d.address, d.version))); err != nil {
+		return err
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	if r.StatusCode != http.StatusOK {
+		return fmt.Errorf("discovery answered %s", r.Status)
+	}
+	lines := bufio.NewScanner(r.Body)
+	lines.Buffer(nil, longestLine)
+	for {
+		c.SetReadDeadline(time.Now().Add(listSilence))
+		if !lines.Scan() {
+			if err := lines.Err(); err != nil {
+				return err
+			}
+			return errors.New("the watch ended")
+		}
+		if len(lines.Bytes()) > 0 {
+			if err := d.line(lines.Bytes()); err != nil {
+				// What it told is lost, so the next call has to bring it again.
+				d.node.counters.add(listLinesPassedOver)
+				return err
+			}
+		}
+	}
+}
+
+// line takes in one line of the watch. An entry that makes no sense is passed over; the others still count.
+func (d *discovery) line(text []byte) error {
+	entries, version, whole, err := d.node.listOf(text)
+	if err != nil {
+		return err
+	}
+	d.version = version
+	d.node.counters.add(listLines)
+	d.node.loop.enter(func() { d.node.loop.listed(entries, whole) })
+	return nil
+}
+
+func (n *Node) listOf(text []byte) (entries []entry, version int64, whole bool, err error) {
+	var in listLine
+	if err := json.Unmarshal(text, &in); err != nil {
+		return nil, 0, false, err
+	}
+	if in.Version == nil {
+		return nil, 0, false, errors.New("a list without a version")
+	}
+	for _, one := range in.Entries {
+		e, err := entryOf(one, n.settings.Zones)
+		if err != nil {
+			n.counters.add(listLinesPassedOver)
+			n.log.Warn("entry of the list passed over", zap.Error(err))
+			continue
+		}
+		entries = append(entries, e)
+	}
+	return entries, *in.Version, in.Whole, nil
+}
--- /dev/null
+++ b/internal/node/loop.go
@@ -0,0 +1,216 @@
+package node
+
+// This file owns the loop: the one goroutine that holds the decisions, their clock, their timers and the tasks they
+// know of, and that acts as their Host. Events enter one at a time. It must never do I/O or wait for a peer, and it
+// decides nothing itself.
+
+import (
+	"container/heap"
+	"net/http"
+	"time"
+
+	"fawnglade/policy"
+)
+
+const (
+	milli  = int64(time.Millisecond)
+	second = int64(time.Second)
+)
+
+// clock is the system's time at the start plus what has passed since by the monotonic clock, so that no step of the
+// system's time reaches the decisions while the list's start times can still be set against it.
+type clock struct{ start time.Time }
+
+func (c clock) now() int64 { return c.start.UnixNano() + int64(time.Since(c.start)) }
+
+func (c clock) at(ns int64) time.Time { return c.start.Add(time.Duration(ns - c.start.UnixNano())) }
+
+type timer struct {
+	at     int64
+	cookie uint64
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
+
+type loop struct {
+	node   *Node
+	policy *policy.Policy
+	events chan func()
+	now    int64
+	timers timers
+	tasks  map[policy.TaskID]*exchange
+	fleet  map[policy.ServerID]string // addresses
+}
+
+func newLoop(n *Node) *loop {
+	l := &loop{node: n, events: make(chan func(), 1024), tasks: map[policy.TaskID]*exchange{},
+		fleet: map[policy.ServerID]string{}}
+	l.policy = policy.New(n.settings.Policy, n.config.seed, l)
+	return l
+}
+
+// enter queues an event; it waits while the queue is full, so it is never called from within the loop.
+func (l *loop) enter(event func()) { l.events <- event }
+
+// run handles events until the node ends. Timers that are due go first, as they are older than what is queued.
+func (l *loop) run() {
+	wake := time.NewTimer(time.Hour)
+	for {
+		l.now = l.node.clock.now()
+		for len(l.timers) > 0 && l.timers[0].at <= l.now {
+			due := heap.Pop(&l.timers).(timer)
+			l.handle(nil, func() { l.policy.Woken(l.now, due.cookie) })
+		}
+		wait := time.Hour
+		if len(l.timers) > 0 {
+			wait = time.Duration(l.timers[0].at - l.now)
+		}
+		wake.Reset(wait)
+		select {
+		case event := <-l.events:
+			l.now = l.node.clock.now()
+			event()
+		case <-wake.C:
+		}
+	}
+}
+
+// handle keeps a panic in the decisions from ending the process: the task at hand is broken off, as nothing is known
+// of its hand-offs any more.
+func (l *loop) handle(x *exchange, event func()) {
+	defer l.node.caught("decisions", func() {
+		if x != nil {
+			l.finish(x, tasksBrokenOff, answer{status: http.StatusBadGateway})
+		}
+	})
+	event()
+}
+
+// arrived takes in a task that the client side has read.
+func (l *loop) arrived(x *exchange) {
+	if l.tasks[x.task.ID] != nil { // rules are kept by id: a second task under one that is still known would mix the two up
+		l.node.counters.add(tasksBad)
+		x.settle(answer{status: http.StatusConflict})
+		return
+	}
+	l.node.counters.add(tasksTaken)
+	l.tasks[x.task.ID] = x
+	l.handle(x, func() { l.policy.TaskArrived(l.now, x.task) })
+}
+
+func (l *loop) withdrawn(x *exchange) {
+	if l.tasks[x.task.ID] != x || !l.finish(x, tasksWithdrawn, answer{}) {
+		return
+	}
+	l.handle(x, func() { l.policy.TaskWithdrawn(l.now, x.task.ID) })
+	l.release(x)
+}
+
+// ended takes the end of a hand-off; each has exactly one.
+func (l *loop) ended(h *handOff, r result) {
+	x := h.exchange
+	x.open--
+	l.node.counters.add(outcomeCounters[r.outcome])
+	if r.outcome == policy.Satisfied {
+		l.finish(x, tasksSatisfied, r.answer)
+	}
+	l.handle(x, func() {
+		l.policy.HandOffAnswered(l.now, policy.Answer{Task: x.task.ID, Number: h.number, Server: h.server,
+			Outcome: r.outcome, Elapsed: r.at - h.sentAt, Final: x.settled.Load(), Report: r.report})
+	})
+	l.release(x)
+}
+
+var outcomeCounters = map[policy.Outcome]counter{
+	policy.Satisfied: handOffsSatisfied, policy.Error: handOffsError, policy.Full: handOffsFull,
+	policy.TimedOut: handOffsTimedOut, policy.Unreached: handOffsUnreached, policy.Reset: handOffsReset,
+	policy.Recalled: handOffsRecalled, policy.NeverSent: handOffsNeverSent,
+}
+
+// listed takes in the list or what changed in it. Connections to an address that is no longer wanted are given up.
+func (l *loop) listed(entries []entry, whole bool) {
+	list := make([]policy.Listed, 0, len(entries))
+	wanted := map[string]bool{}
+	for _, e := range entries {
+		list = append(list, e.Listed)
+		if old := l.fleet[e.Server]; old != "" && (old != e.address || e.State != policy.Active) {
+			go l.node.servers.forget(old)
+		}
+		if e.address != "" {
+			l.fleet[e.Server] = e.address
+		}
+		wanted[e.address] = true
+	}
+	if whole {
+		for id, address := range l.fleet {
+			if !wanted[address] {
+				go l.node.servers.forget(address)
+				delete(l.fleet, id)
+			}
+		}
+	}
+	l.handle(nil, func() { l.policy.ListLearned(l.now, list, whole) })
+}
+
+func (l *loop) listFailed() { l.handle(nil, func() { l.policy.ListFailed(l.now) }) }
+
+// finish gives the task its answer, unless it has one.
+func (l *loop) finish(x *exchange, how counter, a answer) bool {
+	if !x.settle(a) {
+		return false
+	}
+	l.node.counters.add(how)
+	l.release(x)
+	return true
+}
+
+// release forgets a task once it has its answer and nothing is out for it.
+func (l *loop) release(x *exchange) {
+	if x.open == 0 && x.settled.Load() && l.tasks[x.task.ID] == x {
+		delete(l.tasks, x.task.ID)
+	}
+}
+
+// HandOff, Recall, Decline, BreakOff, WakeAt and Subscribe make the loop the decisions' Host.
+func (l *loop) HandOff(id policy.TaskID, server policy.ServerID, timeOut int64) {
+	x := l.tasks[id]
+	h := &handOff{exchange: x, number: len(x.handOffs), server: server, address: l.fleet[server], sentAt: l.now}
+	h.limit = min(l.now+timeOut, x.task.HardLimit)
+	h.stopped = make(chan struct{})
+	x.handOffs = append(x.handOffs, h)
+	x.open++
+	l.node.counters.add(handOffsSent)
+	go l.node.servers.carry(h)
+}
+
+func (l *loop) Recall(id policy.TaskID, number int) {
+	if x := l.tasks[id]; x != nil && number < len(x.handOffs) {
+		x.handOffs[number].stop()
+	}
+}
+
+func (l *loop) Decline(id policy.TaskID, comeBackIn int64) {
+	if x := l.tasks[id]; x != nil {
+		l.finish(x, tasksDeclined, answer{status: http.StatusServiceUnavailable, advice: comeBackIn})
+	}
+}
+
+func (l *loop) BreakOff(id policy.TaskID) {
+	if x := l.tasks[id]; x != nil {
+		l.finish(x, tasksBrokenOff, answer{status: http.StatusBadGateway})
+	}
+}
+
+func (l *loop) WakeAt(at int64, cookie uint64) { heap.Push(&l.timers, timer{at, cookie}) }
+
+func (l *loop) Subscribe() { l.node.discovery.call() }
--- /dev/null
+++ b/internal/node/names.go
@@ -0,0 +1,161 @@
+package node
+
+// This file owns every name that the protocol uses on a socket: headers, paths, list fields and states. It must
+// never decide anything; no other file of the node holds a protocol name.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"fawnglade/policy"
+)
+
+const (
+	headerTask      = "X-Txn"
+	headerCategory  = "X-Lane"
+	headerCustomer  = "X-Org"
+	headerRemaining = "X-Remaining-Ms"
+	headerRepeated  = "X-Resent"
+	headerCost      = "X-Estimate"
+	headerLoad      = "X-Pressure"
+	headerNeverRan  = "X-Turned-Away"
+	headerAdvice    = "Retry-After"
+	cookieKey       = "key"
+
+	pathReady = "/ready"
+	pathList  = "/v1/endpoints"
+)
+
+// ownHeaders are written by the node itself or end at it: a connection's own, and those that tell of one hand-off.
+var ownHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Expect": true, "Host": true,
+	headerRemaining: true, headerLoad: true, headerNeverRan: true,
+}
+
+// endToEnd removes what concerns one connection only, also what the sender says does.
+func endToEnd(h http.Header) http.Header {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); name != headerTask {
+				delete(h, name)
+			}
+		}
+	}
+	for name := range ownHeaders {
+		delete(h, name)
+	}
+	return h
+}
+
+func watchHead(address string, version int64) string {
+	return fmt.Sprintf("GET %s?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", pathList, version, address)
+}
+
+// outcomeOf tells what a server's whole answer means.
+func outcomeOf(status int, h http.Header) policy.Outcome {
+	switch {
+	case status == http.StatusOK:
+		return policy.Satisfied
+	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && h.Get(headerNeverRan) == "1":
+		return policy.Full
+	}
+	return policy.Error
+}
+
+// reportOf reads a load report and skips what it does not know or cannot be a load.
+func reportOf(text string) policy.Report {
+	r := policy.Report{Utilisation: -1, Held: -1, Queue: -1, ServiceTime: -1}
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
+			continue
+		}
+		switch strings.TrimSpace(name) {
+		case "util":
+			r.Utilisation = v
+		case "inflight":
+			r.Held = v
+		case "queue":
+			r.Queue = v
+		case "latency_ms":
+			r.ServiceTime = v
+		}
+	}
+	return r
+}
+
+type listLine struct {
+	Version *int64            `json:"seq"`
+	Whole   bool              `json:"whole"`
+	Entries []json.RawMessage `json:"hosts"`
+}
+
+// entry is one server of the list, with the address that this node is to use for it.
+type entry struct {
+	policy.Listed
+	address string
+}
+
+// entryOf reads one server of a list. A server that wants nothing new needs no address.
+func entryOf(text []byte, zones []string) (entry, error) {
+	var in struct {
+		Host, Dial, Site, Health string
+		Block                    int
+		Share                    float64
+		Born                     float64 `json:"born_ms"`
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return entry{}, err
+	}
+	e := entry{address: in.Dial, Listed: policy.Listed{
+		Server: serverID(in.Host), Zone: zoneOf(in.Site, zones), Pod: in.Block, Weight: in.Share,
+		Started: int64(in.Born * 1e6),
+	}}
+	switch in.Health {
+	case "up":
+		e.State = policy.Active
+	case "draining":
+		e.State = policy.Draining
+	case "removed":
+		e.State = policy.Gone
+	default:
+		return entry{}, fmt.Errorf("health: expected up, draining or removed, got %q", in.Health)
+	}
+	if in.Host == "" {
+		return entry{}, errors.New("host: expected a name, got none")
+	}
+	if _, err := netip.ParseAddrPort(in.Dial); err != nil && e.State == policy.Active {
+		return entry{}, fmt.Errorf("dial: %w", err)
+	}
+	if in.Share < 0 || in.Born < 0 || in.Born > 9e12 {
+		return entry{}, errors.New("share, born_ms: expected numbers that can be a weight and a time")
+	}
+	return e, nil
+}
+
+// serverID makes the number that the decisions know a server by. It comes from the name alone, so that all nodes
+// agree on it without talking.
+func serverID(host string) policy.ServerID {
+	h := fnv.New32a()
+	h.Write([]byte(host))
+	return policy.ServerID(h.Sum32())
+}
+
+func zoneOf(name string, zones []string) int {
+	for i, z := range zones {
+		if z == name {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,199 @@
+// Package node is one real node: the decisions of package policy on sockets.
+package node
+
+// This file owns a node's configuration, its start and its end. It must never take part in a task.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fawnglade/internal/settings"
+)
+
+const (
+	stillTaking = 450 * time.Millisecond // after SIGTERM, as connections go on coming for a while
+	ownFiles    = 24                     // standard files, the poller, the listener, discovery, what the runtime opens
+	spareShare  = 16                     // a sixteenth of the descriptors is kept to tell clients that there is no room
+)
+
+// Config is what a node is told at its start.
+type Config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int64   `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	seed    uint64
+	decoded settings.Settings
+}
+
+// ReadConfig reads and checks a configuration.
+func ReadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{}
+	if err := json.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func (c *Config) check() (err error) {
+	for name, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return fmt.Errorf("%s: expected an address and a port, got %q", name, address)
+		}
+	}
+	if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		return fmt.Errorf("seed: expected up to 16 hexadecimal digits, got %q", c.Seed)
+	}
+	if c.Limits.Sockets != 0 && c.Limits.Sockets < 4*ownFiles {
+		return fmt.Errorf("limits.sockets: expected at least %d, got %d", 4*ownFiles, c.Limits.Sockets)
+	}
+	if c.Limits.MemoryMB < 0 || c.Limits.Cores < 0 {
+		return errors.New("limits: expected numbers above 0")
+	}
+	if len(c.Settings) == 0 {
+		return errors.New("settings: expected an object, got none")
+	}
+	if c.decoded, err = settings.FromJSON(c.Settings); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if c.decoded.ConnectWithin == 0 || c.decoded.IdleClose == 0 {
+		return errors.New("settings: limits.connect_timeout_us, limits.idle_close_us: expected times, got none")
+	}
+	return nil
+}
+
+// Node is one node and what its parts share.
+type Node struct {
+	config     *Config
+	settings   *settings.Settings
+	log        *zap.Logger
+	clock      clock
+	counters   counters
+	stopping   atomic.Bool
+	categories map[string]int
+	customers  map[string]int
+
+	loop      *loop
+	clients   *clients
+	servers   *servers
+	discovery *discovery
+}
+
+// New makes a node that listens; nothing runs before Run.
+func New(config *Config, log *zap.Logger) (*Node, error) {
+	n := &Node{config: config, settings: &config.decoded, log: log, clock: clock{time.Now()},
+		categories: indexes(config.decoded.Categories), customers: indexes(config.decoded.Customers)}
+	sockets := config.Limits.Sockets
+	if sockets == 0 {
+		sockets = 1024
+	}
+	spare := sockets / spareShare
+	half := (sockets - ownFiles - spare) / 2
+	n.loop, n.servers, n.discovery = newLoop(n), newServers(n, half), newDiscovery(n)
+	listener, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		return nil, err
+	}
+	n.clients = newClients(n, listener, half, spare)
+	return n, nil
+}
+
+func indexes(names []string) map[string]int {
+	of := map[string]int{}
+	for i, name := range names {
+		of[name] = i
+	}
+	return of
+}
+
+// limit keeps the runtime within the machine's share that the node was given.
+func (n *Node) limit() {
+	if cores := n.config.Limits.Cores; cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(cores)))
+	}
+	if n.config.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(n.config.Limits.MemoryMB << 20 * 6 / 10)
+	}
+	debug.SetGCPercent(400) // the heap is small; its collection takes time from tasks
+}
+
+// Run serves until SIGTERM or SIGINT has been followed to its end.
+func (n *Node) Run() error {
+	n.limit()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	if len(n.config.Known) > 0 {
+		entries, version, _, err := n.listOf(n.config.Known)
+		if err != nil {
+			n.log.Warn("known list passed over", zap.Error(err))
+		} else {
+			n.discovery.version = version
+		}
+		n.loop.listed(entries, true)
+	} else {
+		n.loop.listed(nil, true)
+	}
+	go n.loop.run()
+	go n.discovery.run()
+	go n.clients.accept()
+	n.log.Info("serving", zap.String("name", n.config.Name), zap.String("listen", n.config.Listen))
+	sweep := time.NewTicker(time.Second)
+	for {
+		select {
+		case <-sweep.C:
+			n.servers.sweep()
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				n.counters.log(n.log, "on request")
+				continue
+			}
+			n.stop()
+			n.counters.log(n.log, "at exit")
+			return nil
+		}
+	}
+}
+
+// stop goes on taking for a while, then closes what is idle and waits until every task taken has its answer.
+func (n *Node) stop() {
+	n.log.Info("stopping")
+	n.stopping.Store(true)
+	time.Sleep(stillTaking)
+	n.clients.listener.Close()
+	longest := time.Duration(slices.Max(n.settings.HardLimits))
+	for end := time.Now().Add(longest + stillTaking); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if n.clients.settle() == 0 {
+			return
+		}
+	}
+	n.log.Warn("stopped with connections open")
+}
--- /dev/null
+++ b/internal/node/server.go
@@ -0,0 +1,286 @@
+package node
+
+// This file owns the server side: the connections to servers and the hand-offs on them. Each hand-off is one write
+// of one task on one connection and ends in exactly one result. It must never send a task a second time by itself,
+// nor use a connection again on which anything but a whole answer has come.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"fawnglade/policy"
+)
+
+// handOff is one sending of a task to one server.
+type handOff struct {
+	exchange *exchange
+	number   int
+	server   policy.ServerID
+	address  string
+	sentAt   int64
+	limit    int64
+
+	stopped chan struct{}
+	once    sync.Once
+}
+
+// stop asks the hand-off to end; what it ends in depends on how far it had come.
+func (h *handOff) stop() { h.once.Do(func() { close(h.stopped) }) }
+
+type result struct {
+	outcome policy.Outcome
+	report  policy.Report
+	answer  answer
+	at      int64
+}
+
+// stage is how far a hand-off had come.
+type stage int
+
+const (
+	notConnected stage = iota
+	partlyWritten
+	writtenWhole
+	answering
+)
+
+func (s stage) String() string {
+	return [...]string{"not connected", "partly written", "written whole", "answering"}[s]
+}
+
+// handOffError is why a hand-off has no answer, and how far it had come.
+type handOffError struct {
+	stage   stage
+	stopped bool
+	err     error
+}
+
+func (e *handOffError) Error() string { return fmt.Sprintf("%v: %v", e.stage, e.err) }
+func (e *handOffError) Unwrap() error { return e.err }
+
+var errNoRoom = errors.New("no descriptor left for a connection")
+
+// outcome tells what the error proves: a server begins a task only when its last byte has come.
+func (e *handOffError) outcome() policy.Outcome {
+	switch {
+	case e.stage < writtenWhole && (e.stopped || errors.Is(e.err, errNoRoom)):
+		return policy.NeverSent
+	case e.stage < writtenWhole:
+		return policy.Unreached
+	case e.stopped:
+		return policy.Recalled
+	case errors.Is(e.err, os.ErrDeadlineExceeded):
+		return policy.TimedOut
+	}
+	return policy.Reset
+}
+
+type serverConn struct {
+	*conn
+	address string
+	idle    time.Time
+}
+
+type servers struct {
+	node *Node
+	most int // connections open or being opened
+
+	mu   sync.Mutex
+	idle map[string][]*serverConn // by address, the longest idle first
+	open int
+}
+
+func newServers(n *Node, most int) *servers {
+	return &servers{node: n, most: most, idle: map[string][]*serverConn{}}
+}
+
+// carry runs a hand-off from its start to its one result.
+func (s *servers) carry(h *handOff) {
+	r := result{outcome: policy.Unknown, report: reportOf("")}
+	func() {
+		defer s.node.caught("hand-off", func() {})
+		r = s.run(h)
+	}()
+	r.at = s.node.clock.now()
+	s.node.loop.enter(func() { s.node.loop.ended(h, r) })
+}
+
+func (s *servers) run(h *handOff) result {
+	r, err := s.try(h)
+	if err != nil {
+		r = result{outcome: err.outcome(), report: reportOf("")}
+	}
+	return r
+}
+
+func (s *servers) try(h *handOff) (result, *handOffError) {
+	ctx, cancel := context.WithDeadline(context.Background(), s.node.clock.at(h.limit))
+	defer cancel()
+	over := make(chan struct{})
+	defer close(over)
+	go func() {
+		select {
+		case <-h.stopped:
+			cancel()
+		case <-over:
+		}
+	}()
+	stopped := func() bool {
+		select {
+		case <-h.stopped:
+			return true
+		default:
+			return false
+		}
+	}
+	c, err := s.connection(ctx, h.address)
+	if err != nil {
+		return result{}, &handOffError{notConnected, stopped(), err}
+	}
+	whole := false
+	defer func() {
+		if !whole {
+			s.close(c)
+		}
+	}()
+	c.SetDeadline(s.node.clock.at(h.limit))
+	release := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	if _, err := c.Write(h.exchange.message(h.limit - s.node.clock.now())); err != nil {
+		return result{}, &handOffError{partlyWritten, stopped(), err}
+	}
+	response, body, err := c.response(&http.Request{Method: h.exchange.method})
+	if err != nil {
+		at := writtenWhole
+		if len(c.pending()) > 0 {
+			at = answering
+		}
+		return result{}, &handOffError{at, stopped(), err}
+	}
+	r := result{outcome: outcomeOf(response.StatusCode, response.Header), report: reportOf(response.Header.Get(headerLoad))}
+	if r.outcome == policy.Satisfied {
+		r.answer = answer{status: response.StatusCode, header: endToEnd(response.Header), body: body}
+	}
+	if release() && !response.Close && len(c.pending()) == 0 {
+		whole = true
+		s.keep(c)
+	}
+	return r, nil
+}
+
+// connection takes the connection to an address that was used last, as the others may then grow old and be closed,
+// or opens one.
+func (s *servers) connection(ctx context.Context, address string) (*serverConn, error) {
+	for {
+		c := s.take(address)
+		if c == nil {
+			break
+		}
+		if c.quiet() {
+			return c, nil
+		}
+		s.node.counters.add(serversFoundClosed)
+		s.close(c)
+	}
+	if !s.reserve() {
+		return nil, errNoRoom
+	}
+	dialer := net.Dialer{Timeout: time.Duration(s.node.settings.ConnectWithin), KeepAlive: -1}
+	dialer.SetMultipathTCP(false)
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		s.mu.Lock()
+		s.open--
+		s.mu.Unlock()
+		return nil, err
+	}
+	s.node.counters.add(serversConnected)
+	return &serverConn{conn: newConn(raw), address: address}, nil
+}
+
+func (s *servers) take(address string) *serverConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	s.idle[address] = list[:len(list)-1]
+	return c
+}
+
+// reserve makes room for one more connection, if need be in place of the one that has been idle longest.
+func (s *servers) reserve() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open >= s.most {
+		oldest := ""
+		for address, list := range s.idle {
+			if len(list) > 0 && (oldest == "" || list[0].idle.Before(s.idle[oldest][0].idle)) {
+				oldest = address
+			}
+		}
+		if oldest == "" {
+			return false
+		}
+		s.drop(oldest, 1)
+	}
+	s.open++
+	return true
+}
+
+// drop closes the n connections to an address that have been idle longest; the lock is held.
+func (s *servers) drop(address string, n int) {
+	list := s.idle[address]
+	for _, c := range list[:n] {
+		c.Close()
+		s.open--
+		s.node.counters.add(serversClosedIdle)
+	}
+	if s.idle[address] = append([]*serverConn(nil), list[n:]...); len(list) == n {
+		delete(s.idle, address)
+	}
+}
+
+func (s *servers) keep(c *serverConn) {
+	c.SetDeadline(time.Time{})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.idle = time.Now()
+	s.idle[c.address] = append(s.idle[c.address], c)
+}
+
+func (s *servers) close(c *serverConn) {
+	c.Close()
+	s.mu.Lock()
+	s.open--
+	s.mu.Unlock()
+}
+
+// forget closes what is idle to an address that is no longer wanted.
+func (s *servers) forget(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(address, len(s.idle[address]))
+}
+
+// sweep closes connections well before the server would, as a task written to one that the server has just closed
+// may have run for all that can be known.
+func (s *servers) sweep() {
+	tooOld := time.Now().Add(-time.Duration(s.node.settings.IdleClose) * 3 / 4)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, list := range s.idle {
+		n := 0
+		for n < len(list) && list[n].idle.Before(tooOld) {
+			n++
+		}
+		s.drop(address, n)
+	}
+}
--- a/internal/benchwire/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,11 @@
-package benchwire
+// Package settings decodes what an instance is told at its start, for both of its homes: the bench's line of
+// path=value pairs and the node's nested JSON. It owns the names of the settings and must never hold a default
+// that decides anything: what the decisions need and do not find is a complaint.
+package settings
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
@@ -8,6 +13,69 @@
 	"fawnglade/policy"
 )
 
+const micro = 1000 // nanoseconds
+
+// Settings holds what the decisions read, and what a node needs to name things as its peers do.
+type Settings struct {
+	Policy policy.Settings
+
+	Categories, Customers, Zones []string
+	HardLimits                   []int64 // of a task that does not tell its own
+	ConnectWithin                int64
+	IdleClose                    int64
+}
+
+// FromLine decodes path=value pairs set apart by spaces.
+func FromLine(text string) (Settings, error) {
+	values := map[string]string{}
+	for _, pair := range strings.Fields(text) {
+		key, value, ok := strings.Cut(pair, "=")
+		if !ok {
+			return Settings{}, fmt.Errorf("expected path=value, got %s", pair)
+		}
+		values[key] = value
+	}
+	return decode(values)
+}
+
+// FromJSON decodes the nested form of the same settings.
+func FromJSON(text []byte) (Settings, error) {
+	in := json.NewDecoder(bytes.NewReader(text))
+	in.UseNumber()
+	var tree map[string]any
+	if err := in.Decode(&tree); err != nil {
+		return Settings{}, fmt.Errorf("expected an object: %w", err)
+	}
+	values := map[string]string{}
+	flatten(values, "", tree)
+	return decode(values)
+}
+
+func flatten(into map[string]string, path string, value any) {
+	switch v := value.(type) {
+	case map[string]any:
+		for name, inner := range v {
+			flatten(into, strings.TrimPrefix(path+"."+name, "."), inner)
+		}
+	case []any:
+		var simple []string
+		for i, inner := range v {
+			if _, nested := inner.(map[string]any); nested {
+				flatten(into, fmt.Sprintf("%s.%d", path, i), inner)
+			} else {
+				simple = append(simple, fmt.Sprint(inner))
+			}
+		}
+		if len(simple) == 0 {
+			into[path+".count"] = strconv.Itoa(len(v))
+		}
+		into[path] = strings.Join(simple, ",")
+	case nil:
+	default:
+		into[path] = fmt.Sprint(v)
+	}
+}
+
 // pairs reads a settings line's path=value pairs and keeps the first complaint.
 type pairs struct {
 	values map[string]string
@@ -20,7 +88,7 @@
 		if !ok {
 			got = "nothing"
 		}
-		p.err = fmt.Errorf("profile_data: %s: expected %s, got %s", key, want, got)
+		p.err = fmt.Errorf("%s: expected %s, got %s", key, want, got)
 	}
 }
 
@@ -51,6 +119,13 @@
 	return int64(v) * micro
 }
 
+func (p *pairs) timeOr(key string, missing int64) int64 {
+	if !p.has(key) {
+		return missing
+	}
+	return p.time(key, 0)
+}
+
 func (p *pairs) truth(key string, missing bool) bool {
 	switch p.values[key] {
 	case "true":
@@ -79,16 +154,10 @@
 	return v
 }
 
-func decodeSettings(text string) (policy.Settings, error) {
-	p := &pairs{values: map[string]string{}}
-	for _, pair := range strings.Fields(text) {
-		key, value, ok := strings.Cut(pair, "=")
-		if !ok {
-			return policy.Settings{}, fmt.Errorf("profile_data: expected path=value, got %s", pair)
-		}
-		p.values[key] = value
-	}
-	var s policy.Settings
+func decode(values map[string]string) (Settings, error) {
+	p := &pairs{values: values}
+	var all Settings
+	s := &all.Policy
 	for i := range p.count("profiles.count", 1) {
 		at := fmt.Sprintf("profiles.%d.", i)
 		c := policy.Category{
@@ -104,12 +173,15 @@
 			c.Memory = p.time(at+"memory_span_us", 0)
 		}
 		s.Categories = append(s.Categories, c)
+		all.Categories = append(all.Categories, values[at+"name"])
+		all.HardLimits = append(all.HardLimits, p.time(at+"deadline_us", 1))
 	}
 	if p.has("parties.count") {
 		for i := range p.count("parties.count", 0) {
 			at := fmt.Sprintf("parties.%d.", i)
 			s.Customers = append(s.Customers, policy.Customer{
 				Portion: p.number(at+"portion", 0)})
+			all.Customers = append(all.Customers, values[at+"name"])
 		}
 	}
 	s.OverShare = p.numberOr("over_share_worth", 0, 1)
@@ -148,7 +220,13 @@
 	s.MaxHandOffs = int(p.number("limits.try_limit", 1))
 	s.ColdFrom = p.number("rules.cold_from", 0)
 	s.WarmWithin = p.time("rules.warm_within_us", 0)
-	return s, p.err
+	if values["zones"] != "" {
+		all.Zones = strings.Split(values["zones"], ",")
+	}
+	// The bench opens connections itself and may leave these out; a node checks that it has them.
+	all.ConnectWithin = p.timeOr("limits.connect_timeout_us", 0)
+	all.IdleClose = p.timeOr("limits.idle_close_us", 0)
+	return all, p.err
 }
 
 func (p *pairs) count(key string, low float64) int {
