--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	slowMessage = 10 * time.Second // for a message that has begun
 	slowWrite   = 2 * time.Second  // for a client that does not read its answer
 	pipelined   = 4                // tasks read ahead on one connection
+	lingers     = 50 * time.Millisecond
 )
 
 type clients struct {
@@ -44,6 +46,7 @@
 	mu      sync.Mutex
 	busy    int
 	closed  bool
+	used    bool // has brought a task
 	lastUse time.Time
 	crowded bool // taken beyond the bound
 }
@@ -73,7 +76,7 @@
 	c := &client{side: s, conn: newConn(raw), turns: make(chan *exchange, pipelined), lastUse: time.Now()}
 	s.mu.Lock()
 	count := len(s.open)
-	if count >= s.most && s.closeIdle(1, time.Time{}) > 0 {
+	if count >= s.most && s.closeIdle(1, time.Now()) > 0 {
 		count--
 	}
 	c.crowded = count >= s.most
@@ -91,25 +94,37 @@
 	go c.read()
 }
 
-// closeIdle closes up to n of the connections that have stood idle, longest first, and not used since the given
-// time; the lock is held.
+// closeIdle closes up to n of the connections that stand idle and were not used since the given time; the lock is
+// held. Those that never brought a task go first, against a flood that takes the place of clients at work.
 func (s *clients) closeIdle(n int, since time.Time) int {
-	closed := 0
-	for closed < n {
-		var oldest *client
-		for c := range s.open {
-			if c.idleSince(since) && (oldest == nil || c.lastUse.Before(oldest.lastUse)) {
-				oldest = c
-			}
+	type standing struct {
+		c    *client
+		used bool
+		last time.Time
+	}
+	var idle []standing
+	for c := range s.open {
+		c.mu.Lock()
+		if c.busy == 0 && !c.closed && c.lastUse.Before(since) {
+			idle = append(idle, standing{c, c.used, c.lastUse})
 		}
-		if oldest == nil {
-			break
+		c.mu.Unlock()
+	}
+	slices.SortFunc(idle, func(a, b standing) int {
+		if a.used != b.used {
+			if b.used {
+				return -1
+			}
+			return 1
 		}
-		if oldest.closeIfIdle() {
-			s.node.counters.add(clientsClosedIdle)
+		return a.last.Compare(b.last)
+	})
+	closed := 0
+	for _, one := range idle[:min(n, len(idle))] {
+		if one.c.closeIfIdle() {
+			delete(s.open, one.c)
 			closed++
 		}
-		delete(s.open, oldest)
 	}
 	return closed
 }
@@ -119,16 +134,10 @@
 func (s *clients) settle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeIdle(len(s.open), time.Now().Add(-50*time.Millisecond))
+	s.closeIdle(len(s.open), time.Now().Add(-lingers))
 	return len(s.open)
 }
 
-func (c *client) idleSince(since time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.busy == 0 && (since.IsZero() || c.lastUse.Before(since))
-}
-
 // closeIfIdle closes the connection between tasks. The reader looks at closed under the same lock before it takes a
 // task, so none is taken and then cut off.
 func (c *client) closeIfIdle() bool {
@@ -139,6 +148,7 @@
 	}
 	c.closed = true
 	c.conn.Close()
+	c.side.node.counters.add(clientsClosedIdle)
 	return true
 }
 
@@ -150,6 +160,19 @@
 		return false
 	}
 	c.busy++
+	c.used = true
+	return true
+}
+
+// isLast tells whether the connection is to be closed after this answer. It is not while it holds further tasks, as
+// they would be lost, and from here on it takes none.
+func (c *client) isLast(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy > 1 || !x.last && !c.side.node.stopping.Load() {
+		return false
+	}
+	c.closed = true
 	return true
 }
 
@@ -177,45 +200,73 @@
 	}()
 	defer n.caught("client", func() {})
 	for {
-		if c.conn.from == c.conn.to {
-			c.conn.SetReadDeadline(time.Now().Add(idleClient))
-		}
 		r, body, err := c.next()
 		if err != nil && !bad(err) {
 			return
 		}
 		if !c.begin() {
+			c.drain()
 			return
 		}
 		x := newExchange()
 		mine = append(unsettled(mine), x)
 		if err != nil {
 			n.counters.add(tasksBad)
-			x.last = true
+			x.last = true // what else stands on the connection can't be told apart
 			x.settle(answer{status: statusOf(err)})
-			c.turns <- x
-			<-x.written // what else stands on the connection can't be told apart
-			return
+		} else {
+			x.last = r.Close
+			c.take(x, r, body)
 		}
-		x.last = r.Close
-		c.take(x, r, body)
 		c.turns <- x
+		if x.last {
+			c.drain()
+			return
+		}
 	}
 }
 
 // next reads one message. A client may take its time before it begins one, not within.
 func (c *client) next() (*http.Request, []byte, error) {
-	if len(c.conn.pending()) == 0 {
-		if err := c.conn.fill(); err != nil {
-			return nil, nil, err
+	for len(c.conn.pending()) == 0 {
+		open := c.readFor(idleClient)
+		err := c.conn.fill()
+		if errors.Is(err, os.ErrDeadlineExceeded) && open && !c.closeIfIdle() {
+			continue // its task is still out, or its answer on the way
+		}
+		if err != nil {
+			return nil, nil, errGone
 		}
 	}
-	c.conn.SetReadDeadline(time.Now().Add(slowMessage))
-	r, body, err := c.conn.request()
-	c.conn.SetReadDeadline(time.Time{})
-	return r, body, err
+	c.readFor(slowMessage)
+	return c.conn.request()
 }
 
+// readFor sets how long reads may last; after the last answer that is a moment. It tells whether that is still to come.
+func (c *client) readFor(d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		d = lingers
+	}
+	c.conn.SetReadDeadline(time.Now().Add(d))
+	return !c.closed
+}
+
+// drain reads on to the end without taking anything, so that the client leaving is noticed and what it still sends
+// does not make the machine throw away the answer on its way.
+func (c *client) drain() {
+	c.readFor(idleClient)
+	for {
+		c.conn.from = c.conn.to
+		if c.conn.fill() != nil {
+			return
+		}
+	}
+}
+
+var errGone = errors.New("the client has gone")
+
 func bad(err error) bool {
 	return errors.Is(err, errMalformed) || errors.Is(err, errHeadTooLong) || errors.Is(err, errBodyTooLong) ||
 		errors.Is(err, os.ErrDeadlineExceeded)
@@ -257,7 +308,7 @@
 	if c.crowded {
 		n.counters.add(tasksNoRoom)
 		x.last = true
-		x.settle(answer{status: http.StatusServiceUnavailable})
+		x.settle(n.noRoom())
 		return
 	}
 	task, err := n.taskOf(r, n.clock.now())
@@ -266,11 +317,26 @@
 		x.settle(answer{status: http.StatusBadRequest, body: []byte(err.Error() + "\n")})
 		return
 	}
+	if n.held.Add(int64(len(body))) > n.mostHeld {
+		n.held.Add(-int64(len(body)))
+		n.counters.add(tasksNoRoom)
+		x.settle(n.noRoom())
+		return
+	}
 	x.task = task
 	x.keep(r, body)
 	n.loop.enter(func() { n.loop.arrived(x) })
 }
 
+// noRoom declines a task that never reached the decisions, nor any server.
+func (n *Node) noRoom() answer {
+	a := answer{status: http.StatusServiceUnavailable}
+	if n.settings.Policy.MayAdvise {
+		a.advice = n.settings.Policy.MaxAdvice
+	}
+	return a
+}
+
 // taskOf reads what the decisions need to know of a task.
 func (n *Node) taskOf(r *http.Request, now int64) (policy.Task, error) {
 	h := r.Header
@@ -315,18 +381,29 @@
 	gone := false
 	for x := range c.turns {
 		a := <-x.answered
-		last := x.last || c.side.node.stopping.Load()
-		if a.status == 0 {
-			gone = true
-		}
+		gone = gone || a.status == 0
 		if !gone {
-			c.conn.SetWriteDeadline(time.Now().Add(slowWrite))
-			if _, err := c.conn.Write(a.text(last)); err != nil || last {
-				gone = true
-				c.conn.Close()
-			}
+			gone = !c.say(&a, c.isLast(x))
 		}
+		c.side.node.held.Add(-int64(len(x.body)))
 		c.end()
-		close(x.written)
 	}
 }
+
+// say writes one answer and tells whether the connection goes on. After the last it waits a moment for the client to
+// close, as closing on a client that is still sending would throw the answer away.
+func (c *client) say(a *answer, last bool) (goesOn bool) {
+	defer c.side.node.caught("answer", func() { c.conn.Close() })
+	c.conn.SetWriteDeadline(time.Now().Add(slowWrite))
+	if _, err := c.conn.Write(a.text(last)); err != nil {
+		c.conn.Close()
+		return false
+	}
+	if last {
+		if half, ok := c.conn.Conn.(*net.TCPConn); ok {
+			half.CloseWrite()
+		}
+		c.readFor(lingers)
+	}
+	return !last
+}
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 )
@@ -39,19 +40,14 @@
 
 // fill reads once, after making room.
 func (c *conn) fill() error {
-	if c.from == c.to {
-		c.from, c.to = 0, 0
-		if cap(c.buf) > keptBuffer {
-			c.buf = nil
-		}
-	}
+	c.shrink()
 	if c.to == len(c.buf) {
 		switch {
 		case c.from > 0:
 			c.to = copy(c.buf, c.pending())
 			c.from = 0
 		default:
-			grown := make([]byte, max(firstBuffer, 2*len(c.buf)))
+			grown := make([]byte, max(firstBuffer, min(2*len(c.buf), len(c.buf)+keptBuffer)))
 			copy(grown, c.buf[:c.to])
 			c.buf = grown
 		}
@@ -67,6 +63,16 @@
 	return err
 }
 
+// shrink starts an empty buffer anew and gives back a large one, against a burst of large messages held for good.
+func (c *conn) shrink() {
+	if c.from < c.to {
+		return
+	}
+	if c.from, c.to = 0, 0; len(c.buf) > keptBuffer {
+		c.buf = nil
+	}
+}
+
 var parsers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4<<10) }}
 
 // message reads one whole message: parse takes the head from a reader over the buffer and returns the body, and how
@@ -103,7 +109,7 @@
 			} else if err != nil {
 				return nil, err
 			}
-		case errors.Is(err, io.ErrUnexpectedEOF):
+		case cutShort(err):
 			if len(b) > maxHead+4*maxBody { // chunks that hold hardly anything
 				return nil, errBodyTooLong
 			}
@@ -148,6 +154,12 @@
 	return text, len(b) - in.Len() - p.Buffered(), length, err
 }
 
+// cutShort tells a message that is not whole yet from one that never will be. A trailer cut short has an error of its
+// own in net/http, which only its text tells.
+func cutShort(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || strings.Contains(err.Error(), "unexpected EOF reading trailer")
+}
+
 func headEnds(b []byte, seen int) bool {
 	b = b[min(seen, len(b)):]
 	return bytes.Contains(b, []byte("\r\n\r\n")) || bytes.Contains(b, []byte("\n\n"))
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -18,7 +18,7 @@
 const (
 	listConnect = time.Second
 	listHead    = 3 * time.Second         // discovery works through calls in turn
-	listSilence = 4500 * time.Millisecond // an empty line comes every 2 s while nothing changes
+	listSilence = 3200 * time.Millisecond // an empty line comes every 2 s while nothing changes
 	longestLine = 4 << 20
 	firstWait   = 200 * time.Millisecond
 	longestWait = 3 * time.Second
@@ -29,10 +29,11 @@
 	address string
 	version int64
 	calls   chan struct{}
+	silence time.Duration // after which a watch is taken to be dead
 }
 
 func newDiscovery(n *Node) *discovery {
-	return &discovery{node: n, address: n.config.Discovery, calls: make(chan struct{}, 1)}
+	return &discovery{node: n, address: n.config.Discovery, calls: make(chan struct{}, 1), silence: listSilence}
 }
 
 // call asks for a watch; one that is already asked for is enough.
@@ -88,7 +89,7 @@
 	lines := bufio.NewScanner(r.Body)
 	lines.Buffer(nil, longestLine)
 	for {
-		c.SetReadDeadline(time.Now().Add(listSilence))
+		c.SetReadDeadline(time.Now().Add(d.silence))
 		if !lines.Scan() {
 			if err := lines.Err(); err != nil {
 				return err
@@ -134,5 +135,6 @@
 		}
 		entries = append(entries, e)
 	}
-	return entries, *in.Version, in.Whole, nil
+	// A server is not taken off the list because its entry could not be read.
+	return entries, *in.Version, in.Whole && len(entries) == len(in.Entries), nil
 }
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -30,14 +30,13 @@
 
 	answered chan answer
 	settled  atomic.Bool
-	written  chan struct{} // closed once the client side is done with the answer
 
 	handOffs []*handOff // these two belong to the loop
 	open     int
 }
 
 func newExchange() *exchange {
-	return &exchange{answered: make(chan answer, 1), written: make(chan struct{})}
+	return &exchange{answered: make(chan answer, 1)}
 }
 
 // settle gives the exchange its one answer and tells whether this was it.
--- /dev/null
+++ b/internal/node/helper_test.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// settingsText has a rerunnable, a ticketed and an exclusive category.
+const settingsText = `{"discovery":"ask","family_info":{"warm_keys":true},"goal":{"whole":0.5},"group_size":1,
+"limits":{"cancelling":true,"connect_timeout_us":75000,"idle_close_us":60000000,"max_retry_after_us":1500000,
+"may_duplicate":false,"retry_after":true,"try_limit":3},"parties":[{"name":"acme","portion":1.0}],"profiles":[
+{"deadline_us":800000,"name":"view","objective_us":300000,"repeat":"safe"},
+{"deadline_us":800000,"group":"zone","memory_span_us":2000000,"name":"update","objective_us":300000,"repeat":"keyed"},
+{"deadline_us":800000,"name":"pay","objective_us":300000,"repeat":"unsafe"}],
+"quantum_us":2000,"report":{"fields":["queue"],"how":"inline"},"rules":{"ask_within_us":10000000,"cold_from":0.2,
+"warm_within_us":20000000},"weights":"off","zone":0,"zones":["a","b"]}`
+
+func listEntry(name, dial, health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"a","class":"m","block":1,"health":%q,"share":1.0,"born_ms":0}`,
+		name, dial, health)
+}
+
+func listText(version int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"seq":%d,"whole":%t,"hosts":[%s]}`, version, whole, strings.Join(entries, ","))
+}
+
+// listen serves raw connections on a port of its own until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// serverOf answers each task on a connection by what answer writes; it tells whether the connection goes on.
+func serverOf(t *testing.T, answer func(c net.Conn, r *http.Request, body string) bool) (address string, tasks *atomic.Int64) {
+	tasks = new(atomic.Int64)
+	return listen(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return
+			}
+			tasks.Add(1)
+			if !answer(c, r, string(body)) {
+				return
+			}
+		}
+	}), tasks
+}
+
+func say(c net.Conn, head, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	return err == nil
+}
+
+// echo answers with what came, so that a mix-up of answers shows.
+func echo(c net.Conn, r *http.Request, body string) bool {
+	return say(c, "200 OK\r\nX-Pressure: queue=1", r.RequestURI+" "+r.Header.Get(headerTask)+" "+body)
+}
+
+// newNode makes a node whose known list has the servers, with discovery at an address where by default nobody is.
+func newNode(t *testing.T, change func(*Config), servers ...string) *Node {
+	t.Helper()
+	var entries []string
+	for i, s := range servers {
+		entries = append(entries, listEntry(fmt.Sprintf("s-%d", i), s, "up"))
+	}
+	c := &Config{Name: "n0", Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Seed: "1f",
+		Known: json.RawMessage(listText(1, true, entries...)), Settings: json.RawMessage(settingsText)}
+	c.Limits.MemoryMB, c.Limits.Sockets = 192, 1024
+	if change != nil {
+		change(c)
+	}
+	if err := c.check(); err != nil {
+		t.Fatal(err)
+	}
+	n, err := New(c, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.clients.listener.Close() })
+	return n
+}
+
+func nodeWith(t *testing.T, change func(*Config), servers ...string) *Node {
+	t.Helper()
+	n := newNode(t, change, servers...)
+	n.start()
+	return n
+}
+
+func (n *Node) address() string { return n.clients.listener.Addr().String() }
+
+func dial(t *testing.T, n *Node) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", n.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+func taskText(category, id, body string) string {
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: h\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Org: acme\r\nX-Remaining-Ms: 700\r\n"+
+		"Content-Length: %d\r\n\r\n%s", category, id, category, len(body), body)
+}
+
+// answerOn reads one answer; status 0 means that the connection ended without one.
+func answerOn(in *bufio.Reader) (status int, body string, header http.Header) {
+	r, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return r.StatusCode, string(text), r.Header
+}
+
+// ask sends one task on a new connection.
+func ask(t *testing.T, n *Node, category, id, body string) (status int, answer string, header http.Header) {
+	t.Helper()
+	c, in := dial(t, n)
+	defer c.Close()
+	io.WriteString(c, taskText(category, id, body))
+	return answerOn(in)
+}
+
+// soon waits until something holds.
+func soon(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+func (n *Node) count(what counter) int64 { return n.counters[what].Load() }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"net/http"
 	"time"
 
@@ -79,7 +80,7 @@
 		select {
 		case event := <-l.events:
 			l.now = l.node.clock.now()
-			event()
+			l.handle(nil, event)
 		case <-wake.C:
 		}
 	}
@@ -120,6 +121,7 @@
 func (l *loop) ended(h *handOff, r result) {
 	x := h.exchange
 	x.open--
+	h.stop()
 	l.node.counters.add(outcomeCounters[r.outcome])
 	if r.outcome == policy.Satisfied {
 		l.finish(x, tasksSatisfied, r.answer)
@@ -134,7 +136,7 @@
 var outcomeCounters = map[policy.Outcome]counter{
 	policy.Satisfied: handOffsSatisfied, policy.Error: handOffsError, policy.Full: handOffsFull,
 	policy.TimedOut: handOffsTimedOut, policy.Unreached: handOffsUnreached, policy.Reset: handOffsReset,
-	policy.Recalled: handOffsRecalled, policy.NeverSent: handOffsNeverSent,
+	policy.Recalled: handOffsRecalled, policy.NeverSent: handOffsNeverSent, policy.Unknown: handOffsReset,
 }
 
 // listed takes in the list or what changed in it. Connections to an address that is no longer wanted are given up.
@@ -186,7 +188,7 @@
 	x := l.tasks[id]
 	h := &handOff{exchange: x, number: len(x.handOffs), server: server, address: l.fleet[server], sentAt: l.now}
 	h.limit = min(l.now+timeOut, x.task.HardLimit)
-	h.stopped = make(chan struct{})
+	h.stopped, h.stop = context.WithCancel(context.Background())
 	x.handOffs = append(x.handOffs, h)
 	x.open++
 	l.node.counters.add(handOffsSent)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 // This file owns a node's configuration, its start and its end. It must never take part in a task.
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -28,6 +29,8 @@
 	stillTaking = 450 * time.Millisecond // after SIGTERM, as connections go on coming for a while
 	ownFiles    = 24                     // standard files, the poller, the listener, discovery, what the runtime opens
 	spareShare  = 16                     // a sixteenth of the descriptors is kept to tell clients that there is no room
+	heldShare   = 8                      // an eighth of the memory is for bodies; connections' buffers need the like
+	defaultHeld = 64 << 20
 )
 
 // Config is what a node is told at its start.
@@ -99,6 +102,8 @@
 	clock      clock
 	counters   counters
 	stopping   atomic.Bool
+	held       atomic.Int64 // bytes of bodies of tasks without an answer
+	mostHeld   int64
 	categories map[string]int
 	customers  map[string]int
 
@@ -119,7 +124,13 @@
 	spare := sockets / spareShare
 	half := (sockets - ownFiles - spare) / 2
 	n.loop, n.servers, n.discovery = newLoop(n), newServers(n, half), newDiscovery(n)
-	listener, err := net.Listen("tcp", config.Listen)
+	n.mostHeld = defaultHeld
+	if mb := config.Limits.MemoryMB; mb > 0 {
+		n.mostHeld = mb << 20 / heldShare
+	}
+	how := net.ListenConfig{KeepAlive: -1}
+	how.SetMultipathTCP(false)
+	listener, err := how.Listen(context.Background(), "tcp", config.Listen)
 	if err != nil {
 		return nil, err
 	}
@@ -146,11 +157,8 @@
 	debug.SetGCPercent(400) // the heap is small; its collection takes time from tasks
 }
 
-// Run serves until SIGTERM or SIGINT has been followed to its end.
-func (n *Node) Run() error {
-	n.limit()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+// start sets the parts to work, beginning with the list that the node had last.
+func (n *Node) start() {
 	if len(n.config.Known) > 0 {
 		entries, version, _, err := n.listOf(n.config.Known)
 		if err != nil {
@@ -166,6 +174,15 @@
 	go n.discovery.run()
 	go n.clients.accept()
 	n.log.Info("serving", zap.String("name", n.config.Name), zap.String("listen", n.config.Listen))
+}
+
+// Run serves until SIGTERM or SIGINT has been followed to its end.
+func (n *Node) Run() error {
+	n.limit()
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to end
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	n.start()
 	sweep := time.NewTicker(time.Second)
 	for {
 		select {
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,506 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/quick"
+	"time"
+
+	"fawnglade/policy"
+)
+
+func TestTaskGoesThroughUnchanged(t *testing.T) {
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		if r.Header.Get(headerRemaining) == "" || r.Header.Get("X-Other") != "kept" || r.Header.Get("Connection") != "" {
+			return say(c, "500 Bad", "")
+		}
+		return echo(c, r, body)
+	})
+	n := nodeWith(t, nil, server)
+	c, in := dial(t, n)
+	for i := range 3 {
+		fmt.Fprintf(c, "POST /view/x?q=%d HTTP/1.1\r\nHost: h\r\nX-Txn: t%d\r\nX-Other: kept\r\nConnection: keep-alive\r\n"+
+			"Content-Length: 3\r\n\r\na\x00b", i, i)
+		status, body, header := answerOn(in)
+		if want := fmt.Sprintf("/view/x?q=%d t%d a\x00b", i, i); status != 200 || body != want {
+			t.Errorf("got %d %q, want 200 %q", status, body, want)
+		}
+		if header.Get(headerLoad) != "" {
+			t.Error("a server's load report went on to a client")
+		}
+	}
+	if n.count(serversConnected) != 1 {
+		t.Errorf("%d connections to the server for tasks one after the other, want 1", n.count(serversConnected))
+	}
+}
+
+// What a server does decides the outcome, and with the category what the client is told.
+func TestOutcomes(t *testing.T) {
+	closed := listen(t, func(c net.Conn) {})
+	gone, _ := net.Listen("tcp", "127.0.0.1:0")
+	gone.Close()
+	cut := func(text string) string {
+		address, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+			io.WriteString(c, text)
+			return false
+		})
+		return address
+	}
+	silent, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		io.Copy(io.Discard, c)
+		return false
+	})
+	for name, c := range map[string]struct {
+		server string
+		how    counter
+		status map[string]int // by category; 503 is a decline
+	}{
+		"error":             {cut("HTTP/1.1 500 Bad\r\nContent-Length: 0\r\n\r\n"), handOffsError, map[string]int{"view": 503, "update": 502, "pay": 502}},
+		"turned away":       {cut("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"), handOffsFull, map[string]int{"view": 503, "update": 503, "pay": 503}},
+		"503 without proof": {cut("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), handOffsError, map[string]int{"view": 503, "update": 502, "pay": 502}},
+		"refused":           {gone.Addr().String(), handOffsUnreached, map[string]int{"view": 503, "update": 503, "pay": 503}},
+		"broken before any": {cut(""), handOffsReset, map[string]int{"view": 503, "update": 502, "pay": 502}},
+		"broken in head":    {cut("HTTP/1.1 200 OK\r\nContent-Le"), handOffsReset, map[string]int{"view": 503, "pay": 502}},
+		"broken in body":    {cut("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), handOffsReset, map[string]int{"view": 503, "pay": 502}},
+		"broken in chunk":   {cut("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal"), handOffsReset, map[string]int{"pay": 502}},
+		"no answer at all":  {cut("SSH-2.0-x\r\n\r\n"), handOffsReset, map[string]int{"pay": 502}},
+		"endless answer":    {cut("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"), handOffsReset, map[string]int{"pay": 502}},
+		"silent":            {silent, handOffsTimedOut, map[string]int{"view": 503, "update": 502, "pay": 502}},
+		"closed at once":    {closed, counterCount, map[string]int{"view": 503}},
+		"interim, chunked": {cut("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+			handOffsSatisfied, map[string]int{"pay": 200}},
+		"body till the end": {cut("HTTP/1.1 200 OK\r\n\r\nall of it"), handOffsSatisfied, map[string]int{"pay": 200}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for category, want := range c.status {
+				n := nodeWith(t, nil, c.server)
+				status, _, header := ask(t, n, category, "t1", "body")
+				if status != want || c.how < counterCount && n.count(c.how) != 1 {
+					t.Errorf("%s: answered %d, want %d; outcome counted %d times", category, status, want, n.count(min(c.how, panics)))
+				}
+				if (header.Get(headerAdvice) != "") != (status == 503) {
+					t.Errorf("%s: %d with advice %q", category, status, header.Get(headerAdvice))
+				}
+			}
+		})
+	}
+}
+
+func TestHandOffErrorTellsWhatItProves(t *testing.T) {
+	for at, want := range map[stage][3]policy.Outcome{ // a broken connection, time over, recalled
+		notConnected:  {policy.Unreached, policy.Unreached, policy.NeverSent},
+		partlyWritten: {policy.Unreached, policy.Unreached, policy.NeverSent},
+		writtenWhole:  {policy.Reset, policy.TimedOut, policy.Recalled},
+		answering:     {policy.Reset, policy.TimedOut, policy.Recalled},
+	} {
+		late := &net.OpError{Op: "read", Err: timeOut{}}
+		for i, e := range []handOffError{{at, false, io.EOF}, {at, false, late}, {at, true, late}} {
+			if got := e.outcome(); got != want[i] {
+				t.Errorf("%v: outcome %d, want %d", &e, got, want[i])
+			}
+		}
+	}
+	if e := (&handOffError{notConnected, false, errNoRoom}); e.outcome() != policy.NeverSent {
+		t.Error("want of a descriptor here is held against the server")
+	}
+}
+
+// Guards against the answer to a task that timed out being taken for the next one's.
+func TestLateAnswerIsNobodys(t *testing.T) {
+	var slow atomic.Bool
+	slow.Store(true)
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		if slow.Swap(false) {
+			time.Sleep(350 * time.Millisecond)
+		}
+		return echo(c, r, body)
+	})
+	n := nodeWith(t, nil, server)
+	if status, _, _ := ask(t, n, "view", "late", ""); status != 503 {
+		t.Errorf("the late task was answered %d, want 503", status)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for i := range 20 {
+		if status, body, _ := ask(t, n, "view", fmt.Sprint("t", i), ""); status == 200 && body != fmt.Sprintf("/view t%d ", i) {
+			t.Fatalf("task %d got the answer %q", i, body)
+		}
+	}
+}
+
+// Guards against a whole answer with more behind it being followed by another task on that connection.
+func TestConnectionWithMoreThanTheAnswerIsNotUsedAgain(t *testing.T) {
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		echo(c, r, body)
+		return say(c, "200 OK", "unasked")
+	})
+	n := nodeWith(t, nil, server)
+	for i := range 5 {
+		if _, body, _ := ask(t, n, "view", fmt.Sprint("t", i), ""); body != fmt.Sprintf("/view t%d ", i) {
+			t.Fatalf("task %d got the answer %q", i, body)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against a reset on a connection that the server had closed while it stood idle.
+func TestConnectionClosedByTheServerIsNoticed(t *testing.T) {
+	server, tasks := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		echo(c, r, body)
+		return false
+	})
+	n := nodeWith(t, nil, server)
+	for i := range 5 {
+		if status, _, _ := ask(t, n, "pay", fmt.Sprint("t", i), ""); status != 200 {
+			t.Errorf("task %d was answered %d", i, status)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if tasks.Load() != 5 || n.count(handOffsReset) != 0 {
+		t.Errorf("%d tasks came to the server, %d resets", tasks.Load(), n.count(handOffsReset))
+	}
+	n.servers.sweep()
+	if n.servers.open != 0 {
+		t.Errorf("%d closed connections still hold descriptors", n.servers.open)
+	}
+}
+
+func TestClientThatLeavesHasItsTaskRecalled(t *testing.T) {
+	closed := make(chan struct{})
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		io.Copy(io.Discard, c)
+		close(closed)
+		return false
+	})
+	n := nodeWith(t, nil, server)
+	c, _ := dial(t, n)
+	io.WriteString(c, taskText("pay", "t1", ""))
+	soon(t, "the hand-off", func() bool { return n.count(handOffsSent) == 1 })
+	c.Close()
+	select {
+	case <-closed:
+	case <-time.After(250 * time.Millisecond): // its soft limit is 300 ms
+		t.Error("the hand-off was not recalled")
+	}
+	soon(t, "the withdrawal", func() bool { return n.count(tasksWithdrawn) == 1 })
+}
+
+func TestPipelinedTasksAreAnsweredInOrder(t *testing.T) {
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		if strings.HasSuffix(r.Header.Get(headerTask), "0") {
+			time.Sleep(50 * time.Millisecond)
+		}
+		return echo(c, r, body)
+	})
+	n := nodeWith(t, nil, server)
+	c, in := dial(t, n)
+	var all string
+	for i := range 9 {
+		all += taskText("view", fmt.Sprint("t", i), "b")
+	}
+	io.WriteString(c, all+"no message\r\n\r\n")
+	for i := range 9 {
+		if status, body, _ := answerOn(in); status != 200 || body != fmt.Sprintf("/view t%d b", i) {
+			t.Errorf("answer %d is %d %q", i, status, body)
+		}
+	}
+	if status, _, _ := answerOn(in); status != 400 {
+		t.Errorf("what is no message was answered %d", status)
+	}
+}
+
+func TestBadTasksAreAnsweredAndCounted(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, nil, server)
+	head := "POST /view HTTP/1.1\r\nHost: h\r\n"
+	for text, want := range map[string]int{
+		"\x00\x01\x02\r\n\r\n":                                        400,
+		"GET /view HTTP/9.9\r\n\r\n":                                  400,
+		head + "\r\n":                                                 400, // no id
+		head + "X-Txn: a\r\nX-Lane: b\r\n\r\n":                        400,
+		head + "X-Txn: a\r\nX-Org: b\r\n\r\n":                         400,
+		head + "X-Txn: a\r\nX-Remaining-Ms: soon\r\n\r\n":             400,
+		head + "X-Txn: " + strings.Repeat("a", 129) + "\r\n\r\n":      400,
+		head + "Content-Length: 70000\r\n\r\n":                        413,
+		head + "X-Pad: " + strings.Repeat("a", 17<<10):                431,
+		head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n":             400,
+		head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab":     400,
+		head + "X-Txn: a\r\nX-Estimate: some\r\nX-Labels: =,\r\n\r\n": 200,
+	} {
+		c, in := dial(t, n)
+		io.WriteString(c, text)
+		if status, _, _ := answerOn(in); status != want {
+			t.Errorf("%.60q was answered %d, want %d", text, status, want)
+		}
+	}
+	if status, _, _ := ask(t, n, "view", "still", ""); status != 200 || n.count(tasksBad) != 11 {
+		t.Errorf("after bad tasks a good one is answered %d; %d counted as bad", status, n.count(tasksBad))
+	}
+}
+
+// A message is the same however it is cut into reads, and what is none ends in an error.
+func TestMessagesDoNotDependOnHowTheyAreCut(t *testing.T) {
+	property := func(body []byte, chunkIt, spoil bool, cuts []uint8) bool {
+		text := fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if chunkIt {
+			text = fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body)
+			if len(body) > 0 { // else its only chunk was the last
+				text += "0\r\n\r\n"
+			}
+		}
+		if spoil {
+			text = "x" + text[:len(text)/2] + "\r\n\r\n"
+		}
+		near, far := net.Pipe()
+		defer near.Close()
+		go func() {
+			defer far.Close()
+			for i, rest := 0, text; rest != ""; i++ {
+				n := len(rest)
+				if len(cuts) > 0 {
+					n = min(n, 1+int(cuts[i%len(cuts)]))
+				}
+				if _, err := io.WriteString(far, rest[:n]); err != nil {
+					return
+				}
+				rest = rest[n:]
+			}
+		}()
+		c := newConn(near)
+		_, got, err := c.request()
+		if spoil {
+			return err != nil || len(got) <= len(body)
+		}
+		return err == nil && string(got) == string(body) && len(c.pending()) == 0
+	}
+	if err := quick.Check(property, &quick.Config{MaxCount: 300}); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a flood of connections that bring nothing shutting out clients at work.
+func TestFloodLeavesRoomForClients(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, func(c *Config) { c.Limits.Sockets = 4 * ownFiles }, server)
+	c, in := dial(t, n)
+	for i := range 40 {
+		for range 5 {
+			dial(t, n)
+		}
+		io.WriteString(c, taskText("view", fmt.Sprint("t", i), ""))
+		if status, _, _ := answerOn(in); status != 200 {
+			t.Fatalf("task %d in the flood was answered %d", i, status)
+		}
+		if status, _, _ := ask(t, n, "view", fmt.Sprint("new", i), ""); status != 200 {
+			t.Fatalf("task %d of a new client was answered %d", i, status)
+		}
+	}
+	n.clients.mu.Lock()
+	defer n.clients.mu.Unlock()
+	if most := n.clients.most + n.clients.spare; len(n.clients.open) > most {
+		t.Errorf("%d connections from clients, at most %d are allowed", len(n.clients.open), most)
+	}
+}
+
+// Guards against connections to servers taking more descriptors than their part.
+func TestConnectionsToServersAreBounded(t *testing.T) {
+	var out atomic.Int64
+	hold := make(chan struct{})
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		out.Add(1)
+		<-hold
+		return echo(c, r, body)
+	})
+	n := newNode(t, func(c *Config) { c.Limits.Sockets = 4 * ownFiles }, server)
+	n.servers.most = 3
+	n.start()
+	var done sync.WaitGroup
+	answers := [600]atomic.Int64{}
+	for i := range 10 {
+		done.Go(func() {
+			status, _, _ := ask(t, n, "pay", fmt.Sprint("t", i), "")
+			answers[status].Add(1)
+		})
+	}
+	soon(t, "declines", func() bool { return answers[503].Load() == 7 })
+	close(hold)
+	done.Wait()
+	if answers[200].Load() != 3 || out.Load() != 3 || n.count(handOffsNeverSent) < 7 {
+		t.Errorf("%d satisfied, %d at the server, %d never sent", answers[200].Load(), out.Load(), n.count(handOffsNeverSent))
+	}
+}
+
+// discoveryOf plays one list of lines to each call in turn, then stays open.
+func discoveryOf(t *testing.T, calls ...[]string) (address string, asked *sync.Map) {
+	asked = new(sync.Map)
+	var number atomic.Int64
+	return listen(t, func(c net.Conn) {
+		in := make([]byte, 4096)
+		size, _ := c.Read(in)
+		i := int(number.Add(1)) - 1
+		asked.Store(i, string(in[:size]))
+		if i >= len(calls) {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for _, line := range calls[i] {
+			fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(line)+1, line)
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Read(in)
+	}), asked
+}
+
+func TestListMovesDrainsAndMakesNoSense(t *testing.T) {
+	first, atFirst := serverOf(t, echo)
+	second, atSecond := serverOf(t, echo)
+	address, asked := discoveryOf(t,
+		[]string{listText(5, false, listEntry("s-0", second, "up"), listEntry("s-1", "nowhere", "up"), `{"host":7}`), "",
+			"no list"},
+		[]string{listText(6, false, listEntry("s-0", second, "draining"))})
+	n := nodeWith(t, func(c *Config) { c.Discovery = address }, first)
+	soon(t, "the move", func() bool { return n.count(listLines) == 1 })
+	if status, _, _ := ask(t, n, "view", "t1", ""); status != 200 || atFirst.Load() != 0 || atSecond.Load() != 1 {
+		t.Errorf("after the move %d, %d tasks at the old address, %d at the new", status, atFirst.Load(), atSecond.Load())
+	}
+	soon(t, "the drain", func() bool { return n.count(listLines) == 2 })
+	if status, _, _ := ask(t, n, "view", "t2", ""); status != 503 || atSecond.Load() != 1 {
+		t.Errorf("with its only server draining a task was answered %d", status)
+	}
+	if n.count(listLinesPassedOver) != 3 {
+		t.Errorf("%d lines passed over, want 3", n.count(listLinesPassedOver))
+	}
+	for i, want := range []string{"after=1 ", "after=5 "} {
+		if got, _ := asked.Load(i); got == nil || !strings.Contains(got.(string), want) {
+			t.Errorf("call %d was %q, want %q in it", i, got, want)
+		}
+	}
+}
+
+func TestSilentWatchIsCalledAgain(t *testing.T) {
+	address, _ := discoveryOf(t, []string{listText(2, false)}, []string{listText(3, false)})
+	n := newNode(t, func(c *Config) { c.Discovery = address })
+	n.discovery.silence = 50 * time.Millisecond
+	n.start()
+	soon(t, "the second call", func() bool { return n.count(listLines) >= 2 })
+}
+
+// A server is not taken off the list because its line could not be read, only because a readable list lacks it.
+func TestUnreadableEntryTakesNobodyOff(t *testing.T) {
+	n := nodeWith(t, nil)
+	_, _, whole, err := n.listOf([]byte(listText(9, true, `{"host":"s-0","health":"odd"}`)))
+	if whole || err != nil {
+		t.Errorf("whole %t, error %v", whole, err)
+	}
+	for _, text := range []string{"", "[]", "{}", `{"seq":"a"}`, `{"seq":1,"hosts":{}}`} {
+		if _, _, _, err := n.listOf([]byte(text)); err == nil {
+			t.Errorf("%q was taken for a list", text)
+		}
+	}
+}
+
+func TestStopGoesOnTakingAndSettlesAll(t *testing.T) {
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		time.Sleep(60 * time.Millisecond)
+		return echo(c, r, body)
+	})
+	n := nodeWith(t, nil, server)
+	idle, idleIn := dial(t, n)
+	stopped := make(chan struct{})
+	go func() {
+		n.stop()
+		close(stopped)
+	}()
+	soon(t, "the stop", n.stopping.Load)
+	if status, _, _ := ask(t, n, "view", "new", ""); status != 200 {
+		t.Errorf("a new connection while stopping was answered %d", status)
+	}
+	time.Sleep(stillTaking - 120*time.Millisecond)
+	io.WriteString(idle, taskText("pay", "a", "")+taskText("pay", "b", ""))
+	for range 2 {
+		if status, body, _ := answerOn(idleIn); status != 200 {
+			t.Errorf("a task taken before the end was answered %d %s", status, body)
+		}
+	}
+	select {
+	case <-stopped:
+	case <-time.After(time.Second):
+		t.Error("with every task answered the node does not end")
+	}
+}
+
+// Guards against a panic in the decisions costing the other tasks or leaving its own without an answer.
+func TestPanicStopsAtItsTask(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, nil, server)
+	x := newExchange()
+	x.task.ID = "bad"
+	n.loop.enter(func() {
+		n.loop.tasks["bad"] = x
+		n.loop.handle(x, func() { panic("a mistake in the decisions") })
+	})
+	if a := <-x.answered; a.status != 502 {
+		t.Errorf("its task was answered %d", a.status)
+	}
+	if status, _, _ := ask(t, n, "view", "next", ""); status != 200 || n.count(panics) != 1 {
+		t.Errorf("the next task was answered %d, %d panics counted", status, n.count(panics))
+	}
+}
+
+func TestBadConfigurationIsToldPlainly(t *testing.T) {
+	good := func() *Config {
+		return &Config{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Seed: "a", Settings: json.RawMessage(settingsText)}
+	}
+	if err := good().check(); err != nil {
+		t.Fatal(err)
+	}
+	for want, change := range map[string]func(*Config){
+		"listen: expected an address":  func(c *Config) { c.Listen = "here" },
+		"discovery: expected an addre": func(c *Config) { c.Discovery = "" },
+		"seed: expected":               func(c *Config) { c.Seed = "seed" },
+		"limits.sockets: expected":     func(c *Config) { c.Limits.Sockets = 20 },
+		"settings: expected an object": func(c *Config) { c.Settings = nil },
+		"profiles.count":               func(c *Config) { c.Settings = json.RawMessage(`{}`) },
+		"settings: limits.connect_tim": func(c *Config) {
+			c.Settings = json.RawMessage(strings.Replace(settingsText, "connect_timeout_us", "other", 1))
+		},
+	} {
+		c := good()
+		change(c)
+		if err := c.check(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q in it", err, want)
+		}
+	}
+}
+
+// An id that is still known must not be mixed up with a second task under the same one.
+func TestIDInUseIsTurnedDown(t *testing.T) {
+	server, tasks := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		time.Sleep(50 * time.Millisecond)
+		return echo(c, r, body)
+	})
+	n := nodeWith(t, nil, server)
+	c, in := dial(t, n)
+	io.WriteString(c, taskText("pay", "same", "")+taskText("pay", "same", ""))
+	first, _, _ := answerOn(in)
+	second, _, _ := answerOn(in)
+	if first != 200 || second != 409 || tasks.Load() != 1 {
+		t.Errorf("answered %d and %d, %d tasks at the server", first, second, tasks.Load())
+	}
+}
+
+type timeOut struct{}
+
+func (timeOut) Error() string   { return "i/o timeout" }
+func (timeOut) Timeout() bool   { return true }
+func (timeOut) Temporary() bool { return true }
+func (timeOut) Is(target error) bool {
+	return target.Error() == "i/o timeout"
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -26,13 +26,10 @@
 	sentAt   int64
 	limit    int64
 
-	stopped chan struct{}
-	once    sync.Once
+	stopped context.Context // done once the hand-off is recalled
+	stop    context.CancelFunc
 }
 
-// stop asks the hand-off to end; what it ends in depends on how far it had come.
-func (h *handOff) stop() { h.once.Do(func() { close(h.stopped) }) }
-
 type result struct {
 	outcome policy.Outcome
 	report  policy.Report
@@ -120,28 +117,13 @@
 }
 
 func (s *servers) try(h *handOff) (result, *handOffError) {
-	ctx, cancel := context.WithDeadline(context.Background(), s.node.clock.at(h.limit))
-	defer cancel()
-	over := make(chan struct{})
-	defer close(over)
-	go func() {
-		select {
-		case <-h.stopped:
-			cancel()
-		case <-over:
-		}
-	}()
-	stopped := func() bool {
-		select {
-		case <-h.stopped:
-			return true
-		default:
-			return false
-		}
+	fail := func(at stage, err error) (result, *handOffError) {
+		return result{}, &handOffError{at, h.stopped.Err() != nil, err}
 	}
-	c, err := s.connection(ctx, h.address)
+	limit := s.node.clock.at(h.limit)
+	c, err := s.connection(h.stopped, h.address, limit)
 	if err != nil {
-		return result{}, &handOffError{notConnected, stopped(), err}
+		return fail(notConnected, err)
 	}
 	whole := false
 	defer func() {
@@ -149,18 +131,18 @@
 			s.close(c)
 		}
 	}()
-	c.SetDeadline(s.node.clock.at(h.limit))
-	release := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	c.SetDeadline(limit)
+	release := context.AfterFunc(h.stopped, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer release()
 	if _, err := c.Write(h.exchange.message(h.limit - s.node.clock.now())); err != nil {
-		return result{}, &handOffError{partlyWritten, stopped(), err}
+		return fail(partlyWritten, err)
 	}
 	response, body, err := c.response(&http.Request{Method: h.exchange.method})
 	if err != nil {
-		at := writtenWhole
 		if len(c.pending()) > 0 {
-			at = answering
+			return fail(answering, err)
 		}
-		return result{}, &handOffError{at, stopped(), err}
+		return fail(writtenWhole, err)
 	}
 	r := result{outcome: outcomeOf(response.StatusCode, response.Header), report: reportOf(response.Header.Get(headerLoad))}
 	if r.outcome == policy.Satisfied {
@@ -175,7 +157,7 @@
 
 // connection takes the connection to an address that was used last, as the others may then grow old and be closed,
 // or opens one.
-func (s *servers) connection(ctx context.Context, address string) (*serverConn, error) {
+func (s *servers) connection(ctx context.Context, address string, limit time.Time) (*serverConn, error) {
 	for {
 		c := s.take(address)
 		if c == nil {
@@ -190,7 +172,7 @@
 	if !s.reserve() {
 		return nil, errNoRoom
 	}
-	dialer := net.Dialer{Timeout: time.Duration(s.node.settings.ConnectWithin), KeepAlive: -1}
+	dialer := net.Dialer{Timeout: time.Duration(s.node.settings.ConnectWithin), Deadline: limit, KeepAlive: -1}
 	dialer.SetMultipathTCP(false)
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -250,6 +232,7 @@
 
 func (s *servers) keep(c *serverConn) {
 	c.SetDeadline(time.Time{})
+	c.shrink()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.idle = time.Now()
@@ -271,16 +254,24 @@
 }
 
 // sweep closes connections well before the server would, as a task written to one that the server has just closed
-// may have run for all that can be known.
+// may have run for all that can be known; and those that their server has closed, as they hold descriptors.
 func (s *servers) sweep() {
 	tooOld := time.Now().Add(-time.Duration(s.node.settings.IdleClose) * 3 / 4)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for address, list := range s.idle {
-		n := 0
-		for n < len(list) && list[n].idle.Before(tooOld) {
-			n++
+		kept := list[:0]
+		for _, c := range list {
+			if c.idle.After(tooOld) && c.quiet() {
+				kept = append(kept, c)
+				continue
+			}
+			c.Close()
+			s.open--
+			s.node.counters.add(serversClosedIdle)
+		}
+		if s.idle[address] = kept; len(kept) == 0 {
+			delete(s.idle, address)
 		}
-		s.drop(address, n)
 	}
 }
