Client side waits for room in place of closing a connection that may hold a task

Seen in a test with 150 tasks at once on 96 descriptors: 111 connections were closed without a word, as there was no room or as they stood idle with their task not read yet. Cause: client.go, admit closed what was beyond the bound; closeIdle took new connections for idle ones. Changed: accepting waits until one of those at work has ended; nothing used within 25 ms, nor with bytes waiting in the machine, is closed; tasks are declined by the number of connections at work, not by how many stand open.

--- a/cmd/fawnglade/main.go
+++ b/cmd/fawnglade/main.go
@@ -4,7 +4,7 @@
 import (
 	"fmt"
 	"os"
-	"runtime/debug"
+	"runtime"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -12,6 +12,8 @@
 	"fawnglade/internal/node"
 )
 
+const release = "0.1.0"
+
 func main() {
 	root := &cobra.Command{
 		Use:           "fawnglade",
@@ -75,10 +77,6 @@
 func version() *cobra.Command {
 	return &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) {
-			text := "unknown"
-			if info, ok := debug.ReadBuildInfo(); ok {
-				text = info.Main.Version + " " + info.GoVersion
-			}
-			fmt.Fprintln(c.OutOrStdout(), "fawnglade", text)
+			fmt.Fprintln(c.OutOrStdout(), "fawnglade", release, runtime.Version())
 		}}
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fawnglade/policy"
@@ -23,14 +24,15 @@
 	slowMessage = 10 * time.Second // for a message that has begun
 	slowWrite   = 2 * time.Second  // for a client that does not read its answer
 	pipelined   = 4                // tasks read ahead on one connection
-	lingers     = 50 * time.Millisecond
+	lingers     = 25 * time.Millisecond
 )
 
 type clients struct {
 	node     *Node
 	listener net.Listener
-	most     int // connections; beyond these only a few, to say that there is no room
+	most     int // connections at work; beyond these only a few, to say that there is no room
 	spare    int
+	atWork   atomic.Int64
 
 	mu   sync.Mutex
 	open map[*client]struct{}
@@ -48,7 +50,6 @@
 	closed  bool
 	used    bool // has brought a task
 	lastUse time.Time
-	crowded bool // taken beyond the bound
 }
 
 func newClients(n *Node, listener net.Listener, most, spare int) *clients {
@@ -72,31 +73,38 @@
 	}
 }
 
+// admit takes one connection in, if need be in place of one that stands idle. Where all are at work it waits for the
+// next to end: a task may already be written to this one, so it can't be closed without an answer.
 func (s *clients) admit(raw net.Conn) {
 	c := &client{side: s, conn: newConn(raw), turns: make(chan *exchange, pipelined), lastUse: time.Now()}
-	s.mu.Lock()
-	count := len(s.open)
-	if count >= s.most && s.closeIdle(1, time.Now()) > 0 {
-		count--
-	}
-	c.crowded = count >= s.most
-	full := count >= s.most+s.spare
-	if !full {
-		s.open[c] = struct{}{}
-	}
-	s.mu.Unlock()
-	if full {
-		s.node.counters.add(clientsTurnedAway)
-		raw.Close()
-		return
+	for waited := false; !s.enter(c); waited = true {
+		if !waited {
+			s.node.counters.add(clientsWaited)
+		}
+		time.Sleep(time.Millisecond)
 	}
 	go c.write()
 	go c.read()
 }
 
-// closeIdle closes up to n of the connections that stand idle and were not used since the given time; the lock is
-// held. Those that never brought a task go first, against a flood that takes the place of clients at work.
-func (s *clients) closeIdle(n int, since time.Time) int {
+func (s *clients) enter(c *client) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) >= s.most {
+		s.closeIdle(1)
+	}
+	if len(s.open) >= s.most+s.spare {
+		return false
+	}
+	s.open[c] = struct{}{}
+	return true
+}
+
+// closeIdle closes up to n of the connections that stand idle; the lock is held. Those that never brought a task go
+// first, against a flood that takes the place of clients at work. One used a moment ago is left, as its client may
+// already be writing the next task.
+func (s *clients) closeIdle(n int) {
+	since := time.Now().Add(-lingers)
 	type standing struct {
 		c    *client
 		used bool
@@ -119,31 +127,27 @@
 		}
 		return a.last.Compare(b.last)
 	})
-	closed := 0
 	for _, one := range idle[:min(n, len(idle))] {
 		if one.c.closeIfIdle() {
 			delete(s.open, one.c)
-			closed++
 		}
 	}
-	return closed
 }
 
-// settle closes what stands idle and tells how many connections are left. A client that has just been answered may
-// already be writing its next task, so a connection is left a moment.
+// settle closes what stands idle and tells how many connections are left.
 func (s *clients) settle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeIdle(len(s.open), time.Now().Add(-lingers))
+	s.closeIdle(len(s.open))
 	return len(s.open)
 }
 
 // closeIfIdle closes the connection between tasks. The reader looks at closed under the same lock before it takes a
-// task, so none is taken and then cut off.
+// task, so none is taken and then cut off; nor is one that has come but is not read yet.
 func (c *client) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy > 0 || c.closed {
+	if c.busy > 0 || c.closed || c.conn.has() {
 		return false
 	}
 	c.closed = true
@@ -159,7 +163,9 @@
 	if c.closed {
 		return false
 	}
-	c.busy++
+	if c.busy++; c.busy == 1 {
+		c.side.atWork.Add(1)
+	}
 	c.used = true
 	return true
 }
@@ -179,7 +185,9 @@
 func (c *client) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy--
+	if c.busy--; c.busy == 0 {
+		c.side.atWork.Add(-1)
+	}
 	c.lastUse = time.Now()
 }
 
@@ -305,7 +313,7 @@
 		x.settle(answer{status: status})
 		return
 	}
-	if c.crowded {
+	if int(c.side.atWork.Load()) > c.side.most {
 		n.counters.add(tasksNoRoom)
 		x.last = true
 		x.settle(n.noRoom())
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -201,22 +201,31 @@
 // quiet tells that the peer has neither closed the connection nor sent anything on it unasked. It guards against
 // late answers and against a connection that a restarted server no longer knows.
 func (c *conn) quiet() bool {
-	if c.from != c.to {
-		return false
-	}
+	_, err := c.peek()
+	return c.from == c.to && err == syscall.EAGAIN
+}
+
+// has tells whether something has come that nobody has read yet. It may be called beside a read.
+func (c *conn) has() bool {
+	n, err := c.peek()
+	return n > 0 && err == nil
+}
+
+// peek looks at what the machine holds for the connection, taking nothing.
+func (c *conn) peek() (n int, err error) {
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet, one := false, [1]byte{}
-	err = control.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	var one [1]byte
+	if broken := control.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); broken != nil {
+		return 0, broken
+	}
+	return n, err
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -309,6 +309,27 @@
 	}
 }
 
+// Guards against a connection that is closed for want of room with a task already written to it.
+func TestMoreTasksThanConnectionsAreAllAnswered(t *testing.T) {
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		time.Sleep(100 * time.Millisecond)
+		return echo(c, r, body)
+	})
+	n := nodeWith(t, func(c *Config) { c.Limits.Sockets = 4 * ownFiles }, server)
+	var done sync.WaitGroup
+	answers := [600]atomic.Int64{}
+	for i := range 150 {
+		done.Go(func() {
+			status, _, _ := ask(t, n, "view", fmt.Sprint("t", i), "")
+			answers[status].Add(1)
+		})
+	}
+	done.Wait()
+	if answers[200].Load() == 0 || answers[200].Load()+answers[503].Load() != 150 || n.count(tasksNoRoom) == 0 {
+		t.Errorf("%d satisfied, %d declined, %d of them without room", answers[200].Load(), answers[503].Load(), n.count(tasksNoRoom))
+	}
+}
+
 // Guards against connections to servers taking more descriptors than their part.
 func TestConnectionsToServersAreBounded(t *testing.T) {
 	var out atomic.Int64
