--- /dev/null
+++ b/cmd/fawnglade/main_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+const config = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
+"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"seq":1,"whole":true,"hosts":[{"host":""},{"host":"s-1",
+"dial":"127.0.0.1:1","site":"a","class":"m","block":0,"health":"up","share":1.0,"born_ms":0}]},"settings":{
+"discovery":"ask","limits":{"connect_timeout_us":75000,"idle_close_us":60000000,"try_limit":3},"profiles":[
+{"deadline_us":300000,"name":"view","objective_us":100000,"repeat":"safe"}],"quantum_us":2000,"report":{"how":"off"},
+"rules":{"ask_within_us":10000000,"cold_from":0.2,"warm_within_us":20000000},"weights":"off","zone":0,"zones":["a"]}}`
+
+// TestMain runs the program itself when a test asks for it.
+func TestMain(m *testing.M) {
+	if os.Getenv("RUN_FAWNGLADE") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func program(t *testing.T, config string, args ...string) *exec.Cmd {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), "RUN_FAWNGLADE=1", "NODE_CONFIG="+path)
+	return c
+}
+
+func TestProcessPrintsCountersAndEndsWell(t *testing.T) {
+	c := program(t, config, "serve")
+	log, err := c.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Process.Kill()
+	next := map[string]syscall.Signal{`"serving"`: syscall.SIGUSR1, `"counters on request"`: syscall.SIGTERM}
+	var all strings.Builder
+	for lines := bufio.NewScanner(log); lines.Scan(); {
+		all.WriteString(lines.Text() + "\n")
+		for message, signal := range next {
+			if strings.Contains(lines.Text(), message) {
+				c.Process.Signal(signal)
+				delete(next, message)
+			}
+		}
+	}
+	if err := c.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	for _, want := range []string{`"counters on request"`, `"counters at exit"`, `"list lines passed over":1`} {
+		if !strings.Contains(all.String(), want) {
+			t.Errorf("no %s in the log:\n%s", want, all.String())
+		}
+	}
+}
+
+func TestBadConfigurationDoesNotStart(t *testing.T) {
+	for text, want := range map[string]string{
+		"{":  "unexpected end of JSON input",
+		"{}": "expected an address and a port",
+		strings.Replace(config, `"repeat":"safe"`, `"repeat":"odd"`, 1): "profiles.0.repeat: expected one of safe keyed unsafe, got odd",
+	} {
+		for _, command := range []string{"serve", "check"} {
+			out, err := program(t, text, command).CombinedOutput()
+			var exit *exec.ExitError
+			if !errors.As(err, &exit) || exit.ExitCode() != 1 || !strings.Contains(string(out), want) || strings.Contains(string(out), "goroutine") {
+				t.Errorf("%s with %.20q: %v, %s", command, text, err, out)
+			}
+		}
+	}
+}
