--- a/cmd/fawnglade/main_test.go
+++ b/cmd/fawnglade/main_test.go
@@ -48,7 +48,7 @@
 		t.Fatal(err)
 	}
 	defer c.Process.Kill()
-	next := map[string]syscall.Signal{`"serving"`: syscall.SIGUSR1, `"counters on request"`: syscall.SIGTERM}
+	next := map[string]syscall.Signal{`"serving"`: syscall.SIGUSR1, `"counters asked for"`: syscall.SIGTERM}
 	var all strings.Builder
 	for lines := bufio.NewScanner(log); lines.Scan(); {
 		all.WriteString(lines.Text() + "\n")
@@ -62,7 +62,7 @@
 	if err := c.Wait(); err != nil {
 		t.Errorf("ended with %v", err)
 	}
-	for _, want := range []string{`"counters on request"`, `"counters at exit"`, `"list lines passed over":1`} {
+	for _, want := range []string{`"counters asked for"`, `"counters at exit"`, `"list lines passed over":1`} {
 		if !strings.Contains(all.String(), want) {
 			t.Errorf("no %s in the log:\n%s", want, all.String())
 		}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -247,7 +247,7 @@
 		}
 	}
 	c.readFor(slowMessage)
-	return c.conn.request()
+	return c.conn.fromClient()
 }
 
 // readFor sets how long reads may last; after the last answer that is a moment. It tells whether that is still to come.
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -172,8 +172,8 @@
 	return length
 }
 
-// request reads one whole message of a client.
-func (c *conn) request() (r *http.Request, body []byte, err error) {
+// fromClient reads one whole message of a client.
+func (c *conn) fromClient() (r *http.Request, body []byte, err error) {
 	body, err = c.message(func(in *bufio.Reader) (io.Reader, int64, error) {
 		if r, err = http.ReadRequest(in); err != nil {
 			return nil, 0, err
@@ -183,8 +183,8 @@
 	return r, body, err
 }
 
-// response reads one whole message of a server, passing over interim ones.
-func (c *conn) response(to *http.Request) (r *http.Response, body []byte, err error) {
+// fromServer reads one whole message of a server, passing over interim ones.
+func (c *conn) fromServer(to *http.Request) (r *http.Response, body []byte, err error) {
 	for {
 		body, err = c.message(func(in *bufio.Reader) (io.Reader, int64, error) {
 			if r, err = http.ReadResponse(in, to); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,7 +190,7 @@
 			n.servers.sweep()
 		case s := <-signals:
 			if s == syscall.SIGUSR1 {
-				n.counters.log(n.log, "on request")
+				n.counters.log(n.log, "asked for")
 				continue
 			}
 			n.stop()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -274,7 +274,7 @@
 			}
 		}()
 		c := newConn(near)
-		_, got, err := c.request()
+		_, got, err := c.fromClient()
 		if spoil {
 			return err != nil || len(got) <= len(body)
 		}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -137,7 +137,7 @@
 	if _, err := c.Write(h.exchange.message(h.limit - s.node.clock.now())); err != nil {
 		return fail(partlyWritten, err)
 	}
-	response, body, err := c.response(&http.Request{Method: h.exchange.method})
+	response, body, err := c.fromServer(&http.Request{Method: h.exchange.method})
 	if err != nil {
 		if len(c.pending()) > 0 {
 			return fail(answering, err)
