A client connection is closed by its own reader only, against cutting off a task just read

Seen: under the race detector one of 150 tasks in MoreTasksThanConnections had no answer. Cause: closeIfIdle closed a connection whose reader had the task in its buffer but had not marked it; no look from outside can rule that out. Changed: a connection is asked to leave (dismiss) and its reader closes it once nothing has come; what came meanwhile is answered as the last. Also: a connection to a server is not used once it has stood idle for three quarters of the time in the settings (it was only swept once a second), and want of descriptors is not held against a server. Checked: the tests that touch it 40 times under the race detector.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -24,7 +24,9 @@
 	slowMessage = 10 * time.Second // for a message that has begun
 	slowWrite   = 2 * time.Second  // for a client that does not read its answer
 	pipelined   = 4                // tasks read ahead on one connection
-	lingers     = 25 * time.Millisecond
+	// while others wait for a connection
+	slowUnderFlood = time.Second
+	lingers        = 25 * time.Millisecond
 )
 
 type clients struct {
@@ -47,9 +49,11 @@
 
 	mu      sync.Mutex
 	busy    int
-	closed  bool
+	closed  bool // takes no more tasks
+	leaving bool // is to close once nothing has come
 	used    bool // has brought a task
 	lastUse time.Time
+	began   time.Time // when the message that is being read began; zero between messages
 }
 
 func newClients(n *Node, listener net.Listener, most, spare int) *clients {
@@ -91,7 +95,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.open) >= s.most {
-		s.closeIdle(1)
+		s.dismiss(1)
 	}
 	if len(s.open) >= s.most+s.spare {
 		return false
@@ -100,11 +104,11 @@
 	return true
 }
 
-// closeIdle closes up to n of the connections that stand idle; the lock is held. Those that never brought a task go
-// first, against a flood that takes the place of clients at work. One used a moment ago is left, as its client may
-// already be writing the next task.
-func (s *clients) closeIdle(n int) {
-	since := time.Now().Add(-lingers)
+// dismiss asks up to n of the connections that stand idle to close; the lock is held. Those that never brought a
+// task go first, against a flood that takes the place of clients at work. One used a moment ago is left, as its client
+// may already be writing the next task.
+func (s *clients) dismiss(n int) {
+	now := time.Now()
 	type standing struct {
 		c    *client
 		used bool
@@ -113,7 +117,7 @@
 	var idle []standing
 	for c := range s.open {
 		c.mu.Lock()
-		if c.busy == 0 && !c.closed && c.lastUse.Before(since) {
+		if c.idle(now) {
 			idle = append(idle, standing{c, c.used, c.lastUse})
 		}
 		c.mu.Unlock()
@@ -128,32 +132,33 @@
 		return a.last.Compare(b.last)
 	})
 	for _, one := range idle[:min(n, len(idle))] {
-		if one.c.closeIfIdle() {
-			delete(s.open, one.c)
-		}
+		one.c.dismiss(now)
 	}
 }
 
-// settle closes what stands idle and tells how many connections are left.
+// settle asks what stands idle to close and tells how many connections are left.
 func (s *clients) settle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeIdle(len(s.open))
+	s.dismiss(len(s.open))
 	return len(s.open)
 }
 
-// closeIfIdle closes the connection between tasks. The reader looks at closed under the same lock before it takes a
-// task, so none is taken and then cut off; nor is one that has come but is not read yet.
-func (c *client) closeIfIdle() bool {
+// idle tells whether the connection holds no task and none is under way; the lock is held.
+func (c *client) idle(now time.Time) bool {
+	return c.busy == 0 && !c.closed && !c.leaving && now.Sub(c.lastUse) > lingers &&
+		(c.began.IsZero() || now.Sub(c.began) > slowUnderFlood)
+}
+
+// dismiss wakes the reader, which alone can tell whether a task has come meanwhile.
+func (c *client) dismiss(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy > 0 || c.closed || c.conn.has() {
-		return false
+	if c.idle(now) {
+		c.leaving = true
+		c.conn.SetReadDeadline(time.Unix(1, 0))
+		c.side.node.counters.add(clientsDismissed)
 	}
-	c.closed = true
-	c.conn.Close()
-	c.side.node.counters.add(clientsClosedIdle)
-	return true
 }
 
 // begin marks the connection as holding one task more, unless it has been closed.
@@ -166,7 +171,7 @@
 	if c.busy++; c.busy == 1 {
 		c.side.atWork.Add(1)
 	}
-	c.used = true
+	c.used, c.began = true, time.Time{}
 	return true
 }
 
@@ -175,7 +180,7 @@
 func (c *client) isLast(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy > 1 || !x.last && !c.side.node.stopping.Load() {
+	if c.busy > 1 || !x.last && !c.leaving && !c.side.node.stopping.Load() {
 		return false
 	}
 	c.closed = true
@@ -237,28 +242,41 @@
 // next reads one message. A client may take its time before it begins one, not within.
 func (c *client) next() (*http.Request, []byte, error) {
 	for len(c.conn.pending()) == 0 {
-		open := c.readFor(idleClient)
+		goesOn := c.readFor(idleClient)
 		err := c.conn.fill()
-		if errors.Is(err, os.ErrDeadlineExceeded) && open && !c.closeIfIdle() {
-			continue // its task is still out, or its answer on the way
+		if errors.Is(err, os.ErrDeadlineExceeded) && (c.conn.has() || goesOn && c.stays()) {
+			continue
 		}
 		if err != nil {
 			return nil, nil, errGone
 		}
 	}
-	c.readFor(slowMessage)
+	c.mu.Lock()
+	c.began = time.Now()
+	c.conn.SetReadDeadline(c.began.Add(slowMessage))
+	c.mu.Unlock()
 	return c.conn.fromClient()
 }
 
-// readFor sets how long reads may last; after the last answer that is a moment. It tells whether that is still to come.
+// stays tells whether the connection outlives a read that lasted too long: its task is still out, or the answer on its
+// way, and nobody asked it to leave.
+func (c *client) stays() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy > 0 && !c.leaving
+}
+
+// readFor sets how long reads may last: a moment after the last answer or once the connection is to leave. It tells
+// whether neither is so.
 func (c *client) readFor(d time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	goesOn := !c.closed && !c.leaving
+	if !goesOn {
 		d = lingers
 	}
 	c.conn.SetReadDeadline(time.Now().Add(d))
-	return !c.closed
+	return goesOn
 }
 
 // drain reads on to the end without taking anything, so that the client leaving is noticed and what it still sends
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -14,7 +14,7 @@
 
 const (
 	clientsTaken counter = iota
-	clientsClosedIdle
+	clientsDismissed
 	clientsWaited
 	tasksTaken
 	tasksBad
@@ -44,7 +44,7 @@
 )
 
 var counterNames = [counterCount]string{
-	"clients taken", "clients closed idle", "clients waited",
+	"clients taken", "clients dismissed", "clients waited",
 	"tasks taken", "tasks bad", "tasks without room", "tasks satisfied", "tasks declined", "tasks broken off",
 	"tasks withdrawn",
 	"hand-offs sent", "hand-offs satisfied", "hand-offs error", "hand-offs full", "hand-offs timed out",
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -172,6 +172,22 @@
 	}
 }
 
+// Guards against a task written to a connection that the server is about to close, or has, for standing idle.
+func TestConnectionThatStoodIdleIsNotUsedAgain(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, func(c *Config) {
+		c.Settings = json.RawMessage(strings.Replace(settingsText, `"idle_close_us":60000000`, `"idle_close_us":100000`, 1))
+	}, server)
+	for i, want := range []int64{1, 1, 2} {
+		if i == 2 {
+			time.Sleep(80 * time.Millisecond)
+		}
+		if ask(t, n, "view", fmt.Sprint("t", i), ""); n.count(serversConnected) != want {
+			t.Errorf("%d connections after task %d, want %d", n.count(serversConnected), i, want)
+		}
+	}
+}
+
 func TestClientThatLeavesHasItsTaskRecalled(t *testing.T) {
 	closed := make(chan struct{})
 	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"fawnglade/policy"
@@ -163,11 +164,13 @@
 		if c == nil {
 			break
 		}
-		if c.quiet() {
+		old := c.idle.Before(s.tooOld())
+		if !old && c.quiet() {
 			return c, nil
 		}
-		s.node.counters.add(serversFoundClosed)
-		s.close(c)
+		if s.close(c); !old {
+			s.node.counters.add(serversFoundClosed)
+		}
 	}
 	if !s.reserve() {
 		return nil, errNoRoom
@@ -179,6 +182,9 @@
 		s.mu.Lock()
 		s.open--
 		s.mu.Unlock()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			err = errNoRoom // not the server's doing
+		}
 		return nil, err
 	}
 	s.node.counters.add(serversConnected)
@@ -253,10 +259,15 @@
 	s.drop(address, len(s.idle[address]))
 }
 
-// sweep closes connections well before the server would, as a task written to one that the server has just closed
-// may have run for all that can be known; and those that their server has closed, as they hold descriptors.
+// tooOld is when a connection must have been used last to be used again: well before the server would close it, as a
+// task written to one that the server has just closed may have run for all that can be known.
+func (s *servers) tooOld() time.Time {
+	return time.Now().Add(-time.Duration(s.node.settings.IdleClose) * 3 / 4)
+}
+
+// sweep closes connections that are too old, and those that their server has closed, as they hold descriptors.
 func (s *servers) sweep() {
-	tooOld := time.Now().Add(-time.Duration(s.node.settings.IdleClose) * 3 / 4)
+	tooOld := s.tooOld()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for address, list := range s.idle {
