A flood of new connections does not push out clients at work

Seen under the race detector once in forty runs: a client slow to write its first task lost its connection within 25 ms; with 100 ms for first tasks the flood test then showed the clients at work pushed out in place of connections too young to go (task 8 of the flood, every time). Changed: dismiss leaves used connections while any is open that never brought a task (client.go). Checked: 30 times under the race detector, two more without.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -24,7 +24,8 @@
 	slowMessage = 10 * time.Second // for a message that has begun
 	slowWrite   = 2 * time.Second  // for a client that does not read its answer
 	pipelined   = 4                // tasks read ahead on one connection
-	// while others wait for a connection
+	firstTask   = 100 * time.Millisecond
+	// of a message, while others wait for a connection
 	slowUnderFlood = time.Second
 	lingers        = 25 * time.Millisecond
 )
@@ -105,10 +106,11 @@
 }
 
 // dismiss asks up to n of the connections that stand idle to close; the lock is held. Those that never brought a
-// task go first, against a flood that takes the place of clients at work. One used a moment ago is left, as its client
-// may already be writing the next task.
+// task go first, against a flood that takes the place of clients at work: while there are any, even too young to go,
+// the others stay, unless all are to go. One used a moment ago is left, as its client may already be writing the
+// next task.
 func (s *clients) dismiss(n int) {
-	now := time.Now()
+	now, fresh := time.Now(), false
 	type standing struct {
 		c    *client
 		used bool
@@ -120,6 +122,7 @@
 		if c.idle(now) {
 			idle = append(idle, standing{c, c.used, c.lastUse})
 		}
+		fresh = fresh || !c.used && !c.leaving
 		c.mu.Unlock()
 	}
 	slices.SortFunc(idle, func(a, b standing) int {
@@ -132,7 +135,9 @@
 		return a.last.Compare(b.last)
 	})
 	for _, one := range idle[:min(n, len(idle))] {
-		one.c.dismiss(now)
+		if !one.used || !fresh || n >= len(s.open) {
+			one.c.dismiss(now)
+		}
 	}
 }
 
@@ -146,7 +151,11 @@
 
 // idle tells whether the connection holds no task and none is under way; the lock is held.
 func (c *client) idle(now time.Time) bool {
-	return c.busy == 0 && !c.closed && !c.leaving && now.Sub(c.lastUse) > lingers &&
+	grace := lingers
+	if !c.used {
+		grace = firstTask // its client may be slow to write, and has nothing to fall back on
+	}
+	return c.busy == 0 && !c.closed && !c.leaving && now.Sub(c.lastUse) > grace &&
 		(c.began.IsZero() || now.Sub(c.began) > slowUnderFlood)
 }
 
