A reset on a connection used before drops the others that stand idle to that server

Seen in a small probe, now a test: five connections stand idle, the machine is cut off and comes back, which resets each only when it is used; four more would have cost a task each (ticketed and exclusive ones broken off). A check before use can't tell, as the machine says nothing by itself. Cause: server.go, try kept the others. Changed: a reset after the last byte, without a byte of an answer, on a connection used before drops the idle ones. Excluded: the same on a time-out, as at a few tasks a second a slow server looks alike and would pay in handshakes.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -188,6 +188,38 @@
 	}
 }
 
+// Guards against a machine that was cut off and is back: the connections from before are reset only when used, and
+// each would cost a task.
+func TestConnectionsFromBeforeAResetAreDropped(t *testing.T) {
+	var back atomic.Bool
+	var idle sync.WaitGroup
+	idle.Add(5)
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		if back.Load() {
+			c.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		idle.Done()
+		idle.Wait()
+		return echo(c, r, body)
+	})
+	n := nodeWith(t, nil, server)
+	var done sync.WaitGroup
+	for i := range 5 {
+		done.Go(func() { ask(t, n, "pay", fmt.Sprint("t", i), "") })
+	}
+	done.Wait()
+	back.Store(true)
+	if status, _, _ := ask(t, n, "pay", "first", ""); status != 502 {
+		t.Errorf("the first task after the cut was answered %d", status)
+	}
+	n.servers.mu.Lock()
+	defer n.servers.mu.Unlock()
+	if n.servers.open != 0 {
+		t.Errorf("%d connections from before are still open", n.servers.open)
+	}
+}
+
 func TestClientThatLeavesHasItsTaskRecalled(t *testing.T) {
 	closed := make(chan struct{})
 	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -143,7 +143,13 @@
 		if len(c.pending()) > 0 {
 			return fail(answering, err)
 		}
-		return fail(writtenWhole, err)
+		r, e := fail(writtenWhole, err)
+		if e.outcome() == policy.Reset && !c.idle.IsZero() {
+			// Guards against a machine that was cut off and is back: it resets the connections from before only when
+			// they are used, and each would cost a task.
+			s.forget(h.address)
+		}
+		return r, e
 	}
 	r := result{outcome: outcomeOf(response.StatusCode, response.Header), report: reportOf(response.Header.Get(headerLoad))}
 	if r.outcome == policy.Satisfied {
