--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -172,12 +172,17 @@
 	return length
 }
 
-// fromClient reads one whole message of a client.
+// fromClient reads one whole message of a client, and tells one that holds its body back to go on.
 func (c *conn) fromClient() (r *http.Request, body []byte, err error) {
+	told := false
 	body, err = c.message(func(in *bufio.Reader) (io.Reader, int64, error) {
 		if r, err = http.ReadRequest(in); err != nil {
 			return nil, 0, err
 		}
+		if !told && in.Buffered() == 0 && r.ContentLength <= maxBody && r.Header.Get("Expect") == "100-continue" {
+			told = true
+			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		}
 		return r.Body, lengthOf(r.ContentLength, r.TransferEncoding), nil
 	})
 	return r, body, err
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -264,6 +264,20 @@
 	}
 }
 
+func TestClientThatHoldsItsBodyBackIsToldToGoOn(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, nil, server)
+	c, in := dial(t, n)
+	io.WriteString(c, "POST /view HTTP/1.1\r\nHost: h\r\nX-Txn: t\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	if status, _, _ := answerOn(in); status != 100 {
+		t.Fatalf("told %d", status)
+	}
+	io.WriteString(c, "body")
+	if status, body, _ := answerOn(in); status != 200 || body != "/view t body" {
+		t.Errorf("answered %d %q", status, body)
+	}
+}
+
 func TestBadTasksAreAnsweredAndCounted(t *testing.T) {
 	server, _ := serverOf(t, echo)
 	n := nodeWith(t, nil, server)
