--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -36,6 +36,7 @@
 	most     int // connections at work; beyond these only a few, to say that there is no room
 	spare    int
 	atWork   atomic.Int64
+	atDoor   atomic.Int64 // accepted and waiting for room
 
 	mu   sync.Mutex
 	open map[*client]struct{}
@@ -61,8 +62,8 @@
 	return &clients{node: n, listener: listener, most: most, spare: spare, open: map[*client]struct{}{}}
 }
 
-// accept takes connections until the listener is closed. It never pauses for want of room: a task counts as taken
-// once it is in the machine, whether or not anyone has accepted its connection.
+// accept takes connections until the listener is closed. Those it does not get to in time are lost all the same: a
+// task counts as taken once it is in the machine, whether or not anyone has accepted its connection.
 func (s *clients) accept() {
 	for {
 		raw, err := s.listener.Accept()
@@ -82,6 +83,8 @@
 // next to end: a task may already be written to this one, so it can't be closed without an answer.
 func (s *clients) admit(raw net.Conn) {
 	c := &client{side: s, conn: newConn(raw), turns: make(chan *exchange, pipelined), lastUse: time.Now()}
+	s.atDoor.Add(1)
+	defer s.atDoor.Add(-1)
 	for waited := false; !s.enter(c); waited = true {
 		if !waited {
 			s.node.counters.add(clientsWaited)
@@ -146,7 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dismiss(len(s.open))
-	return len(s.open)
+	return len(s.open) + int(s.atDoor.Load())
 }
 
 // idle tells whether the connection holds no task and none is under way; the lock is held.
@@ -398,7 +401,7 @@
 		if err != nil || wait < 0 || wait > 1e9 {
 			return t, fmt.Errorf("%s: expected whole milliseconds, got %q", headerRemaining, text)
 		}
-		t.HardLimit = now + wait*milli
+		t.HardLimit = min(t.HardLimit, now+wait*milli)
 	}
 	// A guess that cannot be read is no guess; the task itself is sound.
 	if cost, err := strconv.ParseInt(h.Get(headerCost), 10, 64); err == nil && cost > 0 && cost < 1e12 {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -148,6 +148,10 @@
 		if old := l.fleet[e.Server]; old != "" && (old != e.address || e.State != policy.Active) {
 			go l.node.servers.forget(old)
 		}
+		if e.State == policy.Gone {
+			delete(l.fleet, e.Server)
+			continue
+		}
 		if e.address != "" {
 			l.fleet[e.Server] = e.address
 		}
@@ -186,11 +190,18 @@
 // HandOff, Recall, Decline, BreakOff, WakeAt and Subscribe make the loop the decisions' Host.
 func (l *loop) HandOff(id policy.TaskID, server policy.ServerID, timeOut int64) {
 	x := l.tasks[id]
+	if x == nil {
+		return
+	}
 	h := &handOff{exchange: x, number: len(x.handOffs), server: server, address: l.fleet[server], sentAt: l.now}
 	h.limit = min(l.now+timeOut, x.task.HardLimit)
 	h.stopped, h.stop = context.WithCancel(context.Background())
 	x.handOffs = append(x.handOffs, h)
 	x.open++
+	if x.settled.Load() { // against decisions that a panic has left without the end of this task
+		go l.enter(func() { l.ended(h, result{outcome: policy.NeverSent, report: reportOf(""), at: h.sentAt}) })
+		return
+	}
 	l.node.counters.add(handOffsSent)
 	go l.node.servers.carry(h)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -521,7 +521,7 @@
 
 // Guards against a panic in the decisions costing the other tasks or leaving its own without an answer.
 func TestPanicStopsAtItsTask(t *testing.T) {
-	server, _ := serverOf(t, echo)
+	server, tasks := serverOf(t, echo)
 	n := nodeWith(t, nil, server)
 	x := newExchange()
 	x.task.ID = "bad"
@@ -532,6 +532,14 @@
 	if a := <-x.answered; a.status != 502 {
 		t.Errorf("its task was answered %d", a.status)
 	}
+	n.loop.enter(func() {
+		n.loop.tasks["bad"] = x
+		n.loop.HandOff("bad", serverID("s-0"), second)
+	})
+	soon(t, "the end of a hand-off that came too late", func() bool { return n.count(handOffsNeverSent) == 1 })
+	if tasks.Load() != 0 {
+		t.Error("a task that has its answer went to a server")
+	}
 	if status, _, _ := ask(t, n, "view", "next", ""); status != 200 || n.count(panics) != 1 {
 		t.Errorf("the next task was answered %d, %d panics counted", status, n.count(panics))
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -103,20 +103,15 @@
 	r := result{outcome: policy.Unknown, report: reportOf("")}
 	func() {
 		defer s.node.caught("hand-off", func() {})
-		r = s.run(h)
+		answered, err := s.try(h)
+		if r = answered; err != nil {
+			r = result{outcome: err.outcome(), report: reportOf("")}
+		}
 	}()
 	r.at = s.node.clock.now()
 	s.node.loop.enter(func() { s.node.loop.ended(h, r) })
 }
 
-func (s *servers) run(h *handOff) result {
-	r, err := s.try(h)
-	if err != nil {
-		r = result{outcome: err.outcome(), report: reportOf("")}
-	}
-	return r
-}
-
 func (s *servers) try(h *handOff) (result, *handOffError) {
 	fail := func(at stage, err error) (result, *handOffError) {
 		return result{}, &handOffError{at, h.stopped.Err() != nil, err}
