A task that comes just as its connection is asked to leave is answered, not withdrawn

Checked and excluded: the writing of the answer, the descriptors, the client's own time. Cause: client.go, next ended the reader of a connection that was to leave after 25 ms without a read, though a task had come and was out; the reader's end withdraws it. Changed: a connection with a task out stays until its answer.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -254,9 +254,9 @@
 // next reads one message. A client may take its time before it begins one, not within.
 func (c *client) next() (*http.Request, []byte, error) {
 	for len(c.conn.pending()) == 0 {
-		goesOn := c.readFor(idleClient)
+		c.readFor(idleClient)
 		err := c.conn.fill()
-		if errors.Is(err, os.ErrDeadlineExceeded) && (c.conn.has() || goesOn && c.stays()) {
+		if errors.Is(err, os.ErrDeadlineExceeded) && (c.conn.has() || c.stays()) {
 			continue
 		}
 		if err != nil {
@@ -270,25 +270,22 @@
 	return c.conn.fromClient()
 }
 
-// stays tells whether the connection outlives a read that lasted too long: its task is still out, or the answer on its
-// way, and nobody asked it to leave.
+// stays tells whether the connection outlives a read that lasted too long, as its task is still out. One that was asked
+// to leave just when its task came is no exception.
 func (c *client) stays() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.busy > 0 && !c.leaving
+	return c.busy > 0 && !c.closed
 }
 
-// readFor sets how long reads may last: a moment after the last answer or once the connection is to leave. It tells
-// whether neither is so.
-func (c *client) readFor(d time.Duration) bool {
+// readFor sets how long reads may last: a moment after the last answer, or once the connection is to leave.
+func (c *client) readFor(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	goesOn := !c.closed && !c.leaving
-	if !goesOn {
+	if c.closed || c.leaving && c.busy == 0 {
 		d = lingers
 	}
 	c.conn.SetReadDeadline(time.Now().Add(d))
-	return goesOn
 }
 
 // drain reads on to the end without taking anything, so that the client leaving is noticed and what it still sends
