--- a/cmd/fawnglade/main.go
+++ b/cmd/fawnglade/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"fawnglade/internal/node"
 )
@@ -47,7 +48,10 @@
 		if err != nil {
 			return err
 		}
-		log, err := zap.NewProduction()
+		logging := zap.NewProductionConfig()
+		logging.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+		logging.DisableStacktrace = true // a panic brings its own
+		log, err := logging.Build()
 		if err != nil {
 			return err
 		}
