--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -213,9 +213,6 @@
 	var mine []*exchange
 	n := c.side.node
 	defer func() {
-		c.side.mu.Lock()
-		delete(c.side.open, c)
-		c.side.mu.Unlock()
 		for _, x := range mine {
 			if !x.settled.Load() {
 				n.loop.enter(func() { n.loop.withdrawn(x) })
@@ -411,8 +408,14 @@
 }
 
 // write writes the answers in the order of the tasks. Once the client has gone it only waits for what is still due.
+// The connection ends with it, so that a node that stops waits for the last answer.
 func (c *client) write() {
-	defer c.conn.Close()
+	defer func() {
+		c.conn.Close()
+		c.side.mu.Lock()
+		delete(c.side.open, c)
+		c.side.mu.Unlock()
+	}()
 	gone := false
 	for x := range c.turns {
 		a := <-x.answered
