--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -527,6 +527,24 @@
 	})
 	n := nodeWith(t, nil, server)
 	idle, idleIn := dial(t, n)
+	var answered atomic.Int64
+	var busy sync.WaitGroup
+	for i := range 10 { // clients that send on as long as their connections stay open
+		c, in := dial(t, n)
+		busy.Go(func() {
+			for k := 0; ; k++ {
+				io.WriteString(c, taskText("batch", fmt.Sprint(i, "-", k), ""))
+				status, _, header := answerOn(in)
+				if status == 200 {
+					answered.Add(1)
+				}
+				if status != 200 || header.Get("Connection") == "close" {
+					return
+				}
+			}
+		})
+	}
+	soon(t, "answers", func() bool { return answered.Load() >= 20 })
 	stopped := make(chan struct{})
 	go func() {
 		n.stop()
@@ -543,6 +561,10 @@
 			t.Errorf("a task taken before the end was answered %d %s", status, body)
 		}
 	}
+	busy.Wait()
+	if taken := n.count(tasksTaken); answered.Load()+3 != taken {
+		t.Errorf("%d tasks were taken and %d answered", taken, answered.Load()+3)
+	}
 	select {
 	case <-stopped:
 	case <-time.After(time.Second):
