SIGHUP reads the configuration again and moves discovery at once, with the whole list asked for

Checked: the log ends without a line of the node's own, so it is the signal's default, not a panic; node.go took SIGTERM, SIGINT and SIGUSR1 alone. At fault: Run in node.go, and discovery.go, which knew one address for good and told each end of a watch as a failure. Now a bad file is logged and the old one kept; what needs a restart is named in the log; a watch that is left is no failed call; the version goes with the place that told it. The test ends its process without the change.

--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -39,6 +39,8 @@
 	listCallsFailed
 	listLines
 	listLinesPassedOver
+	configsRead
+	configsPassedOver
 	panics
 	counterCount
 )
@@ -50,7 +52,8 @@
 	"hand-offs sent", "hand-offs satisfied", "hand-offs error", "hand-offs full", "hand-offs timed out",
 	"hand-offs unreached", "hand-offs reset", "hand-offs recalled", "hand-offs never sent",
 	"servers connected", "servers closed idle", "servers found closed",
-	"list calls", "list calls failed", "list lines", "list lines passed over", "panics",
+	"list calls", "list calls failed", "list lines", "list lines passed over",
+	"configurations read", "configurations passed over", "panics",
 }
 
 type counters [counterCount]atomic.Int64
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -1,15 +1,18 @@
 package node
 
-// This file owns the one connection to discovery: it watches the list, notices when the watch falls silent and calls
-// again when told to. It must never decide when to call; where nobody asks for calls it makes them by itself.
+// This file owns the one connection to discovery: it watches the list, notices when the watch falls silent, calls
+// again when told to and moves when its address does. It must never decide when to call; where nobody asks for calls
+// it makes them by itself.
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,14 +29,42 @@
 
 type discovery struct {
 	node    *Node
-	address string
 	version int64
+	of      context.Context // the place that told the version
 	calls   chan struct{}
 	silence time.Duration // after which a watch is taken to be dead
+
+	mu      sync.Mutex
+	address string
+	place   context.Context // done once the address is another
+	leave   context.CancelFunc
 }
 
 func newDiscovery(n *Node) *discovery {
-	return &discovery{node: n, address: n.config.Discovery, calls: make(chan struct{}, 1), silence: listSilence}
+	d := &discovery{node: n, address: n.config.Discovery, calls: make(chan struct{}, 1), silence: listSilence}
+	d.place, d.leave = context.WithCancel(context.Background())
+	d.of = d.place
+	return d
+}
+
+// move leaves the old address for another at once. The version goes with it: what one place has told says nothing of
+// how another counts, so the next call asks for the whole list.
+func (d *discovery) move(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.address == address {
+		return
+	}
+	d.leave()
+	d.address = address
+	d.place, d.leave = context.WithCancel(context.Background())
+	d.call()
+}
+
+func (d *discovery) where() (string, context.Context) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.address, d.place
 }
 
 // call asks for a watch; one that is already asked for is enough.
@@ -51,7 +82,13 @@
 	}
 	for range d.calls {
 		began, version := time.Now(), d.version
-		err := d.watch()
+		address, place := d.where()
+		err := d.watch(address, place)
+		if place.Err() != nil {
+			// Guards against a watch that was left being told as one that failed, which would put off the next call.
+			d.node.log.Info("watch of the list left for another address", zap.String("from", address))
+			continue
+		}
 		d.node.counters.add(listCallsFailed)
 		d.node.log.Warn("watch of the list ended", zap.Error(err), zap.Duration("lasted", time.Since(began)))
 		if d.node.settings.Policy.MustAsk {
@@ -61,22 +98,30 @@
 		if wait = min(2*wait, longestWait); d.version != version {
 			wait = firstWait
 		}
-		time.Sleep(wait)
-		d.call()
+		select {
+		case <-time.After(wait):
+			d.call()
+		case <-place.Done():
+		}
 	}
 }
 
 // watch follows the list until it ends, and returns why.
-func (d *discovery) watch() (err error) {
+func (d *discovery) watch(address string, place context.Context) (err error) {
 	defer d.node.caught("discovery", func() { err = errors.New("panic") })
 	d.node.counters.add(listCalls)
-	c, err := net.DialTimeout("tcp", d.address, listConnect)
+	dialer := net.Dialer{Timeout: listConnect}
+	c, err := dialer.DialContext(place, "tcp", address)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
+	defer context.AfterFunc(place, func() { c.Close() })()
+	if d.of != place {
+		d.of, d.version = place, 0
+	}
 	c.SetDeadline(time.Now().Add(listHead))
-	if _, err := c.Write([]byte(watchHead(d.address, d.version))); err != nil {
+	if _, err := c.Write([]byte(watchHead(address, d.version))); err != nil {
 		return err
 	}
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -48,6 +49,7 @@
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
+	path    string
 	seed    uint64
 	decoded settings.Settings
 }
@@ -58,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{}
+	c := &Config{path: path}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -182,7 +184,7 @@
 	n.limit()
 	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to end
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	n.start()
 	sweep := time.NewTicker(time.Second)
 	for {
@@ -190,17 +192,41 @@
 		case <-sweep.C:
 			n.servers.sweep()
 		case s := <-signals:
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGUSR1:
 				n.counters.log(n.log, "asked for")
-				continue
+			case syscall.SIGHUP:
+				n.reread()
+			default:
+				n.stop()
+				n.counters.log(n.log, "at exit")
+				return nil
 			}
-			n.stop()
-			n.counters.log(n.log, "at exit")
-			return nil
 		}
 	}
 }
 
+// reread takes in the configuration's file as it is now. Only the address of discovery can change while the node runs;
+// what else has is named, so that nobody takes it for heard. A bad file changes nothing.
+func (n *Node) reread() {
+	c, err := ReadConfig(n.config.path)
+	if err != nil {
+		n.counters.add(configsPassedOver)
+		n.log.Error("configuration passed over, the old one kept", zap.Error(err))
+		return
+	}
+	n.counters.add(configsRead)
+	var later []string
+	for name, same := range map[string]bool{"listen": c.Listen == n.config.Listen, "limits": c.Limits == n.config.Limits,
+		"settings": reflect.DeepEqual(c.decoded, n.config.decoded)} {
+		if !same {
+			later = append(later, name)
+		}
+	}
+	n.log.Info("configuration read again", zap.String("discovery", c.Discovery), zap.Strings("only after a restart", later))
+	n.discovery.move(c.Discovery)
+}
+
 // stop goes on taking for a while, then closes what is idle and waits until every task taken has its answer.
 func (n *Node) stop() {
 	n.log.Info("stopping")
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,9 +7,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/quick"
 	"time"
@@ -498,6 +500,50 @@
 	}
 }
 
+// Guards against a new configuration ending the node, being told as a list that failed, or leaving it with the old list.
+func TestNewConfigurationMovesDiscoveryAtOnce(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	old, _ := discoveryOf(t, []string{listText(50, false)})
+	young, asked := discoveryOf(t, []string{listText(3, true, listEntry("s-1", server, "up"))})
+	path := t.TempDir() + "/config.json"
+	write := func(discovery, seed string) {
+		text, err := json.Marshal(Config{Listen: "127.0.0.1:1", Discovery: discovery, Seed: seed, Settings: json.RawMessage(settingsText)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n := newNode(t, func(c *Config) { c.Discovery, c.path = old, path }, "127.0.0.1:1")
+	go n.Run()
+	soon(t, "the old watch", func() bool { return n.count(listLines) == 1 })
+	told := func(counted counter) {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		soon(t, counterNames[counted], func() bool { return n.count(counted) == 1 })
+	}
+	write(young, "no seed")
+	told(configsPassedOver)
+	if address, _ := n.discovery.where(); address != old {
+		t.Errorf("a bad file moved discovery to %s", address)
+	}
+	write(young, "2e")
+	told(configsRead)
+	soon(t, "the new list", func() bool { return n.count(listLines) == 2 })
+	if status, _, _ := ask(t, n, "batch", "t1", ""); status != 200 {
+		t.Errorf("by the new list a task was answered %d", status)
+	}
+	if got, _ := asked.Load(0); got == nil || !strings.Contains(got.(string), "after=0 ") {
+		t.Errorf("the new place was asked %q, want the whole list", got)
+	}
+	if n.count(listCallsFailed) != 0 || n.count(listCalls) != 2 {
+		t.Errorf("%d calls, %d of them failed", n.count(listCalls), n.count(listCallsFailed))
+	}
+}
+
 func TestSilentWatchIsCalledAgain(t *testing.T) {
 	address, _ := discoveryOf(t, []string{listText(2, false)}, []string{listText(3, false)})
 	n := newNode(t, func(c *Config) { c.Discovery = address })
