A body's length told twice is turned away; a message must be whole within 2.5 s

Lengths that are negative, words or repeated it turns away already; HTTP/1.0 with an encoding it does not: it reads no body at all. At fault: fromClient in conn.go asked http.ReadRequest alone. idleClient (2 min) and slowMessage (10 s) in client.go against the 3 s owed.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	idleClient  = 2 * time.Minute
-	slowMessage = 10 * time.Second // for a message that has begun
-	slowWrite   = 2 * time.Second  // for a client that does not read its answer
-	pipelined   = 4                // tasks read ahead on one connection
+	idleClient  = 20 * time.Second        // some keep a connection for good
+	slowMessage = 2500 * time.Millisecond // until a message that has begun is whole, the first from its connection's start
+	slowWrite   = 2 * time.Second         // for a client that does not read its answer
+	pipelined   = 4                       // tasks read ahead on one connection
 	firstTask   = 100 * time.Millisecond
 	// of a message, while others wait for a connection
 	slowUnderFlood = time.Second
@@ -54,6 +54,7 @@
 	closed  bool // takes no more tasks
 	leaving bool // is to close once nothing has come
 	used    bool // has brought a task
+	opened  time.Time
 	lastUse time.Time
 	began   time.Time // when the message that is being read began; zero between messages
 }
@@ -82,7 +83,8 @@
 // admit takes one connection in, if need be in place of one that stands idle. Where all are at work it waits for the
 // next to end: a task may already be written to this one, so it can't be closed without an answer.
 func (s *clients) admit(raw net.Conn) {
-	c := &client{side: s, conn: newConn(raw), turns: make(chan *exchange, pipelined), lastUse: time.Now()}
+	now := time.Now()
+	c := &client{side: s, conn: newConn(raw), turns: make(chan *exchange, pipelined), opened: now, lastUse: now}
 	s.atDoor.Add(1)
 	defer s.atDoor.Add(-1)
 	for waited := false; !s.enter(c); waited = true {
@@ -248,10 +250,16 @@
 	}
 }
 
-// next reads one message. A client may take its time before it begins one, not within.
+// next reads one message. A client may take its time before it begins one, not within, and not before its first: a
+// connection that says nothing holds descriptors.
 func (c *client) next() (*http.Request, []byte, error) {
+	first := !c.used
 	for len(c.conn.pending()) == 0 {
-		c.readFor(idleClient)
+		if first {
+			c.readFor(time.Until(c.opened.Add(slowMessage)))
+		} else {
+			c.readFor(idleClient)
+		}
 		err := c.conn.fill()
 		if errors.Is(err, os.ErrDeadlineExceeded) && (c.conn.has() || c.stays()) {
 			continue
@@ -262,7 +270,11 @@
 	}
 	c.mu.Lock()
 	c.began = time.Now()
-	c.conn.SetReadDeadline(c.began.Add(slowMessage))
+	from := c.began
+	if first {
+		from = c.opened
+	}
+	c.conn.SetReadDeadline(from.Add(slowMessage))
 	c.mu.Unlock()
 	return c.conn.fromClient()
 }
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -26,6 +26,7 @@
 	errHeadTooLong = errors.New("head longer than 16 KiB")
 	errBodyTooLong = errors.New("body longer than 64 KiB")
 	errMalformed   = errors.New("malformed message")
+	errFramedTwice = errors.New("a body's length told more than once")
 )
 
 type conn struct {
@@ -172,13 +173,36 @@
 	return length
 }
 
+// framedTwice tells a head that says more than once how long its body is. One reader may then see a task where another
+// sees a body, so it is nobody's to pass on. http.ReadRequest keeps quiet about it: a length beside an encoding is dropped.
+func framedTwice(head []byte) bool {
+	said := 0
+	for line := range bytes.Lines(head) {
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			break
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		name = bytes.TrimSpace(name)
+		if bytes.EqualFold(name, []byte("Content-Length")) || bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			said++
+		}
+	}
+	return said > 1
+}
+
 // fromClient reads one whole message of a client, and tells one that holds its body back to go on.
 func (c *conn) fromClient() (r *http.Request, body []byte, err error) {
 	told := false
 	body, err = c.message(func(in *bufio.Reader) (io.Reader, int64, error) {
+		if framedTwice(c.pending()) {
+			return nil, 0, errFramedTwice
+		}
 		if r, err = http.ReadRequest(in); err != nil {
 			return nil, 0, err
 		}
+		if !r.ProtoAtLeast(1, 1) && r.Header.Get("Transfer-Encoding") != "" {
+			return nil, 0, errFramedTwice // HTTP/1.0 knows no encodings: its reader would take the body for tasks
+		}
 		if !told && in.Buffered() == 0 && r.ContentLength <= maxBody && r.Header.Get("Expect") == "100-continue" {
 			told = true
 			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -284,18 +284,23 @@
 	n := nodeWith(t, nil, server)
 	head := "POST /batch HTTP/1.1\r\nHost: h\r\n"
 	for text, want := range map[string]int{
-		"\x00\x01\x02\r\n\r\n":                                        400,
-		"GET /batch HTTP/9.9\r\n\r\n":                                 400,
-		head + "\r\n":                                                 400, // no id
-		head + "X-Txn: a\r\nX-Lane: b\r\n\r\n":                        400,
-		head + "X-Txn: a\r\nX-Org: b\r\n\r\n":                         400,
-		head + "X-Txn: a\r\nX-Remaining-Ms: soon\r\n\r\n":             400,
-		head + "X-Txn: " + strings.Repeat("a", 129) + "\r\n\r\n":      400,
-		head + "Content-Length: 70000\r\n\r\n":                        413,
-		head + "X-Pad: " + strings.Repeat("a", 17<<10):                431,
-		head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n":             400,
-		head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab":     400,
-		head + "X-Txn: a\r\nX-Estimate: some\r\nX-Labels: =,\r\n\r\n": 200,
+		"\x00\x01\x02\r\n\r\n":                                    400,
+		"GET /batch HTTP/9.9\r\n\r\n":                             400,
+		head + "\r\n":                                             400, // no id
+		head + "X-Txn: a\r\nX-Lane: b\r\n\r\n":                    400,
+		head + "X-Txn: a\r\nX-Org: b\r\n\r\n":                     400,
+		head + "X-Txn: a\r\nX-Remaining-Ms: soon\r\n\r\n":         400,
+		head + "X-Txn: " + strings.Repeat("a", 129) + "\r\n\r\n":  400,
+		head + "Content-Length: 70000\r\n\r\n":                    413,
+		head + "X-Pad: " + strings.Repeat("a", 17<<10):            431,
+		head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n":         400,
+		head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab": 400,
+		// Each of these may hide a task in a body.
+		head + "X-Txn: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na":                      400,
+		head + "X-Txn: a\r\nContent-Length: 70\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":    400,
+		head + "X-Txn: a\r\ntransfer-encoding:\r\n chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n": 400,
+		"POST /batch HTTP/1.0\r\nX-Txn: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":         400,
+		head + "X-Txn: a\r\nX-Estimate: some\r\nX-Labels: =,\r\n\r\n":                             200,
 	} {
 		c, in := dial(t, n)
 		io.WriteString(c, text)
@@ -303,11 +308,31 @@
 			t.Errorf("%.60q was answered %d, want %d", text, status, want)
 		}
 	}
-	if status, _, _ := ask(t, n, "batch", "still", ""); status != 200 || n.count(tasksBad) != 11 {
+	if status, _, _ := ask(t, n, "batch", "still", ""); status != 200 || n.count(tasksBad) != 15 {
 		t.Errorf("after bad tasks a good one is answered %d; %d counted as bad", status, n.count(tasksBad))
 	}
 }
 
+// Guards against connections that say nothing, or never end what they say, holding descriptors: bad clients are owed an
+// answer or a close within 3 s.
+func TestClientsThatNeverEndAMessageAreLetGo(t *testing.T) {
+	n := nodeWith(t, nil)
+	var done sync.WaitGroup
+	for text, want := range map[string]int{"": 0, "GET /batch HT": 408, taskText("batch", "a", "body")[:100]: 408,
+		"POST /batch HTTP/1.1\r\nHost: h\r\nX-Txn: a\r\nContent-Length: 9\r\n\r\nhalf": 408} {
+		done.Go(func() {
+			began := time.Now()
+			c, in := dial(t, n)
+			io.WriteString(c, text)
+			status, _, _ := answerOn(in)
+			if took := time.Since(began); status != want || took > 2900*time.Millisecond {
+				t.Errorf("%q was answered %d after %v", text, status, took)
+			}
+		})
+	}
+	done.Wait()
+}
+
 // A message is the same however it is cut into reads, and what is none ends in an error.
 func TestMessagesDoNotDependOnHowTheyAreCut(t *testing.T) {
 	property := func(body []byte, chunkIt, spoil bool, cuts []uint8) bool {
