--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -26,7 +26,7 @@
 	errHeadTooLong = errors.New("head longer than 16 KiB")
 	errBodyTooLong = errors.New("body longer than 64 KiB")
 	errMalformed   = errors.New("malformed message")
-	errFramedTwice = errors.New("a body's length told more than once")
+	errFraming     = errors.New("a body whose length cannot be told")
 )
 
 type conn struct {
@@ -173,35 +173,34 @@
 	return length
 }
 
-// framedTwice tells a head that says more than once how long its body is. One reader may then see a task where another
-// sees a body, so it is nobody's to pass on. http.ReadRequest keeps quiet about it: a length beside an encoding is dropped.
-func framedTwice(head []byte) bool {
-	said := 0
+// framing tells how often a head says how long its body is, and whether by an encoding. One that says it twice is nobody's
+// to pass on: one reader may see a task where another sees a body. http.ReadRequest keeps quiet about it and drops the length
+// beside an encoding, or the encoding where HTTP/1.0 knows none.
+func framing(head []byte) (said int, encoded bool) {
 	for line := range bytes.Lines(head) {
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			break
 		}
 		name, _, _ := bytes.Cut(line, []byte(":"))
-		name = bytes.TrimSpace(name)
-		if bytes.EqualFold(name, []byte("Content-Length")) || bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		switch name = bytes.TrimSpace(name); {
+		case bytes.EqualFold(name, []byte("Content-Length")):
 			said++
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			said, encoded = said+1, true
 		}
 	}
-	return said > 1
+	return said, encoded
 }
 
 // fromClient reads one whole message of a client, and tells one that holds its body back to go on.
 func (c *conn) fromClient() (r *http.Request, body []byte, err error) {
 	told := false
 	body, err = c.message(func(in *bufio.Reader) (io.Reader, int64, error) {
-		if framedTwice(c.pending()) {
-			return nil, 0, errFramedTwice
-		}
 		if r, err = http.ReadRequest(in); err != nil {
 			return nil, 0, err
 		}
-		if !r.ProtoAtLeast(1, 1) && r.Header.Get("Transfer-Encoding") != "" {
-			return nil, 0, errFramedTwice // HTTP/1.0 knows no encodings: its reader would take the body for tasks
+		if said, encoded := framing(c.pending()); said > 1 || encoded && !r.ProtoAtLeast(1, 1) {
+			return nil, 0, errFraming
 		}
 		if !told && in.Buffered() == 0 && r.ContentLength <= maxBody && r.Header.Get("Expect") == "100-continue" {
 			told = true
