Where nobody else is left, idle unfit servers are tried before a task is declined

Checked: each task given up logged with why each server was out: of nine servers 6 to 7 unfit, 1 to 2 predicted late. Each change of fitness logged: within two seconds seven servers go out, all by time-outs, and come back 9 to 14 s later. Answers and time-outs by server and half second: a pausing server loses two or three tasks to each pause of 77 to 130 ms and answers all others at once; those that do not pause get everything, are crowded and time out in turn. At fault: inDraw in policy.go.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,7 +23,6 @@
 	lowest      = 0.4        // the quantile that tells a category's work from its waiting
 	single      = 0.9        // the same where each miss counts only for itself
 	nearest     = 0.1        // the quantile that tells the way to a zone from the work
-	smallest    = 0.25       // part of the mean work that any task counts for
 	shareStore  = 8          // tasks that a customer may ask for at once after asking for less than its share
 	forget      = 0.5        // part of what answers showed that still counts a second later
 	odd         = 3          // an answer counts for at most this multiple of what its fellows show
@@ -55,27 +54,25 @@
 
 type task struct {
 	Task
-	category *Category
-	limit    int64 // the last moment at which an answer still earns
-	handOffs []handOff
-	open     int
-	cookie   uint64
-	key      *keyState // nil where keys save no work
-	over     bool
-	streams  bool
-	beyond   bool // its customer's share
+	category      *Category
+	limit         int64 // the last moment at which an answer still earns
+	handOffs      []handOff
+	open          int
+	cookie        uint64
+	key           *keyState // nil where keys save no work
+	over, streams bool
+	beyond        bool // its customer's share
 }
 
 type server struct {
 	Listed
 
-	load        float64 // w before the exceptions: the last report and the drift since
-	reported    float64
-	drift       float64
-	sends       int
-	heard       bool
-	recalculate int64 // when next, if no report comes before
-	risingFrom  int64
+	load            float64 // w before the exceptions: the last report and the drift since
+	reported, drift float64
+	sends           int
+	heard           bool
+	recalculate     int64 // when next, if no report comes before
+	risingFrom      int64
 
 	out                                       int
 	own                                       evidence
@@ -119,31 +116,28 @@
 
 // Policy is one instance of the decisions.
 type Policy struct {
-	set     Settings
-	host    Host
-	state   uint64
-	servers []*server
-	byID    map[ServerID]*server
-	tasks   map[TaskID]*task
-	waking  map[uint64]*task
-	cookies uint64
-	pods    map[int]*evidence
-	fleet   evidence
-	way     map[int]float64 // by zone: what an answer takes however little the work
-
-	of      []categoryState
-	shares  []float64 // per customer: tasks that it may still ask for within its share
-	keys    map[string]*keyState
-	asked   float64 // of all keys
-	again   float64 // running part of the tasks whose key was asked for lately
-	ranks   []uint64
-	warmth  float64 // work that a warm hand-off needs, over that of a cold one
-	meanOf  float64 // mean cost of a task
-	copies  float64
-	failing float64 // running part of failures, of all servers
-	high    float64 // mean of the fit servers' high quantiles
-	askWait int64
-	started bool
+	set            Settings
+	host           Host
+	servers        []*server
+	byID           map[ServerID]*server
+	tasks          map[TaskID]*task
+	waking         map[uint64]*task
+	state, cookies uint64
+	pods           map[int]*evidence
+	fleet          evidence
+	way            map[int]float64 // by zone: what an answer takes however little the work
+
+	of             []categoryState
+	shares         []float64 // per customer: tasks that it may still ask for within its share
+	keys           map[string]*keyState
+	asked, again   float64 // of all keys; running part of the tasks whose key was asked for lately
+	ranks          []uint64
+	warmth         float64 // work that a warm hand-off needs, over that of a cold one
+	meanOf, copies float64 // mean cost of a task; second copies that may still go out
+	failing        float64 // running part of failures, of all servers
+	high           float64 // mean of the fit servers' high quantiles
+	askWait        int64
+	started        bool
 
 	drawn   []*server
 	weights []float64
@@ -302,7 +296,7 @@
 
 func (p *Policy) cost(t *task) float64 {
 	if t.Cost > 0 {
-		return max(float64(t.Cost), smallest*p.meanOf) // below, what an answer takes tells nothing of its server
+		return float64(t.Cost)
 	}
 	if typical := p.of[t.Task.Category].typical; typical > 0 {
 		return typical
@@ -506,8 +500,9 @@
 	return unit * pod * own, crowd
 }
 
-// inDraw tells who takes part in a task's draw: the fit that will be in time by a high quantile.
-func (p *Policy) inDraw(now int64, t *task, s *server) bool {
+// inDraw tells who takes part in a task's draw: the fit that will be in time by a high quantile. Where that
+// is nobody, the unfit do that this node hears often and has nothing out at: declining would help none.
+func (p *Policy) inDraw(now int64, t *task, s *server, nobody bool) bool {
 	if !p.allowed(now, t, s) || now < s.fullTill {
 		return false
 	}
@@ -518,7 +513,7 @@
 		return false
 	}
 	if s.unfit {
-		return now >= s.retryAt && s.out == 0 && t.category.Repeat == Rerunnable
+		return s.out == 0 && (nobody && s.own.n*learn >= 1 || now >= s.retryAt && t.category.Repeat == Rerunnable)
 	}
 	cost := p.cost(t)
 	if s.out > 0 && s.known && now-s.silentFrom > p.patience(s, max(cost, p.meanOf)) {
@@ -566,13 +561,15 @@
 		return nil
 	}
 	p.drawn = p.drawn[:0]
-	for _, s := range p.servers {
-		if p.inDraw(now, t, s) {
-			p.drawn = append(p.drawn, s)
+	for nobody := false; len(p.drawn) == 0; nobody = true {
+		for _, s := range p.servers {
+			if p.inDraw(now, t, s, nobody) {
+				p.drawn = append(p.drawn, s)
+			}
+		}
+		if nobody && len(p.drawn) == 0 {
+			return nil
 		}
-	}
-	if len(p.drawn) == 0 {
-		return nil
 	}
 	p.weigh(now, t)
 	return p.pick()
@@ -744,7 +741,10 @@
 			p.earnCold(now, s, h.cost)
 			break // guards against opening a connection making its server look slow
 		}
-		took := p.lessWay(s, float64(a.Elapsed), h.cost)
+		took := float64(a.Elapsed)
+		if t.Cost > 0 {
+			took = p.lessWay(h, took)
+		}
 		if h.warm {
 			if unit, _ := p.expect(s); unit > 0 && h.cost > 0 {
 				p.warmth += (min(took*p.warmth/(unit*h.cost), 2) - p.warmth) / 64
@@ -821,17 +821,17 @@
 	}
 }
 
-// lessWay learns what answers from a zone take however little the work, and takes it off. Guards against tasks with
-// little work making all servers of another zone look slow: they would be locked out, and never measured again.
-func (p *Policy) lessWay(s *server, took, cost float64) float64 {
-	way, met := p.way[s.Zone]
-	if !met && cost > 0 {
-		way = took - cost
-	} else if way += p.meanOf * learn * nearest; took-cost < way {
+// lessWay learns what answers from a zone take however little the work, where that is told, and takes it off.
+// Guards against small tasks making another zone look slow: it would be locked out, and never measured again.
+func (p *Policy) lessWay(h *handOff, took float64) float64 {
+	way, met := p.way[h.server.Zone]
+	if !met {
+		way = took - h.cost
+	} else if way += p.meanOf * learn * nearest; took-h.cost < way {
 		way -= p.meanOf * learn
 	}
-	p.way[s.Zone] = max(0, way)
-	return max(took-p.way[s.Zone], cost*smallest)
+	p.way[h.server.Zone] = max(0, way)
+	return max(took-max(0, way), h.cost/4)
 }
 
 // calibrate learns how far above its prediction an answer may come.
