Connections belong to a server at an address; a server's 4xx is the task's answer

By reading, and by a test: a late removal closed the connections to the successor, and a list without a server kept it while another had its address. At fault: listed in loop.go and the connections by address alone in server.go; outcomeOf in names.go. Now a 4xx but 408, 425 and 429 goes to the client and counts as 'hand-offs faulted', against nobody.

--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -26,6 +26,7 @@
 	handOffsSent
 	handOffsSatisfied
 	handOffsError
+	handOffsFaulted
 	handOffsFull
 	handOffsTimedOut
 	handOffsUnreached
@@ -49,7 +50,7 @@
 	"clients taken", "clients dismissed", "clients waited",
 	"tasks taken", "tasks bad", "tasks without room", "tasks satisfied", "tasks declined", "tasks broken off",
 	"tasks withdrawn",
-	"hand-offs sent", "hand-offs satisfied", "hand-offs error", "hand-offs full", "hand-offs timed out",
+	"hand-offs sent", "hand-offs satisfied", "hand-offs error", "hand-offs faulted", "hand-offs full", "hand-offs timed out",
 	"hand-offs unreached", "hand-offs reset", "hand-offs recalled", "hand-offs never sent",
 	"servers connected", "servers closed idle", "servers found closed",
 	"list calls", "list calls failed", "list lines", "list lines passed over",
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -122,12 +122,17 @@
 	x := h.exchange
 	x.open--
 	h.stop()
-	l.node.counters.add(outcomeCounters[r.outcome])
-	if r.outcome == policy.Satisfied {
+	how := outcomeCounters[r.outcome]
+	switch {
+	case r.outcome == policy.Satisfied:
 		l.finish(x, tasksSatisfied, r.answer)
+	case r.answer.status != 0:
+		how = handOffsFaulted
+		l.finish(x, tasksBrokenOff, r.answer)
 	}
+	l.node.counters.add(how)
 	l.handle(x, func() {
-		l.policy.HandOffAnswered(l.now, policy.Answer{Task: x.task.ID, Number: h.number, Server: h.server,
+		l.policy.HandOffAnswered(l.now, policy.Answer{Task: x.task.ID, Number: h.number, Server: h.place.server,
 			Outcome: r.outcome, Elapsed: r.at - h.sentAt, Final: x.settled.Load(), Fresh: r.fresh,
 			Report: r.report})
 	})
@@ -140,28 +145,26 @@
 	policy.Recalled: handOffsRecalled, policy.NeverSent: handOffsNeverSent, policy.Unknown: handOffsReset,
 }
 
-// listed takes in the list or what changed in it. Connections to an address that is no longer wanted are given up.
+// listed takes in the list or what changed in it. Connections to a server that is no longer wanted are given up.
 func (l *loop) listed(entries []entry, whole bool) {
 	list := make([]policy.Listed, 0, len(entries))
-	wanted := map[string]bool{}
+	told := map[policy.ServerID]bool{}
 	for _, e := range entries {
 		list = append(list, e.Listed)
+		told[e.Server] = true
 		if old := l.fleet[e.Server]; old != "" && (old != e.address || e.State != policy.Active) {
-			go l.node.servers.forget(old)
+			go l.node.servers.forget(place{e.Server, old})
 		}
 		if e.State == policy.Gone {
 			delete(l.fleet, e.Server)
-			continue
-		}
-		if e.address != "" {
+		} else if e.address != "" {
 			l.fleet[e.Server] = e.address
 		}
-		wanted[e.address] = true
 	}
 	if whole {
 		for id, address := range l.fleet {
-			if !wanted[address] {
-				go l.node.servers.forget(address)
+			if !told[id] {
+				go l.node.servers.forget(place{id, address})
 				delete(l.fleet, id)
 			}
 		}
@@ -194,7 +197,7 @@
 	if x == nil {
 		return
 	}
-	h := &handOff{exchange: x, number: len(x.handOffs), server: server, address: l.fleet[server], sentAt: l.now}
+	h := &handOff{exchange: x, number: len(x.handOffs), place: place{server, l.fleet[server]}, sentAt: l.now}
 	h.limit = min(l.now+timeOut, x.task.HardLimit)
 	h.stopped, h.stop = context.WithCancel(context.Background())
 	x.handOffs = append(x.handOffs, h)
--- a/internal/node/names.go
+++ b/internal/node/names.go
@@ -60,9 +60,21 @@
 	return fmt.Sprintf("GET %s?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", pathList, version, address)
 }
 
+// badTask tells an answer that finds fault with the task itself. Any server would, so it is the task's answer and says
+// nothing of the server.
+func badTask(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooEarly, http.StatusTooManyRequests:
+		return false
+	}
+	return status >= 400 && status < 500
+}
+
 // outcomeOf tells what a server's whole answer means.
 func outcomeOf(status int, h http.Header) policy.Outcome {
 	switch {
+	case badTask(status):
+		return policy.NeverSent
 	case status == http.StatusOK:
 		return policy.Satisfied
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && h.Get(headerNeverRan) == "1":
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -66,6 +66,8 @@
 		"error":             {cut("HTTP/1.1 500 Bad\r\nContent-Length: 0\r\n\r\n"), handOffsError, map[string]int{"view": 503, "update": 502, "pay": 502}},
 		"turned away":       {cut("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"), handOffsFull, map[string]int{"view": 503, "update": 503, "pay": 503}},
 		"503 without proof": {cut("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), handOffsError, map[string]int{"view": 503, "update": 502, "pay": 502}},
+		"fault with it":     {cut("HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n"), handOffsFaulted, map[string]int{"view": 400, "update": 400, "pay": 400}},
+		"too many":          {cut("HTTP/1.1 429 Later\r\nContent-Length: 0\r\n\r\n"), handOffsError, map[string]int{"view": 503, "pay": 502}},
 		"refused":           {"127.0.0.1:1", handOffsUnreached, map[string]int{"view": 503, "update": 503, "pay": 503}},
 		"broken before any": {cut(""), handOffsReset, map[string]int{"view": 503, "update": 502, "pay": 502}},
 		"broken in head":    {cut("HTTP/1.1 200 OK\r\nContent-Le"), handOffsReset, map[string]int{"view": 503, "pay": 502}},
@@ -602,6 +604,44 @@
 	soon(t, "the second call", func() bool { return n.count(listLines) >= 2 })
 }
 
+// Guards against the late removal of a server closing connections to the one that stands at its address, against a gone
+// server staying because another has its address, and against a connection to the old one being used for the new.
+func TestServerAtTheAddressOfOneThatHasGone(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, nil, server)
+	ask(t, n, "batch", "old", "")
+	learn := func(version int, whole bool, entries ...string) {
+		t.Helper()
+		list, _, whole, err := n.listOf([]byte(listText(version, whole, entries...)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		n.loop.enter(func() {
+			n.loop.listed(list, whole)
+			close(done)
+		})
+		<-done
+	}
+	learn(2, false, listEntry("s-0", server, "draining"), listEntry("young", server, "up"))
+	ask(t, n, "batch", "young", "")
+	if n.count(serversConnected) != 2 {
+		t.Errorf("%d connections, want one to the old server and one to the new", n.count(serversConnected))
+	}
+	learn(3, false, listEntry("s-0", server, "removed"))
+	time.Sleep(20 * time.Millisecond)
+	ask(t, n, "batch", "again", "")
+	if n.count(serversConnected) != 2 {
+		t.Error("the removal of the old server closed the connection to the new")
+	}
+	learn(4, true, listEntry("third", server, "up"))
+	known := make(chan int)
+	n.loop.enter(func() { known <- len(n.loop.fleet) })
+	if fleet := <-known; fleet != 1 {
+		t.Errorf("%d servers are known after a list of one", fleet)
+	}
+}
+
 // A server is not taken off the list because its line could not be read, only because a readable list lacks it.
 func TestUnreadableEntryTakesNobodyOff(t *testing.T) {
 	n := nodeWith(t, nil)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -18,12 +18,18 @@
 	"fawnglade/policy"
 )
 
+// place is a server and where it is. An address alone would not do: a server may stand where another stood, and what
+// becomes of the old one must not touch connections to the new.
+type place struct {
+	server  policy.ServerID
+	address string
+}
+
 // handOff is one sending of a task to one server.
 type handOff struct {
 	exchange *exchange
 	number   int
-	server   policy.ServerID
-	address  string
+	place    place
 	sentAt   int64
 	limit    int64
 
@@ -82,8 +88,8 @@
 
 type serverConn struct {
 	*conn
-	address string
-	idle    time.Time
+	place place
+	idle  time.Time
 }
 
 type servers struct {
@@ -91,12 +97,12 @@
 	most int // connections open or being opened
 
 	mu   sync.Mutex
-	idle map[string][]*serverConn // by address, the longest idle first
+	idle map[place][]*serverConn // the longest idle first
 	open int
 }
 
 func newServers(n *Node, most int) *servers {
-	return &servers{node: n, most: most, idle: map[string][]*serverConn{}}
+	return &servers{node: n, most: most, idle: map[place][]*serverConn{}}
 }
 
 // carry runs a hand-off from its start to its one result.
@@ -118,7 +124,7 @@
 		return result{}, &handOffError{at, h.stopped.Err() != nil, err}
 	}
 	limit := s.node.clock.at(h.limit)
-	c, err := s.connection(h.stopped, h.address, limit)
+	c, err := s.connection(h.stopped, h.place, limit)
 	if err != nil {
 		return fail(notConnected, err)
 	}
@@ -143,13 +149,13 @@
 		if e.outcome() == policy.Reset && !c.idle.IsZero() {
 			// Guards against a machine that was cut off and is back: it resets the connections from before only when
 			// they are used, and each would cost a task.
-			s.forget(h.address)
+			s.forget(h.place)
 		}
 		return r, e
 	}
 	r := result{outcome: outcomeOf(response.StatusCode, response.Header), fresh: c.idle.IsZero(),
 		report: reportOf(response.Header.Get(headerLoad))}
-	if r.outcome == policy.Satisfied {
+	if r.outcome == policy.Satisfied || badTask(response.StatusCode) {
 		r.answer = answer{status: response.StatusCode, header: endToEnd(response.Header), body: body}
 	}
 	if release() && !response.Close && len(c.pending()) == 0 {
@@ -159,11 +165,11 @@
 	return r, nil
 }
 
-// connection takes the connection to an address that was used last, as the others may then grow old and be closed,
+// connection takes the connection to a server that was used last, as the others may then grow old and be closed,
 // or opens one.
-func (s *servers) connection(ctx context.Context, address string, limit time.Time) (*serverConn, error) {
+func (s *servers) connection(ctx context.Context, to place, limit time.Time) (*serverConn, error) {
 	for {
-		c := s.take(address)
+		c := s.take(to)
 		if c == nil {
 			break
 		}
@@ -180,7 +186,7 @@
 	}
 	dialer := net.Dialer{Timeout: time.Duration(s.node.settings.ConnectWithin), Deadline: limit, KeepAlive: -1}
 	dialer.SetMultipathTCP(false)
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := dialer.DialContext(ctx, "tcp", to.address)
 	if err != nil {
 		s.mu.Lock()
 		s.open--
@@ -191,18 +197,18 @@
 		return nil, err
 	}
 	s.node.counters.add(serversConnected)
-	return &serverConn{conn: newConn(raw), address: address}, nil
+	return &serverConn{conn: newConn(raw), place: to}, nil
 }
 
-func (s *servers) take(address string) *serverConn {
+func (s *servers) take(from place) *serverConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := s.idle[address]
+	list := s.idle[from]
 	if len(list) == 0 {
 		return nil
 	}
 	c := list[len(list)-1]
-	s.idle[address] = list[:len(list)-1]
+	s.idle[from] = list[:len(list)-1]
 	return c
 }
 
@@ -211,13 +217,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open >= s.most {
-		oldest := ""
-		for address, list := range s.idle {
-			if len(list) > 0 && (oldest == "" || list[0].idle.Before(s.idle[oldest][0].idle)) {
-				oldest = address
+		var oldest place
+		for at, list := range s.idle {
+			if len(list) > 0 && (oldest.address == "" || list[0].idle.Before(s.idle[oldest][0].idle)) {
+				oldest = at
 			}
 		}
-		if oldest == "" {
+		if oldest.address == "" {
 			return false
 		}
 		s.drop(oldest, 1)
@@ -226,16 +232,16 @@
 	return true
 }
 
-// drop closes the n connections to an address that have been idle longest; the lock is held.
-func (s *servers) drop(address string, n int) {
-	list := s.idle[address]
+// drop closes the n connections to a server that have been idle longest; the lock is held.
+func (s *servers) drop(from place, n int) {
+	list := s.idle[from]
 	for _, c := range list[:n] {
 		c.Close()
 		s.open--
 		s.node.counters.add(serversClosedIdle)
 	}
-	if s.idle[address] = append([]*serverConn(nil), list[n:]...); len(list) == n {
-		delete(s.idle, address)
+	if s.idle[from] = append([]*serverConn(nil), list[n:]...); len(list) == n {
+		delete(s.idle, from)
 	}
 }
 
@@ -245,7 +251,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.idle = time.Now()
-	s.idle[c.address] = append(s.idle[c.address], c)
+	s.idle[c.place] = append(s.idle[c.place], c)
 }
 
 func (s *servers) close(c *serverConn) {
@@ -255,11 +261,11 @@
 	s.mu.Unlock()
 }
 
-// forget closes what is idle to an address that is no longer wanted.
-func (s *servers) forget(address string) {
+// forget closes what is idle to a server that is no longer wanted, or no longer there.
+func (s *servers) forget(old place) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.drop(address, len(s.idle[address]))
+	s.drop(old, len(s.idle[old]))
 }
 
 // tooOld is when a connection must have been used last to be used again: well before the server would close it, as a
@@ -273,7 +279,7 @@
 	tooOld := s.tooOld()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for address, list := range s.idle {
+	for at, list := range s.idle {
 		kept := list[:0]
 		for _, c := range list {
 			if c.idle.After(tooOld) && c.quiet() {
@@ -284,8 +290,8 @@
 			s.open--
 			s.node.counters.add(serversClosedIdle)
 		}
-		if s.idle[address] = kept; len(kept) == 0 {
-			delete(s.idle, address)
+		if s.idle[at] = kept; len(kept) == 0 {
+			delete(s.idle, at)
 		}
 	}
 }
