Beyond a quarter of the descriptors, idle client connections are closed at once

Checked: the probe of connections: exactly 128 stand idle, the third of 384 descriptors that clients hold at most, nearly each having brought one task; so the others are turned down before they reach the node. Beliefs and hand-offs out are sound, the servers idle. At fault: enter and dismiss in client.go, which closed idle connections only for want of room of their own.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -35,6 +35,8 @@
 	listener net.Listener
 	most     int // connections at work; beyond these only a few, to say that there is no room
 	spare    int
+	usual    int // connections that have brought tasks; of more, those that stand idle are closed
+	used     atomic.Int64
 	atWork   atomic.Int64
 	atDoor   atomic.Int64 // accepted and waiting for room
 
@@ -59,8 +61,8 @@
 	began   time.Time // when the message that is being read began; zero between messages
 }
 
-func newClients(n *Node, listener net.Listener, most, spare int) *clients {
-	return &clients{node: n, listener: listener, most: most, spare: spare, open: map[*client]struct{}{}}
+func newClients(n *Node, listener net.Listener, most, spare, usual int) *clients {
+	return &clients{node: n, listener: listener, most: most, spare: spare, usual: usual, open: map[*client]struct{}{}}
 }
 
 // accept takes connections until the listener is closed. Those it does not get to in time are lost all the same: a
@@ -100,7 +102,7 @@
 func (s *clients) enter(c *client) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.open) >= s.most {
+	if len(s.open) >= s.most || s.crowded() {
 		s.dismiss(1 + s.most/16) // some ahead, as each takes a moment to go
 	}
 	if len(s.open) >= s.most+s.spare {
@@ -110,6 +112,10 @@
 	return true
 }
 
+// crowded guards against clients that ask once and keep their connections: those in front of a node hold only so many to
+// it, and with all of them standing idle nobody can ask.
+func (s *clients) crowded() bool { return int(s.used.Load()) >= s.usual }
+
 // dismiss asks up to n of the connections that stand idle to close; the lock is held. Those that never brought a task go
 // first, against a flood that takes the place of clients at work, then the longest idle. While there is room left, one
 // used of late stays if there are any that never brought a task, even too young to go. With none left it goes as well:
@@ -140,7 +146,8 @@
 		return a.last.Compare(b.last)
 	})
 	for _, one := range idle[:min(n, len(idle))] {
-		if !one.used || !fresh || len(s.open) >= s.most+s.spare || n >= len(s.open) || now.Sub(one.last) > longIdle {
+		if !one.used || !fresh || s.crowded() || len(s.open) >= s.most+s.spare || n >= len(s.open) ||
+			now.Sub(one.last) > longIdle {
 			one.c.dismiss(now)
 		}
 	}
@@ -181,7 +188,11 @@
 	if c.busy++; c.busy == 1 {
 		c.side.atWork.Add(1)
 	}
-	c.used, c.began = true, time.Time{}
+	if !c.used {
+		c.used = true
+		c.side.used.Add(1)
+	}
+	c.began = time.Time{}
 	return true
 }
 
@@ -420,6 +431,9 @@
 func (c *client) write() {
 	defer func() {
 		c.conn.Close()
+		if c.used {
+			c.side.used.Add(-1)
+		}
 		c.side.mu.Lock()
 		delete(c.side.open, c)
 		c.side.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	ownFiles    = 24                     // standard files, the poller, the listener, discovery, what the runtime opens
 	fewest      = 32                     // descriptors with which a node can do anything
 	spareShare  = 16                     // a sixteenth of the descriptors is kept to tell clients that there is no room
+	usualPart   = 4                      // clients hold a third of the descriptors at most, so a quarter leaves them room
 	serversPart = 3                      // a third of the others is for servers: clients keep theirs while they ask nothing
 	heldShare   = 8                      // an eighth of the memory is for bodies; connections' buffers need the like
 	defaultHeld = 64 << 20
@@ -138,7 +139,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.clients = newClients(n, listener, rest-rest/serversPart, spare)
+	n.clients = newClients(n, listener, rest-rest/serversPart, spare, sockets/usualPart)
 	return n, nil
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -429,6 +429,31 @@
 	}
 }
 
+// Guards against clients that ask once and keep their connections using up all that the front may hold to a node.
+func TestIdleConnectionsLeaveTheFrontRoom(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, func(c *Config) { c.Limits.Sockets = 4 * ownFiles }, server)
+	var ended atomic.Int64
+	for i := range 4 * ownFiles / 3 {
+		c, in := dial(t, n)
+		io.WriteString(c, taskText("batch", fmt.Sprint("stays", i), ""))
+		if status, _, _ := answerOn(in); status != 200 {
+			t.Fatalf("task %d was answered %d", i, status)
+		}
+		go func() {
+			in.ReadByte()
+			ended.Add(1)
+		}()
+		time.Sleep(lingers / 5)
+	}
+	soon(t, "room for further tasks", func() bool { return ended.Load() >= 4 })
+	n.clients.mu.Lock()
+	defer n.clients.mu.Unlock()
+	if held := len(n.clients.open); held > 4*ownFiles/usualPart+2 {
+		t.Errorf("%d connections are held, more than a quarter of the descriptors", held)
+	}
+}
+
 // Guards against a connection that is closed for want of room with a task already written to it.
 func TestMoreTasksThanConnectionsAreAllAnswered(t *testing.T) {
 	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
