--- /dev/null
+++ b/internal/lab/ledger/ledger.go
@@ -0,0 +1,191 @@
+// Package ledger owns what passed on the sockets of a day and judges the four rules by it. It must never hear a word
+// from a node: counters and logs of the judged are no evidence. Times are nanoseconds since the day's beginning.
+package ledger
+
+import (
+	"sync"
+
+	"fawnglade/internal/lab/model"
+)
+
+// Never is a time that did not come.
+const Never = model.Never
+
+// Repeat tells what may happen to a category's tasks more than once.
+type Repeat int
+
+const (
+	Rerunnable Repeat = iota
+	Ticketed
+	Exclusive
+)
+
+// Group is the servers that share the memory of a ticketed task.
+type Group int
+
+const (
+	WholeFleet Group = iota
+	SameZone
+	SamePod
+)
+
+// Category is what the judge needs to know of one.
+type Category struct {
+	Name   string
+	Repeat Repeat
+	Group  Group
+	Memory int64
+}
+
+// Rules are the figures that nodes are held to.
+type Rules struct {
+	StopSending, AskWithin, AnswerGrace int64
+	MayDuplicate                        bool
+	Slack                               int64                // that every time limit is longer on sockets
+	Late                                func(at int64) int64 // how late the rig itself ran round a moment
+}
+
+// Try is one task as it went over the wire to a node.
+type Try struct {
+	ID       string
+	Task     int // of the plan
+	Node     int
+	Life     int // of the node
+	Category int
+	Whole    int64 // when its last byte was written
+	Hard     int64
+	Left     int64 // when the client went; Never if it stayed
+
+	Answered int64 // when the last byte of the answer had come; Never if none did
+	Status   int
+	Cut      bool  // the answer had begun and its end is missing, for the client to see
+	Ended    int64 // when the connection ended without an answer; Never if it did not
+	Foreign  bool  // a 200 with a body that no server made for this task
+	Advice   int64
+	Extra    int64 // when something came after the answer; Never if nothing did
+}
+
+// HandOff is one try of a node at a server, as the server saw it.
+type HandOff struct {
+	Task   string
+	Node   int
+	Server int // index of the machine
+	Life   int // of the server
+	Zone   string
+	Pod    int
+
+	First, Last int64 // bytes; Last is Never if the message never became whole
+	Answered    int64 // when the answer was written; Never if none was
+	Status      int
+	TurnedAway  bool
+	Ran         bool
+	Repeated    bool  // known by its ticket, so done only once
+	Closed      int64 // when its connection was seen to end, by either side; Never if it was not
+}
+
+// Told is one entry of the list written to a node.
+type Told struct {
+	Node, Life, Server int
+	Health             model.Health
+	Started            int64
+	At                 int64
+}
+
+// NodeLife is one process of a node. Excused are the times in which the day itself had killed it outright, held it or
+// cut it off, so that it could not answer.
+type NodeLife struct {
+	Node, Life  int
+	From, Until int64
+	Excused     []Span
+}
+
+// Span is a time from and to, the end not included.
+type Span struct{ From, To int64 }
+
+// Excuse adds a time in which nothing can be asked of a node.
+func (l *Ledger) Excuse(n *NodeLife, s Span) { l.change(func() { n.Excused = append(n.Excused, s) }) }
+
+// Watch is a time in which a node followed the list, or a call that failed.
+type Watch struct {
+	Node, Life int
+	From, To   int64
+	Failed     bool
+}
+
+// Listing is a change of the list itself, told or not.
+type Listing struct {
+	Server int
+	Health model.Health
+	At     int64
+}
+
+// Fall is a cold server that was pushed over.
+type Fall struct {
+	Server, Life int
+	Started      int64
+	model.Fall
+}
+
+// Ledger collects. Its records may be written by any goroutine until Close.
+type Ledger struct {
+	mu       sync.Mutex
+	Tries    []*Try
+	HandOffs []*HandOff
+	Told     []Told
+	Lives    []*NodeLife
+	Watches  []*Watch
+	Listings []Listing
+	Falls    []Fall
+	closed   bool
+}
+
+// change does one thing to the records, unless the day has been closed.
+func (l *Ledger) change(do func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		do()
+	}
+}
+
+// Close ends the record; what comes later is of no account.
+func (l *Ledger) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+}
+
+// Sent records a try that a node has taken.
+func (l *Ledger) Sent(t *Try) {
+	t.Left, t.Answered, t.Ended, t.Extra = Never, Never, Never, Never
+	l.change(func() { l.Tries = append(l.Tries, t) })
+}
+
+// Update changes a record that has been entered.
+func (l *Ledger) Update(do func()) { l.change(do) }
+
+// Began records the first byte of a hand-off.
+func (l *Ledger) Began(h *HandOff) {
+	h.Last, h.Answered, h.Closed = Never, Never, Never
+	l.change(func() { l.HandOffs = append(l.HandOffs, h) })
+}
+
+// Tell records entries of the list as written to a node.
+func (l *Ledger) Tell(entries ...Told) {
+	l.change(func() { l.Told = append(l.Told, entries...) })
+}
+
+// List records a change of the list.
+func (l *Ledger) List(c Listing) { l.change(func() { l.Listings = append(l.Listings, c) }) }
+
+// Live records a node's start.
+func (l *Ledger) Live(n *NodeLife) {
+	n.Until = Never
+	l.change(func() { l.Lives = append(l.Lives, n) })
+}
+
+// Watched records the beginning of a watch, or a call that failed.
+func (l *Ledger) Watched(w *Watch) { l.change(func() { l.Watches = append(l.Watches, w) }) }
+
+// Fell records a cold server's fall.
+func (l *Ledger) Fell(f Fall) { l.change(func() { l.Falls = append(l.Falls, f) }) }
--- /dev/null
+++ b/internal/lab/model/memory.go
@@ -0,0 +1,28 @@
+package model
+
+// This file owns what servers remember of ticketed tasks, so that the same one is not done twice by a group. It must
+// never forget before the span is over.
+
+// Memory is shared by the servers of a fleet, a zone or a pod.
+type Memory struct {
+	span  int64
+	until map[string]int64
+	order []string
+}
+
+// NewMemory makes one that remembers for a span.
+func NewMemory(span int64) *Memory { return &Memory{span: span, until: map[string]int64{}} }
+
+// Seen tells whether the ticket is remembered, and remembers it if not. The span counts from the first time.
+func (m *Memory) Seen(now int64, ticket string) bool {
+	for len(m.order) > 0 && m.until[m.order[0]] <= now {
+		delete(m.until, m.order[0])
+		m.order = m.order[1:]
+	}
+	if _, known := m.until[ticket]; known {
+		return true
+	}
+	m.until[ticket] = now + m.span
+	m.order = append(m.order, ticket)
+	return false
+}
--- /dev/null
+++ b/internal/lab/model/server.go
@@ -0,0 +1,350 @@
+// Package model owns how servers behave: work, queues, warming up, falling over, pauses and load reports. It must never
+// read a clock, sleep or touch a socket: it is told the time with each call, in nanoseconds, and says when it wants to
+// be called next. Sockets and a world in virtual time can both drive it.
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+// Never is later than any day.
+const Never = math.MaxInt64
+
+// Kind is what a server is built as.
+type Kind struct {
+	Cores       int
+	Speed       float64
+	Places      int
+	Waiting     int
+	DropExpired bool
+	Cancel      Cancel
+
+	ColdFrom     float64
+	WarmFor      int64
+	FallMultiple float64
+	FallAfter    int64
+
+	PauseEvery, PauseFor int64
+	Connections          int
+	ConnectionWork       int64
+}
+
+// Cancel is what a hand-off that was given up on stops.
+type Cancel int
+
+const (
+	CancelsNothing Cancel = iota
+	CancelsWaiting
+	CancelsWork
+)
+
+// Job is one hand-off at a server.
+type Job struct {
+	ID    int64
+	Work  int64 // left to do, on a core of speed 1
+	Until int64 // its time is over then; Never if it has none
+	Node  int
+
+	begun, left float64
+	given       int64
+}
+
+// Server is one machine in its present life. Work is shared evenly among the tasks in work: each gets a core at most.
+type Server struct {
+	Kind
+	Started  int64 // Never ran cold if in the far past
+	Slowness float64
+	draw     *rand.Rand
+
+	now      int64
+	jobs     []*Job
+	queue    []*Job
+	stopped  int64 // stands still until then
+	nextStop int64
+	dead     bool
+	extra    float64 // work of connections and turning away, done before anything else
+
+	pushes []Push // of a cold server, within the window
+
+	busy       float64 // core-seconds used since the last figure was taken
+	taken      int64
+	figure     Figure
+	served     float64
+	latencySum float64
+	latencies  int
+}
+
+// Push is work that came to a cold server.
+type Push struct {
+	At   int64
+	Work float64 // seconds
+	Node int
+}
+
+// Figure is what a server says of itself.
+type Figure struct {
+	Held, Queue, Utilised, ServiceTime float64
+}
+
+// Fall tells how a cold server was pushed over, and by whom within the window.
+type Fall struct {
+	At       int64
+	Work     float64 // seconds
+	Capacity float64 // seconds of work a second, then
+	Pushes   []Push
+}
+
+// NewServer makes a server that started at a time, warm if that is long ago.
+func NewServer(k Kind, started, now int64, seed uint64) *Server {
+	s := &Server{Kind: k, Started: started, Slowness: 1, draw: rand.New(rand.NewPCG(seed, 7)), now: now, nextStop: Never, taken: now}
+	s.drawStop()
+	return s
+}
+
+func (s *Server) drawStop() {
+	if s.PauseEvery > 0 {
+		s.nextStop = s.now + int64(s.draw.ExpFloat64()*float64(s.PauseEvery))
+	}
+}
+
+// Warmth is the share of its capacity that the server has, from the cold share to 1 in a straight line.
+func (s *Server) Warmth() float64 {
+	if age := s.now - s.Started; s.WarmFor > 0 && age < s.WarmFor {
+		return s.ColdFrom + (1-s.ColdFrom)*math.Max(0, float64(age))/float64(s.WarmFor)
+	}
+	return 1
+}
+
+// Capacity is the work that it can do now, in seconds of work a second.
+func (s *Server) Capacity() float64 { return float64(s.Cores) * s.Speed * s.Warmth() * s.Slowness }
+
+// Stop makes the server stand still for a while.
+func (s *Server) Stop(now, until int64) { s.Advance(now); s.stopped = max(s.stopped, until) }
+
+// Down is the server's end; nothing that it held is finished.
+func (s *Server) Down() { s.dead, s.jobs, s.queue = true, nil, nil }
+
+// IsDown tells whether it has ended.
+func (s *Server) IsDown() bool { return s.dead }
+
+// Held is the number of tasks in work and waiting.
+func (s *Server) Held() int { return len(s.jobs) + len(s.queue) }
+
+// step is the longest time over which the warmth is taken to stand still.
+const step = int64(50e6)
+
+// Advance does the work up to now and returns the jobs that ended, each with its moment in the past.
+func (s *Server) Advance(now int64) (done []Done) {
+	for s.now < now && !s.dead {
+		until := min(now, s.now+step)
+		if s.nextStop <= s.now {
+			s.stopped = max(s.stopped, s.nextStop+s.PauseFor)
+			s.drawStop()
+			s.nextStop = max(s.nextStop, s.stopped)
+		}
+		until = min(until, max(s.nextStop, s.now+1))
+		if s.stopped > s.now {
+			s.now = min(until, s.stopped)
+			continue
+		}
+		done = append(done, s.work(until)...)
+	}
+	s.now = max(s.now, now)
+	return done
+}
+
+// Done is a job that has ended.
+type Done struct {
+	Job     *Job
+	At      int64
+	Expired bool // taken from the queue too late: it never ran
+}
+
+// work runs until a time, or up to the first job's end before it.
+func (s *Server) work(until int64) []Done {
+	rate := s.Speed * s.Warmth() * s.Slowness // seconds of work a second, of one core
+	span := float64(until-s.now) / 1e9
+	if s.extra > 0 {
+		part := math.Min(s.extra, rate*float64(s.Cores)*span)
+		s.extra -= part
+		took := part / (rate * float64(s.Cores))
+		s.busy += took * float64(s.Cores)
+		s.now += max(int64(took*1e9), 1)
+		return nil
+	}
+	if len(s.jobs) == 0 {
+		s.now = until
+		return nil
+	}
+	each := rate * math.Min(1, float64(s.Cores)/float64(len(s.jobs)))
+	first := s.jobs[0]
+	for _, j := range s.jobs[1:] {
+		if j.left < first.left {
+			first = j
+		}
+	}
+	if need := first.left / each; need <= span {
+		span = need
+		until = min(until, s.now+int64(math.Ceil(need*1e9)))
+	}
+	for _, j := range s.jobs {
+		j.left -= each * span
+	}
+	s.busy += span * math.Min(float64(s.Cores), float64(len(s.jobs)))
+	s.now = until
+	var done []Done
+	kept := s.jobs[:0]
+	for _, j := range s.jobs {
+		if j.left > 1e-10 {
+			kept = append(kept, j)
+			continue
+		}
+		done = append(done, Done{Job: j, At: s.now})
+		s.served++
+		s.latencySum += float64(s.now-j.given) / 1e6
+		s.latencies++
+	}
+	s.jobs = kept
+	if len(done) > 0 {
+		done = append(done, s.pull()...)
+	}
+	return done
+}
+
+// pull takes from the waiting room what there are places for.
+func (s *Server) pull() (late []Done) {
+	for len(s.queue) > 0 && len(s.jobs) < s.Places {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		if s.DropExpired && j.Until <= s.now {
+			late = append(late, Done{Job: j, At: s.now, Expired: true})
+			continue
+		}
+		s.begin(j)
+	}
+	return late
+}
+
+func (s *Server) begin(j *Job) {
+	j.begun, j.left = float64(s.now), float64(j.Work)/1e9
+	s.jobs = append(s.jobs, j)
+}
+
+// turningAway is the work of saying no, as a part of a millisecond: it also pushes a cold server.
+const turningAway = 50e-6
+
+// Arrive hands a job to the server: in work or waiting, or turned away. A fall means that the server has just been
+// pushed over and has ended.
+func (s *Server) Arrive(now int64, j *Job) (accepted bool, fall *Fall) {
+	s.Advance(now)
+	if s.dead {
+		return false, nil
+	}
+	if fall = s.push(j.Node, float64(j.Work)/1e9); fall != nil {
+		s.Down()
+		return false, fall
+	}
+	j.given = now
+	switch {
+	case len(s.jobs) < s.Places:
+		s.begin(j)
+	case len(s.queue) < s.Waiting:
+		s.queue = append(s.queue, j)
+	default:
+		s.extra += turningAway
+		return false, nil
+	}
+	return true, nil
+}
+
+// Connected charges the work of a new connection.
+func (s *Server) Connected(now int64) {
+	s.Advance(now)
+	s.extra += float64(s.ConnectionWork) / 1e9
+}
+
+// push keeps the budget of a cold server: multiple times its present capacity times the window, with a little slack
+// for chance. All that reaches it counts, also what it turns away.
+func (s *Server) push(node int, work float64) *Fall {
+	if s.Warmth() >= 1 {
+		s.pushes = nil
+		return nil
+	}
+	s.pushes = append(s.pushes, Push{s.now, work, node})
+	from := 0
+	for s.pushes[from].At <= s.now-s.FallAfter {
+		from++
+	}
+	s.pushes = s.pushes[from:]
+	sum := 0.0
+	for _, p := range s.pushes {
+		sum += p.Work
+	}
+	window := float64(s.FallAfter) / 1e9
+	budget := s.FallMultiple * s.Capacity() * window
+	if sum <= budget+math.Max(0.05*budget, 2*work) {
+		return nil
+	}
+	return &Fall{At: s.now, Work: sum, Capacity: s.Capacity(), Pushes: s.pushes}
+}
+
+// GiveUp tells that nobody waits for a job any more. It returns whether that stopped it, and whether it had not begun.
+func (s *Server) GiveUp(now int64, id int64) (stopped, neverRan bool) {
+	s.Advance(now)
+	for i, j := range s.queue {
+		if j.ID == id && s.Cancel >= CancelsWaiting {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			return true, true
+		}
+	}
+	for i, j := range s.jobs {
+		if j.ID == id && s.Cancel == CancelsWork {
+			s.jobs = append(s.jobs[:i], s.jobs[i+1:]...)
+			return true, false
+		}
+	}
+	return false, false
+}
+
+// Next is when the server wants to be advanced at the latest.
+func (s *Server) Next() int64 {
+	if s.dead || len(s.jobs) == 0 {
+		return Never
+	}
+	if s.stopped > s.now {
+		return s.stopped
+	}
+	least := math.Inf(1)
+	for _, j := range s.jobs {
+		least = math.Min(least, j.left)
+	}
+	rate := s.Speed * s.Warmth() * s.Slowness
+	need := s.extra/(rate*float64(s.Cores)) + least/(rate*math.Min(1, float64(s.Cores)/float64(len(s.jobs))))
+	if need > 3600 {
+		return s.now + int64(1e9)
+	}
+	// A pause or growing warmth may change it: never further ahead than a step beyond which it is worked out anew.
+	return s.now + max(int64(math.Ceil(need*1e9)), 1)
+}
+
+// Take takes the figures of a load report anew.
+func (s *Server) Take(now int64) Figure {
+	s.Advance(now)
+	span := float64(now-s.taken) / 1e9
+	f := Figure{Held: float64(len(s.jobs)), Queue: float64(len(s.queue)), ServiceTime: s.figure.ServiceTime}
+	if span > 0 {
+		f.Utilised = math.Min(1, s.busy/span/float64(s.Cores))
+	}
+	if s.latencies > 0 {
+		f.ServiceTime = s.latencySum / float64(s.latencies)
+	}
+	s.figure, s.busy, s.taken, s.latencySum, s.latencies = f, 0, now, 0, 0
+	return f
+}
+
+// Noisy spoils a figure a little, as measurements are.
+func (f Figure) Noisy(draw func() float64, noise float64) Figure {
+	one := func(v float64) float64 { return math.Max(0, v*(1+noise*(2*draw()-1))) }
+	return Figure{math.Round(one(f.Held)), math.Round(one(f.Queue)), one(f.Utilised), one(f.ServiceTime)}
+}
--- /dev/null
+++ b/internal/lab/plan/plan.go
@@ -0,0 +1,294 @@
+// Package plan owns what is drawn of a day before it starts: servers, tasks, faults and bad clients. It must never
+// look at a clock or at anything that happened: the same scenario and seed give the same plan, byte for byte.
+package plan
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"fawnglade/internal/lab/scenario"
+)
+
+// Server is one machine of the day's beginning, or one that a fault adds or puts in place of another.
+type Server struct {
+	Name  string
+	Index int
+	Fleet int
+	Zone  string
+	Pod   int
+	Speed float64
+	Seed  uint64
+}
+
+// Task is one thing that a client wants. Its tries on the wire have ids of their own.
+type Task struct {
+	N        int
+	Due      int64 // since the day's beginning, nanoseconds
+	Zone     int   // of the client, and so of its front
+	Category int
+	Customer int // -1 without
+	Key      int // -1 without
+	Work     int64
+	Estimate int64 // what the client guesses the work to be; 0: does not tell
+	Leaves   int64 // after this long the client goes; 0: stays
+	Once     bool  // its connection is kept and never used again
+	Honours  bool
+	Seed     uint64
+}
+
+// Fault is one trouble with who it hits.
+type Fault struct {
+	scenario.Fault
+	N       int
+	Targets []int // servers or nodes
+	Seed    uint64
+}
+
+// BadClient is one client that does not keep to the protocol.
+type BadClient struct {
+	Due  int64
+	Kind string
+	Node int
+	Seed uint64
+}
+
+// Plan is a day as drawn.
+type Plan struct {
+	Seed    uint64
+	Servers []Server
+	Tasks   []Task
+	Faults  []Fault
+	Bad     []BadClient
+}
+
+// BadKinds are the ways of bad clients.
+var BadKinds = []string{"noise", "endless-head", "negative-length", "two-lengths", "huge-body", "no-category", "no-limit",
+	"no-id", "half", "silent", "both-framings", "flood"}
+
+// source draws for one purpose, so that a change of one part of a scenario leaves the draws of the others alone.
+func source(seed uint64, purpose string) *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(purpose))
+	return rand.New(rand.NewPCG(seed, h.Sum64()))
+}
+
+// Draw makes the plan of a day.
+func Draw(s *scenario.Scenario, seed uint64) *Plan {
+	p := &Plan{Seed: seed}
+	p.drawServers(s)
+	p.drawTasks(s)
+	p.drawFaults(s)
+	return p
+}
+
+// Hash is one figure of the whole plan, to see that two runs were given the same.
+func (p *Plan) Hash() string {
+	h := sha256.New()
+	if err := json.NewEncoder(h).Encode(p); err != nil {
+		panic(err) // the plan is made of plain numbers and names
+	}
+	return hex.EncodeToString(h.Sum(nil)[:12])
+}
+
+// Shift moves all moments, for a clock on which the day does not begin at 0.
+func (p *Plan) Shift(by int64) {
+	for i := range p.Tasks {
+		p.Tasks[i].Due += by
+	}
+	for i := range p.Faults {
+		p.Faults[i].At += scenario.Duration(by)
+	}
+	for i := range p.Bad {
+		p.Bad[i].Due += by
+	}
+}
+
+func (p *Plan) drawServers(s *scenario.Scenario) {
+	draw := source(p.Seed, "servers")
+	pods := 0
+	for f := range s.Fleets {
+		fleet := &s.Fleets[f]
+		inZone := map[string]int{}
+		podOf := map[string]int{}
+		for n := range fleet.Count {
+			zone := fleet.Zones[n%len(fleet.Zones)]
+			if inZone[zone]%fleet.PodSize == 0 {
+				podOf[zone] = pods
+				pods++
+			}
+			inZone[zone]++
+			p.Servers = append(p.Servers, Server{Name: fmt.Sprintf("%s-%d", fleet.Name, n), Index: len(p.Servers), Fleet: f,
+				Zone: zone, Pod: podOf[zone], Speed: fleet.Speed * (1 + fleet.Spread*(2*draw.Float64()-1)), Seed: draw.Uint64()})
+		}
+	}
+}
+
+// rateAt is the wanted rate at a moment, as a multiple of the mean.
+func rateAt(l *scenario.Load, at, length int64) float64 {
+	period := float64(l.Period)
+	switch l.Shape {
+	case "wave":
+		return 1 + l.Swing*math.Sin(2*math.Pi*float64(at)/period)
+	case "burst":
+		// A fifth of each period lies above the mean by the swing, the rest below it so that the mean holds.
+		if math.Mod(float64(at), period) < period/5 {
+			return 1 + l.Swing
+		}
+		return 1 - l.Swing/4
+	case "month-end":
+		// It climbs to the middle of the day and stays, twice as steep as it falls.
+		x := float64(at) / float64(length)
+		switch {
+		case x < 0.3:
+			return 1 - l.Swing + 2*l.Swing*x/0.3
+		case x < 0.7:
+			return 1 + l.Swing
+		}
+		return 1 + l.Swing - 2*l.Swing*(x-0.7)/0.3
+	}
+	return 1
+}
+
+func (p *Plan) drawTasks(s *scenario.Scenario) {
+	draw := source(p.Seed, "tasks")
+	category := weights(s.Categories, func(c *scenario.Category) float64 { return c.Share })
+	customer := weights(s.Customers, func(c *scenario.Customer) float64 { return c.Share })
+	zone := s.Load.ZoneShare
+	if len(zone) == 0 {
+		zone = make([]float64, len(s.Network.Zones))
+		for i := range zone {
+			zone[i] = 1
+		}
+	}
+	highest := s.Load.Rate * (1 + s.Load.Swing)
+	for at := 0.0; ; {
+		at += draw.ExpFloat64() / highest * 1e9
+		if int64(at) >= int64(s.Length) {
+			break
+		}
+		// Thinning: arrivals at the highest rate, of which each is kept with the wanted rate's part.
+		if draw.Float64()*(1+s.Load.Swing) >= rateAt(&s.Load, int64(at), int64(s.Length)) {
+			continue
+		}
+		t := Task{N: len(p.Tasks), Due: int64(at), Customer: -1, Key: -1, Seed: draw.Uint64()}
+		t.Category, t.Zone = pick(draw, category), pick(draw, zone)
+		if len(s.Customers) > 0 {
+			t.Customer = pick(draw, customer)
+		}
+		if s.Load.Keys > 0 {
+			if t.Key = 0; draw.Float64() >= s.Load.HotKey {
+				t.Key = draw.IntN(s.Load.Keys)
+			}
+		}
+		c := &s.Categories[t.Category]
+		t.Work = int64(float64(c.Work) * (1 - c.Vary + c.Vary*draw.ExpFloat64()))
+		if t.Work = max(t.Work, 1000); c.Estimate {
+			t.Estimate = int64(float64(t.Work) * (0.8 + 0.4*draw.Float64()))
+		}
+		if draw.Float64() < s.Clients.Leave {
+			t.Leaves = int64(float64(c.HardLimit) * draw.Float64())
+		}
+		t.Once = draw.Float64() < s.Clients.Once
+		t.Honours = draw.Float64() < s.Clients.Honour
+		p.Tasks = append(p.Tasks, t)
+	}
+}
+
+func (p *Plan) drawFaults(s *scenario.Scenario) {
+	draw := source(p.Seed, "faults")
+	for n := range s.Faults {
+		f := Fault{Fault: s.Faults[n], N: n, Seed: draw.Uint64()}
+		switch scenario.Kinds[f.Kind] {
+		case "servers":
+			f.Targets = p.targets(draw, &f.Fault)
+		case "nodes":
+			f.Targets = slices.Clone(f.Nodes)
+		}
+		p.Faults = append(p.Faults, f)
+		if f.Kind == "bad-clients" {
+			p.drawBad(s, &f)
+		}
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	slices.SortStableFunc(p.Bad, func(a, b BadClient) int { return int(a.Due - b.Due) })
+}
+
+// targets names who is hit: those that the file names, else as many as it wants of those in the zone.
+func (p *Plan) targets(draw *rand.Rand, f *scenario.Fault) []int {
+	var named, fit []int
+	for i := range p.Servers {
+		if slices.Contains(f.Servers, p.Servers[i].Name) {
+			named = append(named, i)
+		}
+		if f.Zone == "" || p.Servers[i].Zone == f.Zone {
+			fit = append(fit, i)
+		}
+	}
+	if len(f.Servers) > 0 {
+		return named
+	}
+	want := f.Count
+	if f.Share > 0 {
+		want = max(1, int(math.Round(f.Share*float64(len(fit)))))
+	}
+	if want == 0 || want > len(fit) {
+		want = len(fit)
+	}
+	draw.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
+	fit = fit[:want]
+	slices.Sort(fit)
+	return fit
+}
+
+func (p *Plan) drawBad(s *scenario.Scenario, f *Fault) {
+	draw := source(f.Seed, "bad clients")
+	until := int64(f.At + f.For)
+	if f.For == 0 {
+		until = int64(s.Length)
+	}
+	for at := float64(f.At); ; {
+		if at += draw.ExpFloat64() / f.Rate * 1e9; int64(at) >= until {
+			return
+		}
+		kind := BadKinds[draw.IntN(len(BadKinds))]
+		if f.How != "" {
+			kind = f.How
+		}
+		p.Bad = append(p.Bad, BadClient{Due: int64(at), Kind: kind, Node: draw.IntN(s.Nodes.Count), Seed: draw.Uint64()})
+	}
+}
+
+func weights[T any](list []T, of func(*T) float64) []float64 {
+	out := make([]float64, len(list))
+	for i := range list {
+		out[i] = of(&list[i])
+	}
+	return out
+}
+
+func pick(draw *rand.Rand, weights []float64) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	x := draw.Float64() * sum
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+// HandOffWork is the work that one hand-off of a task means for a server. It hangs on the task, the hand-off's place
+// among those of its try and the server alone, so that it does not matter when it comes.
+func HandOffWork(work int64, noise float64, seed, server uint64, n int) (drawn int64, luck float64) {
+	draw := rand.New(rand.NewPCG(seed+uint64(n), server))
+	return max(int64(float64(work)*(1+noise*(2*draw.Float64()-1))), 1000), draw.Float64()
+}
--- /dev/null
+++ b/internal/lab/result/result.go
@@ -0,0 +1,284 @@
+// Package result owns the figures of a day: what is worked out from its record, whether it held what the scenario
+// expects, and how two days compare. It must never play a day, nor leave out a task that came.
+package result
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"fawnglade/internal/lab/ledger"
+	"fawnglade/internal/lab/rig"
+	"fawnglade/internal/lab/scenario"
+)
+
+// Verdict of a run.
+const (
+	Held = "held"
+	Fell = "fell short"
+	Void = "void" // the machine ran late: nothing can be said
+)
+
+// Result is a day in figures. Drawn is what the seed alone decides; all else hangs on real time too.
+type Result struct {
+	Scenario string   `json:"scenario"`
+	About    string   `json:"about,omitempty"`
+	Verdict  string   `json:"verdict"`
+	Missed   []string `json:"missed,omitempty"` // what the scenario expects and was not so
+	Drawn    Drawn    `json:"drawn"`
+	LengthS  float64  `json:"length_s"`
+	LateMs   float64  `json:"late_ms"` // the rig itself, in all but the worst twentieth of the time
+
+	Tally
+	RulesBroken int            `json:"rules_broken"`
+	Breaks      []ledger.Break `json:"breaks,omitempty"`
+
+	Categories map[string]*Tally `json:"by_category"`
+	Customers  map[string]*Tally `json:"by_customer,omitempty"`
+	Spans      []Tally           `json:"by_5s"`
+	Seconds    []Tally           `json:"by_1s"`
+
+	HandOffs   HandOffs          `json:"hand_offs"`
+	Nodes      []rig.NodeFigures `json:"nodes"`
+	BadClients rig.BadFigures    `json:"bad_clients"`
+	Odd        map[string]int    `json:"odd,omitempty"`
+	Faults     []Band            `json:"faults,omitempty"`
+	Servers    []string          `json:"servers"`
+	Loads      []rig.LoadSample  `json:"loads,omitempty"`
+}
+
+// Drawn is the same for the same scenario and seed.
+type Drawn struct {
+	Seed  uint64 `json:"seed"`
+	Plan  string `json:"plan"` // a hash of all that was drawn
+	Tasks int    `json:"tasks"`
+}
+
+// Tally counts tasks and what became of them. Quantiles are those of satisfied ones, from when they were due.
+type Tally struct {
+	Tasks     int     `json:"tasks"`
+	Satisfied int     `json:"satisfied"`
+	InTime    int     `json:"in_time"` // satisfied within the soft limit
+	Declined  int     `json:"declined"`
+	BrokenOff int     `json:"broken_off"`
+	Lost      int     `json:"lost"`
+	Left      int     `json:"left"` // clients that went early; they count for nothing else
+	Earnings  float64 `json:"earnings"`
+	Earned    float64 `json:"earned_in_time"`
+	Part      float64 `json:"earnings_in_time"` // as a part of all that could be earned
+	P50       float64 `json:"p50_ms"`
+	P90       float64 `json:"p90_ms"`
+	P99       float64 `json:"p99_ms"`
+	P999      float64 `json:"p999_ms"`
+	Most      float64 `json:"most_ms"`
+
+	hist *hdrhistogram.Histogram
+}
+
+// HandOffs counts what nodes sent to servers and what came of it.
+type HandOffs struct {
+	Sent       int `json:"sent"`
+	Satisfied  int `json:"satisfied"`
+	TurnedAway int `json:"turned_away"`
+	Errors     int `json:"errors"`
+	Unanswered int `json:"unanswered"`
+	Twice      int `json:"double_effects"` // of tasks that must have one; a node killed in the middle may leave some
+}
+
+// Band is a fault's time, to be drawn.
+type Band struct {
+	Kind  string  `json:"kind"`
+	FromS float64 `json:"from_s"`
+	ToS   float64 `json:"to_s"`
+	Whom  int     `json:"whom"`
+}
+
+const (
+	mostTime = int64(10 * time.Minute / time.Microsecond)
+	digits   = 3
+	longSpan = int64(5 * time.Second)
+)
+
+func newTally() *Tally { return &Tally{hist: hdrhistogram.New(1, mostTime, digits)} }
+
+func (t *Tally) add(o rig.Outcome, c *scenario.Category) {
+	t.Tasks++
+	if o.State == rig.Left {
+		t.Left++
+		return
+	}
+	t.Earnings += c.Earnings
+	switch o.State {
+	case rig.Satisfied:
+		t.Satisfied++
+		t.hist.RecordValue(max(min(o.Took/1000, mostTime), 1))
+		if o.Took <= int64(c.SoftLimit) {
+			t.InTime++
+			t.Earned += c.Earnings
+		}
+	case rig.Declined:
+		t.Declined++
+	case rig.Lost:
+		t.Lost++
+	default:
+		t.BrokenOff++ // also what had no end by the day's
+	}
+}
+
+func (t *Tally) close() Tally {
+	if t.Part = 1; t.Earnings > 0 {
+		t.Part = t.Earned / t.Earnings
+	}
+	at := func(q float64) float64 { return float64(t.hist.ValueAtQuantile(q)) / 1000 }
+	t.P50, t.P90, t.P99, t.P999, t.Most = at(50), at(90), at(99), at(99.9), float64(t.hist.Max())/1000
+	return *t
+}
+
+// Of works a day's figures out.
+func Of(s *scenario.Scenario, r *rig.Record) *Result {
+	out := &Result{Scenario: s.Name, About: s.About, LengthS: time.Duration(s.Length).Seconds(), LateMs: float64(r.Late) / 1e6,
+		Drawn: Drawn{r.Plan.Seed, r.Hash, len(r.Plan.Tasks)}, Categories: map[string]*Tally{}, Customers: map[string]*Tally{},
+		RulesBroken: len(r.Breaks), Breaks: r.Breaks, Nodes: r.Nodes, BadClients: r.Bad, Odd: r.Odd, Servers: r.Servers, Loads: r.Loads}
+	all := newTally()
+	spans, seconds := tallies(s.Length, longSpan), tallies(s.Length, int64(time.Second))
+	for i := range r.Plan.Tasks {
+		t, o := &r.Plan.Tasks[i], r.Outcomes[i]
+		c := &s.Categories[t.Category]
+		into := []*Tally{all, named(out.Categories, c.Name), spans[(t.Due-r.Base)/longSpan], seconds[(t.Due-r.Base)/int64(time.Second)]}
+		if t.Customer >= 0 {
+			into = append(into, named(out.Customers, s.Customers[t.Customer].Name))
+		}
+		for _, one := range into {
+			one.add(o, c)
+		}
+	}
+	out.Tally = all.close()
+	for _, t := range out.Categories {
+		t.close()
+	}
+	for _, t := range out.Customers {
+		t.close()
+	}
+	for _, t := range spans {
+		out.Spans = append(out.Spans, t.close())
+	}
+	for _, t := range seconds {
+		out.Seconds = append(out.Seconds, t.close())
+	}
+	out.HandOffs = handOffs(s, r)
+	for i := range r.Plan.Faults {
+		f := &r.Plan.Faults[i]
+		from := float64(int64(f.At)-r.Base) / 1e9
+		out.Faults = append(out.Faults, Band{f.Kind, from, from + time.Duration(f.For).Seconds(), len(f.Targets)})
+	}
+	out.judge(s, r)
+	return out
+}
+
+func tallies(length scenario.Duration, span int64) []*Tally {
+	list := make([]*Tally, (int64(length)-1)/span+1)
+	for i := range list {
+		list[i] = newTally()
+	}
+	return list
+}
+
+func named(of map[string]*Tally, name string) *Tally {
+	if of[name] == nil {
+		of[name] = newTally()
+	}
+	return of[name]
+}
+
+func handOffs(s *scenario.Scenario, r *rig.Record) HandOffs {
+	categoryOf := map[string]int{}
+	ticketOf := map[string]string{}
+	for _, t := range r.Ledger.Tries {
+		categoryOf[t.ID] = t.Category
+		ticketOf[t.ID] = fmt.Sprint(t.Task)
+	}
+	k := r.Ledger.Count(func(task string) (string, bool) {
+		c, known := categoryOf[task]
+		return ticketOf[task], known && s.Categories[c].Repeat != "rerunnable"
+	})
+	return HandOffs{k.HandOffs, k.Satisfied, k.TurnedAway, k.Errors, k.Unanswered + k.Broken, k.Twice}
+}
+
+// judge holds the day against what its scenario expects.
+func (r *Result) judge(s *scenario.Scenario, record *rig.Record) {
+	miss := func(holds bool, text string, args ...any) {
+		if !holds {
+			r.Missed = append(r.Missed, fmt.Sprintf(text, args...))
+		}
+	}
+	e := &s.Expect
+	here := max(r.Tasks-r.Left, 1)
+	miss(r.RulesBroken == 0, "rules broken %d times, expected never", r.RulesBroken)
+	miss(r.Part >= e.EarningsInTime, "earnings in time %.4f, expected %.4f at least", r.Part, e.EarningsInTime)
+	if part := float64(r.Satisfied) / float64(here); e.Satisfied > 0 {
+		miss(part >= e.Satisfied, "satisfied %.4f of the tasks, expected %.4f at least", part, e.Satisfied)
+	}
+	if part := float64(r.Declined) / float64(here); e.Declined > 0 {
+		miss(part <= e.Declined, "declined %.4f of the tasks, expected %.4f at most", part, e.Declined)
+	}
+	if e.P99 > 0 {
+		miss(r.P99 <= float64(e.P99)/1e6, "99th percentile %.1f ms, expected %v at most", r.P99, e.P99.Std())
+	}
+	if b := record.Bad; b.Came > 0 {
+		part := float64(b.Unanswered) / float64(b.Came)
+		miss(part <= e.BadUnanswered, "%.4f of the bad clients got neither an error nor a close, expected %.4f at most", part, e.BadUnanswered)
+		miss(b.Served == 0, "%d bad clients were served, expected none", b.Served)
+	}
+	miss(r.Lost <= e.LostMost, "%d tasks lost, expected %d at most", r.Lost, e.LostMost)
+	for _, n := range r.Nodes {
+		miss(n.Crashes == 0, "node %d ended by itself %d times", n.Node, n.Crashes)
+	}
+	switch {
+	case record.Void:
+		r.Verdict = Void
+	case len(r.Missed) == 0:
+		r.Verdict = Held
+	default:
+		r.Verdict = Fell
+	}
+}
+
+// Write leaves the result in a directory.
+func (r *Result) Write(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "result.json"), append(text, '\n'), 0o644)
+}
+
+// Load reads a result that was written.
+func Load(dir string) (*Result, error) {
+	text, err := os.ReadFile(filepath.Join(dir, "result.json"))
+	if err != nil {
+		return nil, err
+	}
+	r := &Result{}
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, fmt.Errorf("%s: %w", dir, err)
+	}
+	return r, nil
+}
+
+// heldBy sums what each server held, over the samples.
+func heldBy(loads []rig.LoadSample, server int) (at, held []float64) {
+	for _, s := range loads {
+		if server < len(s.Held) {
+			at = append(at, float64(s.At)/1e9)
+			held = append(held, float64(s.Held[server]))
+		}
+	}
+	return at, held
+}
--- /dev/null
+++ b/internal/lab/result/text.go
@@ -0,0 +1,53 @@
+package result
+
+// This file owns a result as a person reads it in a terminal.
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"maps"
+)
+
+// Print writes the table of a run.
+func (r *Result) Print(w io.Writer) {
+	fmt.Fprintf(w, "%s, seed %d: %s\n", r.Scenario, r.Drawn.Seed, r.Verdict)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\ttasks\tsatisfied\tdeclined\tbroken off\tlost\tin time\tp50 ms\tp99 ms\tmost ms\t")
+	row := func(name string, a *Tally) {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.1f\t%.1f\t%.1f\t\n", name, a.Tasks-a.Left, a.Satisfied, a.Declined, a.BrokenOff, a.Lost, a.Part, a.P50, a.P99, a.Most)
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Categories)) {
+		row(name, r.Categories[name])
+	}
+	row("all", &r.Tally)
+	t.Flush()
+	h := r.HandOffs
+	fmt.Fprintf(w, "hand-offs %d: satisfied %d, turned away %d, errors %d, unanswered %d; double effects %d\n",
+		h.Sent, h.Satisfied, h.TurnedAway, h.Errors, h.Unanswered, h.Twice)
+	for _, n := range r.Nodes {
+		fmt.Fprintf(w, "node %d: %.2f s of CPU, %.0f MB and %d descriptors at most, started %d times\n", n.Node, n.CPUSeconds, n.MostMB, n.MostFiles, n.Starts)
+	}
+	if b := r.BadClients; b.Came > 0 {
+		fmt.Fprintf(w, "bad clients %d: %d got neither an error nor a close, %d were served\n", b.Came, b.Unanswered, b.Served)
+	}
+	for _, what := range slices.Sorted(maps.Keys(r.Odd)) {
+		fmt.Fprintf(w, "seen: %s, %d times\n", what, r.Odd[what])
+	}
+	fmt.Fprintf(w, "rules broken: %d\n", r.RulesBroken)
+	for i, b := range r.Breaks {
+		if i == 10 {
+			fmt.Fprintf(w, "  and %d more\n", len(r.Breaks)-i)
+			break
+		}
+		fmt.Fprintf(w, "  %s\n", b)
+	}
+	for _, m := range r.Missed {
+		fmt.Fprintf(w, "not as expected: %s\n", m)
+	}
+	if r.Verdict == Void {
+		fmt.Fprintf(w, "the machine ran late, by %.0f ms in a twentieth of the time or more: nothing can be said\n", r.LateMs)
+	}
+}
--- /dev/null
+++ b/internal/lab/rig/day.go
@@ -0,0 +1,546 @@
+// Package rig plays a day on sockets in real time: servers, discovery, clients and faults around real nodes. It must
+// never send a byte to any address but those in 127.0.0.0/8, and must leave no process and no socket behind.
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"fawnglade/internal/lab/ledger"
+	"fawnglade/internal/lab/model"
+	"fawnglade/internal/lab/plan"
+	"fawnglade/internal/lab/scenario"
+)
+
+// Options of a run.
+type Options struct {
+	Scenario *scenario.Scenario
+	Seed     uint64
+	Start    Start
+	Out      string // where logs of nodes go; a directory of its own, gone at the end, if empty
+	Log      *zap.Logger
+	Progress func(at, length time.Duration, settled, tasks int)
+}
+
+// Record is what a day left behind, before anything is worked out from it.
+type Record struct {
+	Plan     *plan.Plan // its times shifted by Base, as those of the ledger are
+	Hash     string     // of the plan as drawn
+	Base     int64
+	Outcomes []Outcome
+	Ledger   *ledger.Ledger
+	Breaks   []ledger.Break
+	Nodes    []NodeFigures
+	Loads    []LoadSample
+	Odd      map[string]int
+	Void     bool
+	Late     time.Duration // in all but the worst twentieth of the time no later than this
+	Bad      BadFigures
+	Servers  []string
+	Took     time.Duration
+}
+
+// LoadSample is what the servers held at a moment.
+type LoadSample struct {
+	At   int64
+	Held []int
+}
+
+// BadFigures tell how bad clients were met.
+type BadFigures struct{ Came, Unanswered, Served int64 }
+
+// Day is one run.
+type Day struct {
+	scenario *scenario.Scenario
+	plan     *plan.Plan
+	start    Start
+	log      *zap.Logger
+	dir      string
+	out      string
+	t0       time.Time
+	base     int64 // when the day itself began, after its preparation
+	hash     string
+	ledger   *ledger.Ledger
+	gauge    *gauge
+	group    errgroup.Group
+	over     chan struct{}
+	ended    sync.Once
+
+	adding    sync.Mutex // one machine is added at a time, as its index is its place
+	listed    []*machine
+	mu        sync.Mutex
+	oddities  map[string]int
+	problems  []error
+	memories  map[memoryKey]*sharedMemory
+	loads     []LoadSample
+	octets    [2]int
+	discovery *discovery
+	nodes     []*node
+	clients   *clients
+	bad       badClients
+}
+
+type memoryKey struct {
+	category int
+	group    string
+}
+
+type sharedMemory struct {
+	mu sync.Mutex
+	*model.Memory
+}
+
+func (m *sharedMemory) seen(now int64, ticket string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Seen(now, ticket)
+}
+
+var daysRun atomic.Int64
+
+const (
+	readyWithin = 15 * time.Second
+	settleIn    = 2 * time.Second // after the longest hard limit
+	stopWithin  = 6 * time.Second
+)
+
+// Play runs a day to its end. An error means that it could not run; what went wrong within it is in the record.
+func Play(ctx context.Context, o Options) (record *Record, err error) {
+	d := &Day{scenario: o.Scenario, plan: plan.Draw(o.Scenario, o.Seed), start: o.Start, log: o.Log, out: o.Out, t0: time.Now(),
+		ledger: &ledger.Ledger{}, over: make(chan struct{}), oddities: map[string]int{}, memories: map[memoryKey]*sharedMemory{}}
+	if d.log == nil {
+		d.log = zap.NewNop()
+	}
+	d.hash = d.plan.Hash()
+	d.gauge = &gauge{now: d.now}
+	n := (os.Getpid()*61 + int(daysRun.Add(1))) % (200 * 250)
+	d.octets = [2]int{20 + n/250, 1 + n%250}
+	if d.dir, err = os.MkdirTemp("", "fawnglade-lab-"); err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(d.dir)
+	if d.out == "" {
+		d.out = d.dir
+	} else if err := os.MkdirAll(d.out, 0o755); err != nil {
+		return nil, err
+	}
+	// Whatever ends the day, also a panic of the rig, its processes and sockets are gone.
+	defer func() {
+		d.finish()
+		if err == nil {
+			err = errors.Join(d.problems...)
+		}
+	}()
+	if err := d.prepare(ctx); err != nil {
+		return nil, err
+	}
+	if err := d.play(ctx, o.Progress); err != nil {
+		return nil, err
+	}
+	return d.record(), nil
+}
+
+func (d *Day) now() int64 { return int64(time.Since(d.t0)) }
+
+// epoch turns a moment of the day into Unix nanoseconds, as the list tells starts.
+func (d *Day) epoch(at int64) int64 { return d.t0.UnixNano() + at }
+
+// address is where a node's view of one part of the day listens: its own network for each node.
+func (d *Day) address(node, part int) string {
+	return fmt.Sprintf("127.%d.%d.%d:0", d.octets[0], d.octets[1], 1+2*node+part)
+}
+
+func (d *Day) zoneOf(node int) string { return d.scenario.Network.Zones[d.nodes[node].zone] }
+
+func (d *Day) machineAt(i int) *machine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed[i]
+}
+
+func (d *Day) machines() []*machine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]*machine(nil), d.listed...)
+}
+
+// later does something after a while, unless the day is over by then.
+func (d *Day) later(after time.Duration, do func()) {
+	if after <= 0 {
+		do()
+		return
+	}
+	time.AfterFunc(after, func() {
+		if !d.isOver() {
+			do()
+		}
+	})
+}
+
+func (d *Day) isOver() bool {
+	select {
+	case <-d.over:
+		return true
+	default:
+		return false
+	}
+}
+
+// sleepUntil waits for a moment of the day; false means that the day ended first.
+func (d *Day) sleepUntil(at int64) bool {
+	wait := at - d.now()
+	if wait <= 0 {
+		return !d.isOver()
+	}
+	select {
+	case <-d.over:
+		return false
+	case <-time.After(time.Duration(wait)):
+		return true
+	}
+}
+
+// odd counts what should not happen and is no break of a rule by itself.
+func (d *Day) odd(what, detail string) {
+	d.mu.Lock()
+	d.oddities[what]++
+	n := d.oddities[what]
+	d.mu.Unlock()
+	if n <= 5 {
+		d.log.Info(what, zap.String("detail", detail), zap.Duration("at", time.Duration(d.now())))
+	}
+}
+
+// report keeps a problem of the rig itself; the run could then not be played as told.
+func (d *Day) report(err error) {
+	if err == nil || d.isOver() {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.problems = append(d.problems, err)
+}
+
+// idOf is the id of a try on the wire; taskOf is its inverse.
+func (d *Day) idOf(task, try int) string {
+	return fmt.Sprintf("%08x%06x%02x", uint32(d.plan.Seed*2654435761), task, try)
+}
+
+func (d *Day) taskOf(id string) (task *plan.Task, try int, known bool) {
+	if len(id) != 16 || id[:8] != fmt.Sprintf("%08x", uint32(d.plan.Seed*2654435761)) {
+		return nil, 0, false
+	}
+	n, err := strconv.ParseUint(id[8:14], 16, 32)
+	k, err2 := strconv.ParseUint(id[14:], 16, 16)
+	if err != nil || err2 != nil || int(n) >= len(d.plan.Tasks) {
+		return nil, 0, false
+	}
+	return &d.plan.Tasks[n], int(k), true
+}
+
+func (d *Day) memoryOf(m *machine, category int) *sharedMemory {
+	c := &d.scenario.Categories[category]
+	k := memoryKey{category, ""}
+	switch c.Group {
+	case "zone":
+		k.group = m.spec.Zone
+	case "pod":
+		k.group = strconv.Itoa(m.spec.Pod)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.memories[k] == nil {
+		d.memories[k] = &sharedMemory{Memory: model.NewMemory(int64(c.Memory))}
+	}
+	return d.memories[k]
+}
+
+func (d *Day) list(m *machine, h model.Health, notice time.Duration) {
+	m.mu.Lock()
+	started := m.started
+	m.mu.Unlock()
+	d.discovery.set(model.Listed{Server: m.spec.Index, Health: h, Started: started}, notice)
+}
+
+// fell ends a cold server that was pushed over. It stays down.
+func (d *Day) fell(m *machine, life int, f *model.Fall) {
+	m.mu.Lock()
+	started := m.started
+	m.mu.Unlock()
+	d.ledger.Fell(ledger.Fall{Server: m.spec.Index, Life: life, Started: started, Fall: *f})
+	d.odd("a cold server was pushed over", m.spec.Name)
+	d.group.Go(func() error { m.stop(); return nil })
+	d.list(m, model.Removed, time.Duration(d.scenario.Discovery.Notice))
+}
+
+// addMachine brings a machine in, cold, at addresses that another left if there are any.
+func (d *Day) addMachine(spec plan.Server, name string, addresses []string, notice time.Duration) error {
+	d.adding.Lock()
+	defer d.adding.Unlock()
+	spec.Index, spec.Name = len(d.machines()), name
+	m, err := newMachine(d, spec, true, addresses)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.listed = append(d.listed, m)
+	d.mu.Unlock()
+	d.list(m, model.Up, notice)
+	return nil
+}
+
+// prepare starts servers, discovery and nodes, and waits until the nodes are ready.
+func (d *Day) prepare(ctx context.Context) error {
+	for _, spec := range d.plan.Servers {
+		m, err := newMachine(d, spec, d.scenario.Fleets[spec.Fleet].Cold, nil)
+		if err != nil {
+			return fmt.Errorf("server %s: %w", spec.Name, err)
+		}
+		d.listed = append(d.listed, m)
+	}
+	for i := range d.scenario.Nodes.Count {
+		n := &node{day: d, index: i, zone: i % len(d.scenario.Network.Zones), config: filepath.Join(d.dir, fmt.Sprintf("n%d.json", i)),
+			address: fmt.Sprintf("127.%d.%d.%d:8443", d.octets[0], d.octets[1], 200+i), figures: NodeFigures{Node: i}}
+		if zones := d.scenario.Nodes.Zones; len(zones) > 0 {
+			for z, name := range d.scenario.Network.Zones {
+				if name == zones[i] {
+					n.zone = z
+				}
+			}
+		}
+		var err error
+		if n.log, err = os.Create(filepath.Join(d.out, fmt.Sprintf("node-%d.log", i))); err != nil {
+			return err
+		}
+		d.nodes = append(d.nodes, n)
+	}
+	var err error
+	if d.discovery, err = newDiscovery(d); err != nil {
+		return err
+	}
+	for _, m := range d.listed {
+		d.list(m, model.Up, 0)
+	}
+	d.discovery.keepFirst()
+	d.clients = newClients(d)
+	for _, n := range d.nodes {
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	deadline := time.Now().Add(readyWithin)
+	for _, n := range d.nodes {
+		for !n.takes() {
+			n.mu.Lock()
+			p := n.proc
+			n.mu.Unlock()
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-p.Done():
+				return fmt.Errorf("node %d ended before it was ready: %s", n.index, lastLine(n.log.Name()))
+			case <-time.After(5 * time.Millisecond):
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("node %d not ready within %v", n.index, readyWithin)
+			}
+		}
+	}
+	return nil
+}
+
+// play is the day itself. Its time starts anew: what came before was preparation.
+func (d *Day) play(ctx context.Context, progress func(at, length time.Duration, settled, tasks int)) error {
+	d.base = d.now()
+	d.plan.Shift(d.base)
+	d.group.Go(func() error { d.gauge.run(d.over); return nil })
+	d.group.Go(func() error { d.clients.run(); return nil })
+	d.group.Go(func() error { d.report(d.timeline()); return nil })
+	d.group.Go(func() error { d.bad.run(d); return nil })
+	d.group.Go(func() error { d.sample(); return nil })
+	length := time.Duration(d.scenario.Length)
+	longest := time.Duration(0)
+	for _, c := range d.scenario.Categories {
+		longest = max(longest, time.Duration(c.HardLimit))
+	}
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	end := time.After(length + longest + settleIn)
+	settled := false
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-end:
+			return nil
+		case <-tick.C:
+			d.clients.mu.Lock()
+			left := d.clients.left
+			d.clients.mu.Unlock()
+			if progress != nil {
+				progress(time.Duration(d.now()-d.base), length, len(d.plan.Tasks)-left, len(d.plan.Tasks))
+			}
+			if d.now()-d.base < int64(length) {
+				continue
+			}
+			if left == 0 && settled {
+				return nil
+			}
+			settled = left == 0 // one more tick, for what comes after the last answer
+		}
+	}
+}
+
+// sample takes what nodes use and servers hold.
+func (d *Day) sample() {
+	for n := int64(1); d.sleepUntil(d.base + n*int64(250*time.Millisecond)); n++ {
+		s := LoadSample{At: d.now() - d.base}
+		for _, m := range d.machines() {
+			m.mu.Lock()
+			s.Held = append(s.Held, m.model.Held())
+			m.mu.Unlock()
+		}
+		for _, one := range d.nodes {
+			one.sample()
+		}
+		d.mu.Lock()
+		d.loads = append(d.loads, s)
+		d.mu.Unlock()
+	}
+}
+
+// finish ends all that the day began, in whatever state it is.
+func (d *Day) finish() {
+	d.ended.Do(func() {
+		d.ledger.Close()
+		close(d.over)
+		for _, n := range d.nodes {
+			n.mu.Lock()
+			p := n.proc
+			n.mu.Unlock()
+			if p != nil {
+				p.Signal(os.Interrupt)
+			}
+		}
+		if d.clients != nil {
+			d.clients.close()
+		}
+		deadline := time.After(stopWithin)
+		for _, n := range d.nodes {
+			n.mu.Lock()
+			p := n.proc
+			n.mu.Unlock()
+			if p == nil {
+				continue
+			}
+			select {
+			case <-p.Done():
+			case <-deadline:
+			}
+			p.Signal(os.Kill)
+			<-p.Done()
+		}
+		for _, m := range d.machines() {
+			m.stop()
+		}
+		if d.discovery != nil {
+			d.discovery.close()
+		}
+		d.group.Wait()
+		for _, n := range d.nodes {
+			if n.log != nil {
+				n.log.Close()
+			}
+		}
+	})
+}
+
+// record closes the day's books and judges them.
+func (d *Day) record() *Record {
+	for _, n := range d.nodes {
+		n.sample()
+	}
+	d.ledger.Close()
+	void, late := d.gauge.void()
+	r := &Record{Plan: d.plan, Hash: d.hash, Base: d.base, Ledger: d.ledger, Void: void, Late: time.Duration(late), Odd: map[string]int{}, Took: time.Duration(d.now() - d.base),
+		Bad: BadFigures{d.bad.came.Load(), d.bad.unanswered.Load(), d.bad.served.Load()}}
+	d.clients.mu.Lock()
+	r.Outcomes = append(r.Outcomes, d.clients.outcomes...)
+	d.clients.mu.Unlock()
+	r.Breaks = d.ledger.Judge(Categories(d.scenario), d.rules())
+	for i := range r.Breaks {
+		r.Breaks[i].At -= d.base
+	}
+	for _, m := range d.machines() {
+		r.Servers = append(r.Servers, m.spec.Name)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for what, n := range d.oddities {
+		r.Odd[what] = n
+	}
+	r.Loads = d.loads
+	for _, n := range d.nodes {
+		n.mu.Lock()
+		n.figures.LastLogLine = lastLine(n.log.Name())
+		r.Nodes = append(r.Nodes, n.figures)
+		n.mu.Unlock()
+	}
+	return r
+}
+
+// socketSlack is what each time limit is longer by on sockets, by the protocol.
+const socketSlack = int64(50 * time.Millisecond)
+
+func (d *Day) rules() ledger.Rules {
+	r := &d.scenario.Rules
+	within := int64(0)
+	if d.scenario.Discovery.Ask {
+		within = int64(r.AskWithin)
+	}
+	return ledger.Rules{StopSending: int64(r.StopSending), AskWithin: within, AnswerGrace: int64(r.AnswerGrace),
+		MayDuplicate: r.MayDuplicate, Slack: socketSlack, Late: d.gauge.late}
+}
+
+// Categories are a scenario's as the judge knows them.
+func Categories(s *scenario.Scenario) []ledger.Category {
+	var out []ledger.Category
+	for i := range s.Categories {
+		repeat, group := repeatOf(&s.Categories[i])
+		out = append(out, ledger.Category{Name: s.Categories[i].Name, Repeat: repeat, Group: group, Memory: int64(s.Categories[i].Memory)})
+	}
+	return out
+}
+
+// lastLine of a log, to show beside what the rig saw.
+func lastLine(path string) string {
+	f, err := os.Open(path)
+	if err != nil {
+		return ""
+	}
+	defer f.Close()
+	if size, err := f.Seek(0, io.SeekEnd); err == nil {
+		f.Seek(max(0, size-2000), io.SeekStart)
+	}
+	text, _ := io.ReadAll(f)
+	end := len(text)
+	for end > 0 && text[end-1] == '\n' {
+		end--
+	}
+	begin := end
+	for begin > 0 && text[begin-1] != '\n' {
+		begin--
+	}
+	return string(text[begin:end])
+}
--- /dev/null
+++ b/internal/lab/rig/wire.go
@@ -0,0 +1,261 @@
+package rig
+
+// This file owns reading HTTP/1.1 messages in the rig. It is lean, since the rig shares the machine with what it
+// measures, and strict: what it cannot read is told as such. It must never guess at a length.
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"syscall"
+)
+
+const (
+	mostHead = 16 << 10
+	mostBody = 1 << 20
+)
+
+var (
+	errSpoilt  = errors.New("message cannot be read")
+	errHalf    = errors.New("connection ended within a message")
+	errTooLong = errors.New("message too long")
+)
+
+// message is one task or answer as read; its slices hold until the next read.
+type message struct {
+	first  []byte // the first line
+	status int
+	head   []byte // lines after the first, each with its end
+	body   []byte
+	close  bool
+	began  int64 // when its first byte had come
+}
+
+// get returns a header's first value.
+func (m *message) get(name string) []byte {
+	head := m.head
+	for len(head) > 0 {
+		end := bytes.IndexByte(head, '\n')
+		if end < 0 {
+			end = len(head) - 1
+		}
+		line := head[:end]
+		head = head[end+1:]
+		if len(line) > len(name) && line[len(name)] == ':' && equalFold(line[:len(name)], name) {
+			return bytes.TrimSpace(line[len(name)+1:])
+		}
+	}
+	return nil
+}
+
+func equalFold(a []byte, b string) bool {
+	for i := range a {
+		x, y := a[i], b[i]
+		if x == y {
+			continue
+		}
+		if x|0x20 != y|0x20 || x|0x20 < 'a' || x|0x20 > 'z' {
+			return false
+		}
+	}
+	return true
+}
+
+// reader reads messages from a connection through one buffer.
+type reader struct {
+	from     net.Conn
+	buf      []byte
+	at, have int
+	now      func() int64
+	onFirst  func(at int64) // called with the first byte of each message
+}
+
+func newReader(c net.Conn, now func() int64) *reader {
+	return &reader{from: c, buf: make([]byte, 2048), now: now}
+}
+
+func (r *reader) fill() error {
+	if r.at > 0 && r.at == r.have {
+		r.at, r.have = 0, 0
+	}
+	if r.have == len(r.buf) {
+		if r.at > 0 {
+			copy(r.buf, r.buf[r.at:r.have])
+			r.have -= r.at
+			r.at = 0
+		} else {
+			if len(r.buf) >= mostHead+mostBody {
+				return errTooLong
+			}
+			r.buf = append(r.buf, make([]byte, len(r.buf))...)
+		}
+	}
+	n, err := r.from.Read(r.buf[r.have:])
+	r.have += n
+	if n > 0 {
+		return nil
+	}
+	if err == nil {
+		err = io.ErrNoProgress
+	}
+	return err
+}
+
+func (r *reader) pending() int { return r.have - r.at }
+
+// next reads one message; io.EOF means that none had begun.
+func (r *reader) next(m *message, isAnswer bool) error {
+	for r.pending() == 0 {
+		if err := r.fill(); err != nil {
+			return err
+		}
+	}
+	m.began = r.now()
+	if r.onFirst != nil {
+		r.onFirst(m.began)
+	}
+	end, scanned := -1, 0
+	for {
+		if i := bytes.Index(r.buf[r.at+scanned:r.have], []byte("\r\n\r\n")); i >= 0 {
+			end = r.at + scanned + i
+			break
+		}
+		if r.pending() > mostHead {
+			return errTooLong
+		}
+		scanned = max(0, r.pending()-3)
+		if err := r.fill(); err != nil {
+			return half(err)
+		}
+	}
+	head := r.buf[r.at : end+2]
+	line := bytes.Index(head, []byte("\r\n"))
+	m.first, m.head = head[:line], head[line+2:]
+	m.status, m.body = 0, nil
+	if isAnswer {
+		if !bytes.HasPrefix(m.first, []byte("HTTP/1.1 ")) || len(m.first) < 12 {
+			return errSpoilt
+		}
+		var err error
+		if m.status, err = strconv.Atoi(string(m.first[9:12])); err != nil {
+			return errSpoilt
+		}
+	}
+	m.close = bytes.EqualFold(m.get("Connection"), []byte("close"))
+	start := end + 4 - r.at // relative, as the buffer may move
+	if bytes.EqualFold(m.get("Transfer-Encoding"), []byte("chunked")) {
+		return r.chunks(m, start)
+	}
+	size := 0
+	if text := m.get("Content-Length"); text != nil {
+		v, err := strconv.ParseUint(string(text), 10, 31)
+		if err != nil || v > mostBody {
+			return errSpoilt
+		}
+		size = int(v)
+	}
+	if m.status >= 100 && m.status < 200 || m.status == 204 {
+		size = 0
+	}
+	if err := r.want(start + size); err != nil {
+		return half(err)
+	}
+	r.set(m, line, start)
+	m.body = r.buf[r.at+start : r.at+start+size]
+	r.at += start + size
+	return nil
+}
+
+// set points the message's parts into the buffer again, which may have moved.
+func (r *reader) set(m *message, line, start int) {
+	head := r.buf[r.at : r.at+start-2]
+	m.first, m.head = head[:line], head[line+2:]
+}
+
+func (r *reader) want(n int) error {
+	for r.pending() < n {
+		if err := r.fill(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// chunks reads a chunked body; it is rare, so it is kept in a buffer of its own.
+func (r *reader) chunks(m *message, at int) error {
+	var body []byte
+	line := len(m.first)
+	for {
+		var size int64
+		for {
+			if i := bytes.Index(r.buf[r.at+at:r.have], []byte("\r\n")); i >= 0 {
+				text, _, _ := bytes.Cut(r.buf[r.at+at:r.at+at+i], []byte(";"))
+				v, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 16, 32)
+				if err != nil || v < 0 || len(body)+int(v) > mostBody {
+					return errSpoilt
+				}
+				size = v
+				at += i + 2
+				break
+			}
+			if err := r.fill(); err != nil {
+				return half(err)
+			}
+		}
+		if err := r.want(at + int(size) + 2); err != nil {
+			return half(err)
+		}
+		body = append(body, r.buf[r.at+at:r.at+at+int(size)]...)
+		at += int(size) + 2
+		if size == 0 {
+			break
+		}
+	}
+	head := bytes.Index(r.buf[r.at:r.have], []byte("\r\n\r\n"))
+	full := r.buf[r.at : r.at+head+2]
+	m.first, m.head, m.body = full[:line], full[line+2:], body
+	r.at += at
+	return nil
+}
+
+func half(err error) error {
+	if errors.Is(err, io.EOF) {
+		return errHalf
+	}
+	return err
+}
+
+// standing looks whether anything stands unread on a connection, or whether its other side has closed it.
+func standing(c net.Conn) (bytesThere, ended bool) {
+	t, ok := c.(syscall.Conn)
+	if !ok {
+		return false, false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false, true
+	}
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case n > 0:
+			bytesThere = true
+		case errors.Is(err, syscall.EAGAIN):
+		default:
+			ended = true
+		}
+		return true
+	})
+	return bytesThere, ended || err != nil
+}
+
+// reset ends a connection so that the other side sees it broken rather than closed.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,263 @@
+// Package scenario owns what a day in the lab is told: the TOML file, its defaults and its check. It must never start
+// anything, draw anything or guess at what a file may have meant.
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// Duration is a time in whole nanoseconds, written as 1.5s or 20ms.
+type Duration int64
+
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("expected a time such as 1.5s or 20ms, got %q", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+func (d Duration) Std() time.Duration           { return time.Duration(d) }
+
+// Scenario is one day: who takes part, what comes, what breaks and when, and what must hold at its end.
+type Scenario struct {
+	Name   string   `toml:"name"`
+	About  string   `toml:"about"`
+	Length Duration `toml:"length"`
+	Seed   uint64   `toml:"seed"`
+
+	Network    Network    `toml:"network"`
+	Nodes      Nodes      `toml:"nodes"`
+	Fleets     []Fleet    `toml:"fleet"`
+	Reports    Reports    `toml:"reports"`
+	Discovery  Discovery  `toml:"discovery"`
+	Rules      Rules      `toml:"rules"`
+	Load       Load       `toml:"load"`
+	Categories []Category `toml:"category"`
+	Customers  []Customer `toml:"customer"`
+	Clients    Clients    `toml:"clients"`
+	Faults     []Fault    `toml:"fault"`
+	Expect     Expect     `toml:"expect"`
+
+	Path  string         `toml:"-"`
+	lines map[string]int // of keys, to say where a fault lies
+}
+
+// Network has a delay for one way between each two places. A zone's clients come through a front in their zone.
+type Network struct {
+	Zones  []string `toml:"zones"`
+	Same   Duration `toml:"same"`   // within a zone, one way
+	Cross  Duration `toml:"cross"`  // between two zones, one way
+	Client Duration `toml:"client"` // from a client to its front, one way
+	Jitter float64  `toml:"jitter"` // up to this part more
+}
+
+// Nodes are real processes. Node i stands in zone i modulo the number of zones, unless Zones says otherwise.
+type Nodes struct {
+	Count    int      `toml:"count"`
+	Zones    []string `toml:"zones"`
+	Cores    float64  `toml:"cores"`
+	MemoryMB int64    `toml:"memory_mb"` // past it the node is killed
+	Sockets  int      `toml:"sockets"`   // descriptors, set as the process's limit
+	Notice   Duration `toml:"notice"`    // until the front sees that one has died
+	OldList  bool     `toml:"old_list"`  // a node that comes back knows the list of the day's beginning
+}
+
+// Fleet is a number of servers of one kind, spread over its zones in turn.
+type Fleet struct {
+	Name    string   `toml:"name"`
+	Count   int      `toml:"count"`
+	Zones   []string `toml:"zones"`
+	PodSize int      `toml:"pod_size"`
+
+	Cores       int     `toml:"cores"`
+	Speed       float64 `toml:"speed"`  // work done by one core in a second, in seconds of work
+	Spread      float64 `toml:"spread"` // speeds lie within this part of Speed, drawn
+	Places      int     `toml:"places"` // tasks in work at a time
+	Waiting     int     `toml:"waiting"`
+	ErrorShare  float64 `toml:"error_share"`
+	DropExpired bool    `toml:"drop_expired"` // turns away what has waited past its time
+	Cancel      string  `toml:"cancel"`       // what a hand-off given up on stops: nothing, waiting or work
+
+	ColdFrom float64  `toml:"cold_from"` // share of its capacity that a server has at its start
+	WarmFor  Duration `toml:"warm_for"`
+	Cold     bool     `toml:"cold"` // started at the day's beginning, so cold then
+
+	PauseEvery Duration `toml:"pause_every"` // on average; 0: never
+	PauseFor   Duration `toml:"pause_for"`
+
+	Connections    int      `toml:"connections"`     // at most
+	ConnectionWork Duration `toml:"connection_work"` // work that a new one costs
+	ConnectionWait Duration `toml:"connection_wait"` // time that the first task on a new one waits
+	IdleClose      Duration `toml:"idle_close"`      // closes one that has stood idle this long
+}
+
+// Reports are the load reports in servers' answers.
+type Reports struct {
+	Fields []string `toml:"fields"` // inflight, queue, util, latency_ms; none: no reports
+	Period Duration `toml:"period"` // figures are taken anew this often
+	Delay  Duration `toml:"delay"`  // and seen this much later
+	Noise  float64  `toml:"noise"`
+}
+
+// Discovery tells nodes of servers.
+type Discovery struct {
+	Ask      bool     `toml:"ask"`    // nodes have to ask for a watch
+	Notice   Duration `toml:"notice"` // until a change among the servers stands in the list
+	Period   Duration `toml:"period"` // between two writings to a watch
+	Call     Duration `toml:"call"`   // to work through one call; calls wait their turn
+	PerLine  Duration `toml:"per_line"`
+	GiveUp   Duration `toml:"give_up"` // a call that waits longer fails
+	WarmKeys bool     `toml:"warm_keys"`
+}
+
+// Rules are what nodes are held to, and told.
+type Rules struct {
+	StopSending  Duration `toml:"stop_sending"`
+	AskWithin    Duration `toml:"ask_within"`
+	FallMultiple float64  `toml:"fall_multiple"`
+	FallAfter    Duration `toml:"fall_after"`
+	AnswerGrace  Duration `toml:"answer_grace"`
+	MostHandOffs int      `toml:"most_hand_offs"`
+	MayDuplicate bool     `toml:"may_duplicate"`
+	MayRecall    bool     `toml:"may_recall"`
+	MaxAdvice    Duration `toml:"max_advice"` // 0: no advice may be given
+	ConnectIn    Duration `toml:"connect_within"`
+}
+
+// Load is what clients ask for, drawn ahead.
+type Load struct {
+	Rate      float64   `toml:"rate"`       // tasks in a second, mean of all clients
+	Shape     string    `toml:"shape"`      // steady, wave, burst or month-end
+	Swing     float64   `toml:"swing"`      // how far the rate moves from its mean, as a part of it
+	Period    Duration  `toml:"period"`     // of a wave; between bursts
+	ZoneShare []float64 `toml:"zone_share"` // even if left out
+	Keys      int       `toml:"keys"`       // number of keys; 0: tasks have none
+	HotKey    float64   `toml:"hot_key"`    // share of the tasks that have one and the same key
+	Body      int       `toml:"body"`       // bytes
+}
+
+// Category of tasks.
+type Category struct {
+	Name      string   `toml:"name"`
+	Repeat    string   `toml:"repeat"` // rerunnable, ticketed or exclusive
+	Group     string   `toml:"group"`  // of a ticketed one: fleet, zone or pod
+	Memory    Duration `toml:"memory"`
+	Share     float64  `toml:"share"`
+	SoftLimit Duration `toml:"soft_limit"`
+	HardLimit Duration `toml:"hard_limit"`
+	Earnings  float64  `toml:"earnings"`
+	Work      Duration `toml:"work"`       // mean, on a core of speed 1
+	Vary      float64  `toml:"vary"`       // 0: all alike; 1: exponential
+	HandNoise float64  `toml:"hand_noise"` // one hand-off's work lies within this part of the task's
+	Estimate  bool     `toml:"estimate"`   // clients tell a guess at the work
+}
+
+// Customer whose tasks these are.
+type Customer struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"` // of the tasks that come
+	Owns  float64 `toml:"owns"`  // of the service; as Share if left out
+}
+
+// Clients tells how they behave.
+type Clients struct {
+	Retries   int      `toml:"retries"`
+	Backoff   Duration `toml:"backoff"`     // doubled with each
+	Honour    float64  `toml:"honour"`      // share that heeds advice when to come back
+	Leave     float64  `toml:"leave"`       // share that may leave early
+	Once      float64  `toml:"once"`        // share that asks once and keeps its connection for good
+	TryShare  float64  `toml:"try_share"`   // of the hard limit that one try waits
+	MostConns int      `toml:"connections"` // to a node, at most; tasks beyond wait, which counts in their times
+}
+
+// Fault is one trouble in the day. Who is named by Servers or Nodes, or drawn: Count of them or a Share.
+type Fault struct {
+	Kind     string   `toml:"kind"`
+	At       Duration `toml:"at"`
+	For      Duration `toml:"for"`
+	Servers  []string `toml:"servers"` // names as in fleet-0
+	Nodes    []int    `toml:"nodes"`
+	Zone     string   `toml:"zone"`
+	Count    int      `toml:"count"`
+	Share    float64  `toml:"share"`
+	Factor   float64  `toml:"factor"`
+	Each     Duration `toml:"each"`      // apart, when several are hit one after another
+	HandOffs float64  `toml:"hand_offs"` // share of hand-offs or answers that it hits
+	How      string   `toml:"how"`
+	Rate     float64  `toml:"rate"` // of bad clients, a second
+}
+
+// Expect is what must hold for a run to end with exit 0. No rule may be broken, whatever stands here.
+type Expect struct {
+	EarningsInTime float64  `toml:"earnings_in_time_min"` // part of the earnings that came
+	Satisfied      float64  `toml:"satisfied_min"`        // part of the tasks
+	Declined       float64  `toml:"declined_max"`
+	P99            Duration `toml:"p99_max"`
+	BadUnanswered  float64  `toml:"bad_unanswered_max"` // part of bad clients that got neither an error nor a close
+	LostMost       int      `toml:"lost_max"`           // tasks lost with nodes that were killed
+}
+
+// Read reads and checks a file. Its errors name the line and what was expected.
+func Read(path string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// Default returns what a file need not say. The figures are those of a small, healthy site.
+func Default() *Scenario {
+	s := &Scenario{Length: Duration(10 * time.Second), Seed: 1}
+	s.Network = Network{Zones: []string{"a"}, Same: ms(0.2), Cross: ms(5), Client: ms(0.3), Jitter: 0.1}
+	s.Nodes = Nodes{Count: 1, MemoryMB: 192, Sockets: 1024, Notice: ms(1000)}
+	s.Reports = Reports{Fields: []string{"queue", "inflight"}, Period: ms(400), Delay: ms(100), Noise: 0.03}
+	s.Discovery = Discovery{Ask: true, Notice: ms(500), Period: ms(200), Call: ms(20), GiveUp: ms(2000)}
+	s.Rules = Rules{StopSending: ms(500), AskWithin: ms(10000), FallMultiple: 3, FallAfter: ms(1000), AnswerGrace: ms(20),
+		MostHandOffs: 4, MayRecall: true, MaxAdvice: ms(1500), ConnectIn: ms(75)}
+	s.Load = Load{Rate: 200, Shape: "steady", Swing: 0.3, Period: ms(5000), Body: 200}
+	s.Clients = Clients{Retries: 2, Backoff: ms(20), Honour: 0.8, TryShare: 1, MostConns: 200}
+	return s
+}
+
+func ms(v float64) Duration { return Duration(v * 1e6) }
+
+// fleetDefault fills what a fleet leaves out.
+func fleetDefault(f *Fleet) {
+	def(&f.Name, "s")
+	def(&f.PodSize, 4)
+	def(&f.Cores, 2)
+	def(&f.Speed, 1)
+	def(&f.Places, 16)
+	def(&f.Waiting, 16)
+	def(&f.ColdFrom, 0.25)
+	def(&f.WarmFor, ms(15000))
+	def(&f.Connections, 1000)
+	def(&f.IdleClose, ms(60000))
+	def(&f.Cancel, "nothing")
+	if f.PauseEvery > 0 {
+		def(&f.PauseFor, ms(100))
+	}
+}
+
+func categoryDefault(c *Category) {
+	def(&c.Repeat, "rerunnable")
+	def(&c.Share, 1)
+	def(&c.Earnings, 1)
+	if c.Repeat == "ticketed" {
+		def(&c.Group, "fleet")
+		def(&c.Memory, ms(5000))
+	}
+}
+
+func def[T comparable](v *T, missing T) {
+	var zero T
+	if *v == zero {
+		*v = missing
+	}
+}
