--- /dev/null
+++ b/cmd/fawnglade-lab/weigh.go
@@ -0,0 +1,222 @@
+package main
+
+// This file owns the commands that compare, show and measure the rig itself.
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"fawnglade/internal/lab/result"
+	"fawnglade/internal/lab/rig"
+	"fawnglade/internal/lab/scenario"
+)
+
+func compare() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "compare SCENARIO",
+		Short: "Play two builds on the same seeds in turn and tell how they differ",
+		Long: `Play two builds on the same seeds in turn and tell how they differ.
+
+A build is a command or the path of a node's program, or a built-in plain proxy: ` + "plain:" + strings.Join(rig.PlainKinds, ", plain:") + `.
+Which of the two goes first changes with each pair.`,
+		Example: "  fawnglade-lab compare lab/scenarios/slow.toml --a plain:random --b bin/fawnglade --pairs 5\n" +
+			"  fawnglade-lab compare lab/scenarios/calm.toml --a old/fawnglade --b bin/fawnglade --json",
+		Args: cobra.ExactArgs(1),
+	}
+	a := c.Flags().String("a", "", "the one build")
+	b := c.Flags().String("b", "", "the other; by default the node beside this program")
+	pairs := c.Flags().Int("pairs", 3, "how many seeds, beginning with the scenario's")
+	asJSON := c.Flags().Bool("json", false, "print one JSON object")
+	c.MarkFlagRequired("a")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		if *pairs < 1 || *pairs > 1000 {
+			return fmt.Errorf("--pairs: expected 1 to 1000, got %d", *pairs)
+		}
+		s, err := scenario.Read(args[0])
+		if err != nil {
+			return err
+		}
+		wordsA, err := commandOf(*a)
+		if err != nil {
+			return err
+		}
+		wordsB, err := nodeCommand(*b)
+		if err != nil {
+			return err
+		}
+		var as, bs []*result.Result
+		for i := range *pairs {
+			seed := s.Seed + uint64(i)
+			first, second := wordsA, wordsB
+			if i%2 == 1 {
+				first, second = wordsB, wordsA
+			}
+			x, err := once(c.Context(), s, seed, first, "", false)
+			if err != nil {
+				return err
+			}
+			y, err := once(c.Context(), s, seed, second, "", false)
+			if err != nil {
+				return err
+			}
+			if i%2 == 1 {
+				x, y = y, x
+			}
+			as, bs = append(as, x), append(bs, y)
+		}
+		nameB := *b
+		if nameB == "" {
+			nameB = "fawnglade"
+		}
+		found, err := result.Paired(s.Name, *a, nameB, as, bs)
+		if err != nil {
+			return err
+		}
+		if *asJSON {
+			if err := printJSON(c.OutOrStdout(), found); err != nil {
+				return err
+			}
+		} else {
+			found.Print(c.OutOrStdout())
+		}
+		if found.Pairs == 0 {
+			return errors.New("the machine ran late in every pair: nothing can be said")
+		}
+		return nil
+	}
+	return c
+}
+
+func report() *cobra.Command {
+	return &cobra.Command{
+		Use:   "report DIR",
+		Short: "Make one page with plots of a run that was kept with --out",
+		Example: "  fawnglade-lab run lab/scenarios/slow.toml --out out\n" +
+			"  fawnglade-lab report out/slow",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			r, err := result.Load(args[0])
+			if err != nil {
+				return err
+			}
+			path := filepath.Join(args[0], "report.html")
+			f, err := os.Create(path)
+			if err != nil {
+				return err
+			}
+			if err := errors.Join(r.Page(f), f.Close()); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), path)
+			return nil
+		},
+	}
+}
+
+// step is one rate at which the rig was tried without a node.
+type step struct {
+	Rate   float64 `json:"rate"`
+	Tasks  int     `json:"tasks"`
+	Whole  int     `json:"satisfied"`
+	LateMs float64 `json:"late_ms"` // 95% of the time no later than this
+	P50    float64 `json:"p50_ms"`
+	P99    float64 `json:"p99_ms"`
+	Most   float64 `json:"most_ms"`
+	CPU    float64 `json:"cpu_us_a_task"`
+	Held   bool    `json:"held"`
+}
+
+// capacity measures the rig alone: clients and servers with nothing between them.
+func capacity() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "capacity",
+		Short: "Measure how many tasks a second the rig itself carries, without a node",
+		Long: `Measure how many tasks a second the rig itself carries, without a node.
+
+Clients ask the stand-in servers themselves, at rates that grow by half until the rig is late by more than 5 ms in a
+twentieth of the time, or a task goes unanswered.`,
+		Example: "  fawnglade-lab capacity\n  fawnglade-lab capacity --cores 2 --seconds 3 --json",
+		Args:    cobra.NoArgs,
+	}
+	cores := c.Flags().Int("cores", 1, "cores that the rig may use")
+	from := c.Flags().Float64("from", 8000, "tasks a second to begin with")
+	most := c.Flags().Float64("most", 100000, "tasks a second to end with")
+	seconds := c.Flags().Int("seconds", 3, "how long each rate is held")
+	asJSON := c.Flags().Bool("json", false, "print one JSON object")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if *cores < 1 || *from < 1 || *most > 100000 || *seconds < 1 || *seconds > 60 {
+			return errors.New("expected --cores and --from of at least 1, --most up to 100000, --seconds from 1 to 60")
+		}
+		runtime.GOMAXPROCS(*cores)
+		var steps []step
+		for rate := *from; rate <= *most; rate *= 1.5 {
+			s, err := scenario.Parse("capacity", fmt.Appendf(nil, capacityText, *seconds, rate))
+			if err != nil {
+				return err
+			}
+			before := ownCPU()
+			record, err := rig.Play(c.Context(), rig.Options{Scenario: s, Seed: 1, Direct: true})
+			if err != nil {
+				return err
+			}
+			used := ownCPU() - before
+			r := result.Of(s, record)
+			one := step{Rate: rate, Tasks: r.Tasks, Whole: r.Satisfied, LateMs: r.LateMs, P50: r.P50, P99: r.P99, Most: r.Most,
+				CPU: used.Seconds() * 1e6 / float64(max(r.Tasks, 1)), Held: r.Satisfied == r.Tasks && r.LateMs <= 5}
+			steps = append(steps, one)
+			if !*asJSON {
+				fmt.Fprintf(c.OutOrStdout(), "%8.0f a second: %d of %d satisfied, late %.2f ms, p50 %.2f ms, p99 %.2f ms, %.1f us of CPU a task\n",
+					one.Rate, one.Whole, one.Tasks, one.LateMs, one.P50, one.P99, one.CPU)
+			}
+			if !one.Held {
+				fmt.Fprintln(c.ErrOrStderr(), "declined", r.Declined, "broken off", r.BrokenOff, "lost", r.Lost, r.Odd, r.HandOffs, r.Breaks)
+				break
+			}
+		}
+		if *asJSON {
+			return printJSON(c.OutOrStdout(), map[string]any{"cores": *cores, "steps": steps})
+		}
+		return nil
+	}
+	return c
+}
+
+const capacityText = `
+name = "capacity"
+length = "%ds"
+[network]
+same = "0s"
+client = "0s"
+[[fleet]]
+name = "s"
+count = 1
+cores = 64
+places = 4096
+speed = 100
+[reports]
+fields = []
+[load]
+rate = %f
+[clients]
+connections = 64
+retries = 0
+[[category]]
+name = "view"
+soft_limit = "200ms"
+hard_limit = "2s"
+work = "10us"
+`
+
+func ownCPU() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/lab/rig/day.go
+++ b/internal/lab/rig/day.go
@@ -28,6 +28,7 @@
 	Scenario *scenario.Scenario
 	Seed     uint64
 	Start    Start
+	Direct   bool   // clients ask the servers themselves: the rig is measured without a node
 	Out      string // where logs of nodes go; a directory of its own, gone at the end, if empty
 	Log      *zap.Logger
 	Progress func(at, length time.Duration, settled, tasks int)
@@ -71,6 +72,7 @@
 	t0       time.Time
 	base     int64 // when the day itself began, after its preparation
 	hash     string
+	direct   bool
 	ledger   *ledger.Ledger
 	gauge    *gauge
 	group    errgroup.Group
@@ -142,6 +144,7 @@
 			err = errors.Join(d.problems...)
 		}
 	}()
+	d.direct = o.Direct
 	if err := d.prepare(ctx); err != nil {
 		return nil, err
 	}
@@ -334,7 +337,11 @@
 	}
 	d.discovery.keepFirst()
 	d.clients = newClients(d)
-	for _, n := range d.nodes {
+	for i, n := range d.nodes {
+		if d.direct {
+			n.address, n.in = d.listed[i%len(d.listed)].doors[i].address, true
+			continue
+		}
 		if err := n.start(); err != nil {
 			return err
 		}
@@ -348,7 +355,7 @@
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
-			case <-p.Done():
+			case <-p.Done(): // a node that is in has a process, so one that is not yet has too
 				return fmt.Errorf("node %d ended before it was ready: %s", n.index, lastLine(n.log.Name()))
 			case <-time.After(5 * time.Millisecond):
 			}
@@ -457,7 +464,16 @@
 		if d.discovery != nil {
 			d.discovery.close()
 		}
-		d.group.Wait()
+		gone := make(chan struct{})
+		go func() {
+			d.group.Wait()
+			close(gone)
+		}()
+		select {
+		case <-gone:
+		case <-time.After(stopWithin):
+			d.problems = append(d.problems, errors.New("parts of the rig did not end; this is a fault of the rig"))
+		}
 		for _, n := range d.nodes {
 			if n.log != nil {
 				n.log.Close()
--- a/internal/lab/rig/discovery.go
+++ b/internal/lab/rig/discovery.go
@@ -159,10 +159,15 @@
 			c.SetReadDeadline(time.Time{})
 			in.fill()
 			close(k.gone)
-			<-k.answered
+		}
+		select {
+		case <-k.answered:
+		case <-s.day.over: // a call that nobody worked through any more
+			return
+		}
+		if watch {
 			return
 		}
-		<-k.answered
 	}
 }
 
