--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -55,6 +55,8 @@
 	Whole    int64 // when its last byte was written
 	Hard     int64
 	Left     int64 // when the client went; Never if it stayed
+	Crossed  int64 // when the node's closing was seen to cross it, and it was sent again; Never if it was not
+	From     int64 // of a try sent again: when the first was crossed. What was handed off before is not this one's
 
 	Answered int64 // when the last byte of the answer had come; Never if none did
 	Status   int
@@ -157,7 +159,7 @@
 
 // Sent records a try that a node has taken.
 func (l *Ledger) Sent(t *Try) {
-	t.Left, t.Answered, t.Ended, t.Extra = Never, Never, Never, Never
+	t.Left, t.Crossed, t.Answered, t.Ended, t.Extra = Never, Never, Never, Never, Never
 	l.change(func() { l.Tries = append(l.Tries, t) })
 }
 
--- /dev/null
+++ b/internal/lab/model/model_test.go
@@ -0,0 +1,198 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+const msec = int64(1e6)
+
+func kind() Kind {
+	return Kind{Cores: 2, Speed: 1, Places: 4, Waiting: 2, ColdFrom: 0.25, WarmFor: 10000 * msec, FallMultiple: 3, FallAfter: 1000 * msec}
+}
+
+const longAgo = math.MinInt64 / 2
+
+// drive advances a server by its own wishes and tells when each job ended.
+func drive(s *Server, until int64) map[int64]int64 {
+	ends := map[int64]int64{}
+	for {
+		for _, d := range s.Advance(min(s.Next(), until)) {
+			ends[d.Job.ID] = d.At
+			if d.Expired {
+				ends[d.Job.ID] = -1
+			}
+		}
+		if s.Next() >= until {
+			for _, d := range s.Advance(until) {
+				ends[d.Job.ID] = d.At
+			}
+			return ends
+		}
+	}
+}
+
+func near(t *testing.T, what string, got, want int64) {
+	t.Helper()
+	if d := got - want; d < -msec/10 || d > msec/10 {
+		t.Errorf("%s: %.3f ms, want %.3f", what, float64(got)/1e6, float64(want)/1e6)
+	}
+}
+
+// Two cores, three tasks of 10 ms: each gets two thirds of a core.
+func TestWorkIsShared(t *testing.T) {
+	s := NewServer(kind(), longAgo, 0, 1)
+	for id := range int64(3) {
+		s.Arrive(0, &Job{ID: id, Work: 10 * msec, Until: Never})
+	}
+	ends := drive(s, 100*msec)
+	for id := range int64(3) {
+		near(t, fmt.Sprint("task ", id), ends[id], 15*msec)
+	}
+}
+
+// Guards against ends that are lost because something else advanced the server: one hand-off in 200 was.
+func TestEndsAreNotLostToArrivals(t *testing.T) {
+	s := NewServer(kind(), longAgo, 0, 1)
+	s.Arrive(0, &Job{ID: 1, Work: 5 * msec, Until: Never})
+	s.Arrive(9*msec, &Job{ID: 2, Work: 5 * msec, Until: Never})
+	s.Connected(20 * msec)
+	s.Take(21 * msec)
+	if ends := drive(s, 50*msec); len(ends) != 2 {
+		t.Errorf("ends %v, want those of both", ends)
+	}
+}
+
+func TestPlacesWaitingAndTurnedAway(t *testing.T) {
+	s := NewServer(kind(), longAgo, 0, 1)
+	accepted := 0
+	for id := range int64(10) {
+		if ok, _ := s.Arrive(0, &Job{ID: id, Work: 10 * msec, Until: Never}); ok {
+			accepted++
+		}
+	}
+	if accepted != 6 || s.Held() != 6 {
+		t.Errorf("%d accepted, %d held, want 6 of each: four places, two waiting", accepted, s.Held())
+	}
+	if ends := drive(s, 1000*msec); len(ends) != 6 {
+		t.Errorf("%d ended, want 6", len(ends))
+	}
+}
+
+func TestWaitedPastItsTime(t *testing.T) {
+	k := kind()
+	k.Places, k.DropExpired = 1, true
+	s := NewServer(k, longAgo, 0, 1)
+	s.Arrive(0, &Job{ID: 1, Work: 10 * msec, Until: Never})
+	s.Arrive(0, &Job{ID: 2, Work: 10 * msec, Until: 5 * msec})
+	if ends := drive(s, 100*msec); ends[2] != -1 {
+		t.Errorf("a task that waited past its time ended at %d, want it turned away", ends[2])
+	}
+}
+
+func TestGivenUp(t *testing.T) {
+	for cancel, want := range map[Cancel][2]bool{CancelsNothing: {false, false}, CancelsWaiting: {false, true}, CancelsWork: {true, true}} {
+		k := kind()
+		k.Places, k.Cancel = 1, cancel
+		s := NewServer(k, longAgo, 0, 1)
+		s.Arrive(0, &Job{ID: 1, Work: 10 * msec, Until: Never})
+		s.Arrive(0, &Job{ID: 2, Work: 10 * msec, Until: Never})
+		waiting, never := s.GiveUp(msec, 2)
+		work, _ := s.GiveUp(msec, 1)
+		if got := [2]bool{work, waiting}; got != want || never != waiting {
+			t.Errorf("cancel %d stops work, waiting: %v, want %v", cancel, got, want)
+		}
+	}
+}
+
+func TestStandsStill(t *testing.T) {
+	s := NewServer(kind(), longAgo, 0, 1)
+	s.Arrive(0, &Job{ID: 1, Work: 10 * msec, Until: Never})
+	s.Stop(5*msec, 105*msec)
+	near(t, "task over a pause", drive(s, 200*msec)[1], 110*msec)
+}
+
+func TestWarmsUp(t *testing.T) {
+	s := NewServer(kind(), 0, 0, 1)
+	if c := s.Capacity(); c != 0.5 {
+		t.Errorf("capacity at the start %v, want a quarter of 2", c)
+	}
+	s.Advance(5000 * msec)
+	if c := s.Capacity(); math.Abs(c-1.25) > 1e-9 {
+		t.Errorf("capacity half way %v, want 1.25", c)
+	}
+	s.Advance(10000 * msec)
+	if c := s.Capacity(); c != 2 {
+		t.Errorf("capacity at the end %v, want 2", c)
+	}
+}
+
+// A cold server takes three times its capacity for a second and no more; what it turns away pushes too.
+func TestFallsOver(t *testing.T) {
+	push := func(each int64, every int64) (*Server, *Fall) {
+		s := NewServer(kind(), 0, 0, 1)
+		for at := int64(0); at < 1000*msec; at += every {
+			if _, fall := s.Arrive(at, &Job{Work: each, Until: Never, Node: 3}); fall != nil {
+				return s, fall
+			}
+		}
+		return s, nil
+	}
+	if _, fall := push(10*msec, 10*msec); fall != nil {
+		t.Errorf("fell over under twice its capacity: %+v", fall)
+	}
+	s, fall := push(10*msec, 4*msec)
+	if fall == nil || !s.IsDown() {
+		t.Fatal("did not fall over under five times its capacity")
+	}
+	if fall.Work < 1.5 || fall.Work > 2 || fall.Pushes[0].Node != 3 {
+		t.Errorf("fell at %v s of work in a second, want a little over 3 x 0.5", fall.Work)
+	}
+	if warm := NewServer(kind(), longAgo, 0, 1); warm.Warmth() != 1 {
+		t.Error("a server that started long ago is not warm")
+	}
+}
+
+func TestFigures(t *testing.T) {
+	s := NewServer(kind(), longAgo, 0, 1)
+	for id := range int64(5) {
+		s.Arrive(0, &Job{ID: id, Work: 20 * msec, Until: Never})
+	}
+	if f := s.Take(10 * msec); f.Held != 4 || f.Queue != 1 || math.Abs(f.Utilised-1) > 0.01 {
+		t.Errorf("figures %+v, want 4 held, 1 waiting, both cores in use", f)
+	}
+	s.Advance(200 * msec)
+	if f := s.Take(210 * msec); f.Held != 0 || f.ServiceTime < 30 {
+		t.Errorf("figures %+v, want nothing held and the time that tasks took", f)
+	}
+}
+
+func TestMemory(t *testing.T) {
+	m := NewMemory(100)
+	if m.Seen(0, "a") || !m.Seen(99, "a") || m.Seen(100, "a") || !m.Seen(150, "a") {
+		t.Error("a ticket is remembered from its first time for the span, and not longer")
+	}
+}
+
+func TestRoster(t *testing.T) {
+	r := NewRoster(40)
+	r.Set(Listed{Server: 2, Health: Up})
+	r.Set(Listed{Server: 1, Health: Up})
+	r.Set(Listed{Server: 2, Health: Draining})
+	r.Set(Listed{Server: 1, Health: Removed})
+	if got := r.Whole(); len(got) != 1 || got[0].Health != Draining {
+		t.Errorf("whole list %v, want server 2 draining", got)
+	}
+	if got, whole := r.After(42); whole || len(got) != 2 || got[0].Health != Draining || got[1].Health != Removed {
+		t.Errorf("after 42: %v %v, want the last state of both", got, whole)
+	}
+	for _, version := range []int64{0, 7, 99} {
+		if _, whole := r.After(version); !whole {
+			t.Errorf("after %d: not the whole list, though nobody can tell what has changed", version)
+		}
+	}
+	if got, whole := r.After(44); whole || len(got) != 0 {
+		t.Errorf("after the newest: %v %v, want nothing", got, whole)
+	}
+}
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -67,6 +67,8 @@
 
 	pushes []Push // of a cold server, within the window
 
+	done []Done
+
 	busy       float64 // core-seconds used since the last figure was taken
 	taken      int64
 	figure     Figure
@@ -120,10 +122,13 @@
 func (s *Server) Capacity() float64 { return float64(s.Cores) * s.Speed * s.Warmth() * s.Slowness }
 
 // Stop makes the server stand still for a while.
-func (s *Server) Stop(now, until int64) { s.Advance(now); s.stopped = max(s.stopped, until) }
+func (s *Server) Stop(now, until int64) { s.advance(now); s.stopped = max(s.stopped, until) }
+
+// SetSlowness makes the server do that part of its work from now on.
+func (s *Server) SetSlowness(now int64, part float64) { s.advance(now); s.Slowness = part }
 
 // Down is the server's end; nothing that it held is finished.
-func (s *Server) Down() { s.dead, s.jobs, s.queue = true, nil, nil }
+func (s *Server) Down() { s.dead, s.jobs, s.queue, s.done = true, nil, nil, nil }
 
 // IsDown tells whether it has ended.
 func (s *Server) IsDown() bool { return s.dead }
@@ -134,8 +139,17 @@
 // step is the longest time over which the warmth is taken to stand still.
 const step = int64(50e6)
 
-// Advance does the work up to now and returns the jobs that ended, each with its moment in the past.
-func (s *Server) Advance(now int64) (done []Done) {
+// Advance does the work up to now and returns the jobs that have ended since it was last asked, each with its moment
+// in the past.
+func (s *Server) Advance(now int64) []Done {
+	s.advance(now)
+	done := s.done
+	s.done = nil
+	return done
+}
+
+// advance keeps what ends for the next who asks: guards against ends that are lost as an arrival's side effect.
+func (s *Server) advance(now int64) {
 	for s.now < now && !s.dead {
 		until := min(now, s.now+step)
 		if s.nextStop <= s.now {
@@ -148,10 +162,9 @@
 			s.now = min(until, s.stopped)
 			continue
 		}
-		done = append(done, s.work(until)...)
+		s.done = append(s.done, s.work(until)...)
 	}
 	s.now = max(s.now, now)
-	return done
 }
 
 // Done is a job that has ended.
@@ -237,7 +250,7 @@
 // Arrive hands a job to the server: in work or waiting, or turned away. A fall means that the server has just been
 // pushed over and has ended.
 func (s *Server) Arrive(now int64, j *Job) (accepted bool, fall *Fall) {
-	s.Advance(now)
+	s.advance(now)
 	if s.dead {
 		return false, nil
 	}
@@ -260,7 +273,7 @@
 
 // Connected charges the work of a new connection.
 func (s *Server) Connected(now int64) {
-	s.Advance(now)
+	s.advance(now)
 	s.extra += float64(s.ConnectionWork) / 1e9
 }
 
@@ -291,7 +304,7 @@
 
 // GiveUp tells that nobody waits for a job any more. It returns whether that stopped it, and whether it had not begun.
 func (s *Server) GiveUp(now int64, id int64) (stopped, neverRan bool) {
-	s.Advance(now)
+	s.advance(now)
 	for i, j := range s.queue {
 		if j.ID == id && s.Cancel >= CancelsWaiting {
 			s.queue = append(s.queue[:i], s.queue[i+1:]...)
@@ -309,6 +322,9 @@
 
 // Next is when the server wants to be advanced at the latest.
 func (s *Server) Next() int64 {
+	if len(s.done) > 0 {
+		return s.now
+	}
 	if s.dead || len(s.jobs) == 0 {
 		return Never
 	}
@@ -330,7 +346,7 @@
 
 // Take takes the figures of a load report anew.
 func (s *Server) Take(now int64) Figure {
-	s.Advance(now)
+	s.advance(now)
 	span := float64(now-s.taken) / 1e9
 	f := Figure{Held: float64(len(s.jobs)), Queue: float64(len(s.queue)), ServiceTime: s.figure.ServiceTime}
 	if span > 0 {
--- /dev/null
+++ b/internal/lab/plan/plan_test.go
@@ -0,0 +1,97 @@
+package plan
+
+import (
+	"math"
+	"testing"
+
+	"fawnglade/internal/lab/scenario"
+)
+
+func drawn(t *testing.T, load string, seed uint64) *Plan {
+	t.Helper()
+	s, err := scenario.Parse("f", []byte(`name = "x"
+length = "60s"
+[network]
+zones = ["a", "b"]
+[[fleet]]
+count = 40
+spread = 0.3
+[[category]]
+name = "view"
+soft_limit = "100ms"
+hard_limit = "500ms"
+work = "5ms"
+vary = 1
+share = 3
+[[category]]
+name = "pay"
+soft_limit = "100ms"
+hard_limit = "500ms"
+work = "5ms"
+[[fault]]
+kind = "slow"
+at = "1s"
+share = 0.25
+zone = "b"
+[[fault]]
+kind = "bad-clients"
+at = "2s"
+for = "4s"
+[load]
+rate = 500
+`+load))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Draw(s, seed)
+}
+
+func TestSameSeedSamePlan(t *testing.T) {
+	a, b, other := drawn(t, "", 5), drawn(t, "", 5), drawn(t, "", 6)
+	if a.Hash() != b.Hash() {
+		t.Error("two plans of one seed differ")
+	}
+	if a.Hash() == other.Hash() {
+		t.Error("plans of two seeds are the same")
+	}
+	// A change of one part leaves the draws of the others alone.
+	keyed := drawn(t, "keys = 10", 5)
+	if keyed.Servers[7] != a.Servers[7] || keyed.Bad[3] != a.Bad[3] || len(keyed.Faults[0].Targets) != len(a.Faults[0].Targets) {
+		t.Error("keys of tasks changed the draws of servers, faults or bad clients")
+	}
+}
+
+func TestDrawsAreWhatTheFileSays(t *testing.T) {
+	for _, load := range []string{"", `shape = "wave"`, "shape = \"burst\"\nswing = 0.8", `shape = "month-end"`} {
+		p := drawn(t, load, 1)
+		if n := float64(len(p.Tasks)); math.Abs(n-30000) > 6*math.Sqrt(30000) && load != `shape = "month-end"` {
+			t.Errorf("%s: %v tasks in a minute, want about 30,000", load, n)
+		}
+		last := int64(0)
+		for _, task := range p.Tasks {
+			if task.Due < last {
+				t.Fatalf("%s: tasks are not in order", load)
+			}
+			last = task.Due
+		}
+	}
+	p := drawn(t, "", 1)
+	view, work := 0, 0.0
+	for _, task := range p.Tasks {
+		if task.Category == 0 {
+			view++
+			work += float64(task.Work) / 5e6
+		}
+	}
+	if part := float64(view) / float64(len(p.Tasks)); math.Abs(part-0.75) > 0.02 || math.Abs(work/float64(view)-1) > 0.05 {
+		t.Errorf("share of views %.3f, work by its mean %.3f; want 0.75 and 1", part, work/float64(view))
+	}
+	if targets := p.Faults[0].Targets; len(targets) != 5 || p.Servers[targets[0]].Zone != "b" {
+		t.Errorf("hit %v, want a quarter of zone b's twenty", targets)
+	}
+	for _, b := range p.Bad {
+		if b.Due < 2e9 || b.Due >= 6e9 {
+			t.Errorf("a bad client at %d, outside its time", b.Due)
+		}
+	}
+}
