--- /dev/null
+++ b/cmd/fawnglade-lab/main_test.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var bin string // where the programs are that TestMain has built
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "lab-test-")
+	if err != nil {
+		panic(err)
+	}
+	bin = dir
+	build := exec.Command("go", "build", "-o", dir+"/", "../fawnglade", ".")
+	build.Stderr = os.Stderr
+	code := 2
+	if err := build.Run(); err == nil {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// lab runs the program and returns its exit code and what it wrote.
+func lab(t *testing.T, args ...string) (code int, out, complaint string) {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	c := exec.Command(filepath.Join(bin, "fawnglade-lab"), args...)
+	c.Stdout, c.Stderr = &stdout, &stderr
+	err := c.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return c.ProcessState.ExitCode(), stdout.String(), stderr.String()
+}
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "x.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestWhatCannotRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		args []string
+		want string
+	}{
+		"unknown key":      {[]string{"run", file(t, "name = \"x\"\nsped = 1\n")}, "x.toml:2: unknown key sped"},
+		"no such file":     {[]string{"run", "/nowhere.toml"}, "no such file"},
+		"no scenario":      {[]string{"run"}, "requires at least 1 arg"},
+		"no such node":     {[]string{"demo", "--node", "/nowhere/node"}, "/nowhere/node"},
+		"no such plain":    {[]string{"demo", "--node", "plain:best"}, "expected plain: and one of random"},
+		"too short":        {[]string{"demo", "--seconds", "1"}, "expected 6 to 600"},
+		"no such order":    {[]string{"play"}, "unknown command"},
+		"a node that ends": {[]string{"demo", "--node", "false x"}, "ended before it was ready"},
+		"no result there":  {[]string{"report", t.TempDir()}, "no such file"},
+	} {
+		if code, out, complaint := lab(t, c.args...); code != exitNoRun || out != "" || !strings.Contains(complaint, c.want) {
+			t.Errorf("%s: exit %d, %q on standard output, %q; want exit 2 and %q", name, code, out, complaint, c.want)
+		}
+	}
+}
+
+// The newcomer's command, around a real node: a fault, a drain, a table, exit 0. Then its report.
+func TestDemo(t *testing.T) {
+	var code int
+	var out, complaint string
+	for range 3 {
+		if code, out, complaint = lab(t, "demo", "--seconds", "6", "--json"); code != exitNoRun {
+			break
+		}
+	}
+	if strings.Contains(complaint, "ran late") {
+		t.Skip(complaint)
+	}
+	var r map[string]any
+	if err := json.Unmarshal([]byte(out), &r); err != nil || code != exitHeld || complaint != "" {
+		t.Fatalf("exit %d, %v: %s %s", code, err, out, complaint)
+	}
+	for _, name := range []string{"satisfied", "declined", "broken_off", "lost", "rules_broken", "earnings_in_time", "p50_ms", "p99_ms"} {
+		if _, there := r[name].(float64); !there {
+			t.Errorf("%s is not told", name)
+		}
+	}
+	if r["satisfied"].(float64) < 1000 {
+		t.Errorf("%v satisfied, want over a thousand", r["satisfied"])
+	}
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "result.json"), []byte(out), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, _, complaint := lab(t, "report", dir); code != exitHeld {
+		t.Fatal(complaint)
+	}
+	page, err := os.ReadFile(filepath.Join(dir, "report.html"))
+	if err != nil || bytes.Count(page, []byte("<svg")) != 4 || bytes.Contains(page, []byte("<script")) || bytes.Contains(page, []byte("src=")) {
+		t.Errorf("%d plots in the page, %v; want four and nothing fetched", bytes.Count(page, []byte("<svg")), err)
+	}
+}
+
+// A handful of the shipped days around the real node.
+func TestScenarios(t *testing.T) {
+	var paths []string
+	for _, name := range []string{"calm", "drained", "fail-fast", "nodes-killed", "bad-clients"} {
+		paths = append(paths, filepath.Join("..", "..", "lab", "scenarios", name+".toml"))
+	}
+	code, out, complaint := lab(t, append([]string{"run", "--retry", "3"}, paths...)...)
+	if strings.Contains(complaint, "ran late") {
+		t.Skip(complaint)
+	}
+	if code != exitHeld {
+		t.Errorf("exit %d: %s\n%s", code, complaint, out)
+	}
+}
+
+// An expectation that does not hold is exit 1, and is named.
+func TestFellShort(t *testing.T) {
+	text, err := os.ReadFile("demo.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := file(t, strings.NewReplacer(`"10s"`, `"6s"`, "earnings_in_time_min = 0.9", "p99_max = \"1ms\"").Replace(string(text)))
+	code, out, complaint := lab(t, "run", "--retry", "3", path)
+	if strings.Contains(complaint, "ran late") {
+		t.Skip(complaint)
+	}
+	if code != exitFell || !strings.Contains(out, "not as expected: 99th percentile") {
+		t.Errorf("exit %d: %s %s", code, out, complaint)
+	}
+}
+
+func TestCompare(t *testing.T) {
+	text, err := os.ReadFile("demo.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := file(t, strings.Replace(string(text), `length = "10s"`, `length = "5s"`, 1))
+	code, out, complaint := lab(t, "compare", path, "--a", "plain:round-robin", "--b", filepath.Join(bin, "fawnglade"), "--pairs", "2", "--json")
+	if strings.Contains(complaint, "ran late") {
+		t.Skip(complaint)
+	}
+	var c struct {
+		Pairs, Void int
+		BrokenB     int `json:"rules_broken_b"`
+		Differences []struct {
+			Name string
+			A, B []float64
+		}
+	}
+	if err := json.Unmarshal([]byte(out), &c); err != nil || code != exitHeld {
+		t.Fatalf("exit %d, %v: %s %s", code, err, out, complaint)
+	}
+	if c.Pairs+c.Void != 2 || c.BrokenB != 0 || c.Differences[0].Name != "earnings_in_time" || len(c.Differences[0].A) != c.Pairs {
+		t.Errorf("%s", out)
+	}
+}
+
+// Whatever ends the rig, its nodes end too.
+func TestNodesEndWithTheRig(t *testing.T) {
+	for _, s := range []syscall.Signal{syscall.SIGINT, syscall.SIGKILL} {
+		c := exec.Command(filepath.Join(bin, "fawnglade-lab"), "demo", "--seconds", "60")
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		var node string
+		for end := time.Now().Add(20 * time.Second); node == ""; time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("no node started")
+			}
+			children, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", c.Process.Pid))
+			for _, path := range children {
+				text, _ := os.ReadFile(path)
+				node += strings.TrimSpace(string(text))
+			}
+		}
+		c.Process.Signal(s)
+		c.Wait()
+		if s == syscall.SIGINT && c.ProcessState.ExitCode() != exitNoRun {
+			t.Errorf("interrupted: exit %d, want 2", c.ProcessState.ExitCode())
+		}
+		for end := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+			// One that has ended and that nobody waits for stands there as a zombie, where the system reaps slowly.
+			stat, err := os.ReadFile("/proc/" + node + "/stat")
+			if err != nil || strings.Contains(string(stat), ") Z ") {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatalf("after %v node %s still runs", s, node)
+			}
+		}
+	}
+}
