--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= $(NODE_CONFIG)
 
-.PHONY: build test race lint run
+.PHONY: build test race lint run demo lab
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -17,3 +17,10 @@
 
 run: build
 	exec bin/fawnglade serve --config "$(CONFIG)"
+
+demo: build
+	bin/fawnglade-lab demo
+
+# All days of the lab, some minutes long; results and nodes' logs stay in out/.
+lab: build
+	bin/fawnglade-lab run lab/scenarios/*.toml --out out --retry 2
