--- /dev/null
+++ b/internal/fading/fading.go
@@ -0,0 +1,25 @@
+// Package fading owns sums of what was seen that lose weight as they age, with a prior for what they lack. It must
+// never know what they are of.
+package fading
+
+// Pair sums up two figures that come together. The zero value has seen nothing.
+type Pair struct {
+	A, B, N float64 // sums, and the weight of what they hold
+}
+
+// Add takes in one sighting. Those before it fade so that the weight stays at most.
+func (p *Pair) Add(a, b, most float64) {
+	p.Fade(min(1, (most-1)/max(p.N, 1)))
+	p.A, p.B, p.N = p.A+a, p.B+b, p.N+1
+}
+
+// Fade leaves a part of all that was seen.
+func (p *Pair) Fade(part float64) { p.A, p.B, p.N = p.A*part, p.B*part, p.N*part }
+
+// Over is the mean of each figure, with a prior that counts as one sighting.
+func (p *Pair) Over(a, b float64) (float64, float64) {
+	return (p.A + a) / (p.N + 1), (p.B + b) / (p.N + 1)
+}
+
+// Level is the mean of the first figure over a prior of 1.
+func (p *Pair) Level() float64 { return (p.A + 1) / (p.N + 1) }
--- /dev/null
+++ b/internal/rank/rank.go
@@ -0,0 +1,20 @@
+// Package rank owns the order in which servers stand for a key, the same everywhere without any talk: the highest of a
+// hash of both comes first (Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998). It must
+// never change from one build to the next, or nodes of two builds would disagree.
+package rank
+
+// Key is a key's part of the hash.
+func Key(key string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(key) {
+		h = (h ^ uint64(key[i])) * 1099511628211
+	}
+	return h
+}
+
+// Of is where a server stands for a key; the higher the earlier.
+func Of(key uint64, server uint32) uint64 {
+	h := (key ^ uint64(server)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>31) * 0x94d049bb133111eb
+	return h ^ h>>29
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -179,8 +179,7 @@
 	if p.has("parties.count") {
 		for i := range p.count("parties.count", 0) {
 			at := fmt.Sprintf("parties.%d.", i)
-			s.Customers = append(s.Customers, policy.Customer{
-				Portion: p.number(at+"portion", 0)})
+			s.Portions = append(s.Portions, p.number(at+"portion", 0))
 			all.Customers = append(all.Customers, values[at+"name"])
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,14 +1,19 @@
 // Package policy decides which server gets each task, and when a task is sent again, declined or broken off.
 //
-// How to call it: New takes the settings, a seed and a Host; after that call the one method for each thing
-// that happens, in order, with the clock. It answers by calling the Host before the method returns. It
-// keeps no clock and starts nothing, so one instance must not be entered twice at a time. The settings, the
-// events and the Host are in types.go; docs/design.md tells what follows the paper and what departs from it.
+// New takes the settings, a seed and a Host; then call the one method for each thing that happens, in order,
+// with the clock, one at a time. It calls the Host before it returns, keeps no clock and starts nothing.
+// docs/design.md tells what follows the paper and what departs from it.
 package policy
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"slices"
-	"sort"
+
+	"fawnglade/internal/fading"
+	"fawnglade/internal/rank"
+	"fawnglade/internal/shares"
+	"fawnglade/internal/sums"
 )
 
 const (
@@ -24,7 +29,6 @@
 	single      = 0.9        // the same where each miss counts only for itself
 	smallest    = 0.25       // part of the mean work that a task counts for at least
 	nearest     = 0.1        // the quantile that tells the way to a zone from the work
-	shareStore  = 8          // tasks that a customer may ask for at once after asking for less than its share
 	forget      = 0.5        // part of what answers showed that still counts a second later
 	odd         = 3          // an answer counts for at most this multiple of what its fellows show
 	failed      = 0.25       // running part of failures that puts a server out of the draw
@@ -34,9 +38,12 @@
 	keyFade     = 0.9 // part of the tasks asked for a key that still counts a second later
 	homesPart   = 1.5 // homes of a key, over its part of the tasks times the servers
 	warmPull    = 1.0 / floorPart
-	listCookie  = 0
-	tickCookie  = 1
-	firstTask   = 2
+	slack       = 3   // a ceiling over 1/w when worked out: what is shared may fall by 0.84^4 * 0.7 till then
+	levelFell   = .84 // the fleet's and a pod's level, which enter w squared
+	meanFell    = .7
+	tries       = 32 // draws by ceilings before one that passes over all
+
+	listCookie, tickCookie, firstTask = 0, 1, 2
 )
 
 // keyState is what an instance knows of one key.
@@ -75,8 +82,9 @@
 	risingFrom      int64
 
 	out                                       int
-	own                                       evidence
-	pod                                       *evidence
+	own                                       fading.Pair
+	pod                                       *pod
+	at                                        int     // its place among Policy.servers
 	high                                      float64 // quantile of answer time for each unit of expected work
 	failing, credit                           float64
 	silentFrom, retryAt, retryAfter, fullTill int64
@@ -85,50 +93,42 @@
 	rank                                      uint64 // for the key of the task being drawn
 }
 
-// evidence sums up the last few answers, fading as they age. What it lacks, a prior stands in for: a node
-// among hundreds hears of one server once in many seconds, of its pod and of the fleet far oftener.
-type evidence struct {
-	unit  float64 // answer times for each unit of expected work
-	crowd float64 // what this node had out at the server when the answered set off
-	n     float64
-}
-
-func (e *evidence) add(unit, crowd, most float64) {
-	e.fade(min(1, (most-1)/max(e.n, 1)))
-	e.unit, e.crowd, e.n = e.unit+unit, e.crowd+crowd, e.n+1
-}
-
-func (e *evidence) fade(part float64) { e.unit, e.crowd, e.n = e.unit*part, e.crowd*part, e.n*part }
-
-func (e *evidence) over(unit, crowd float64) (float64, float64) {
-	return (e.unit + unit) / (e.n + 1), (e.crowd + crowd) / (e.n + 1)
+// pod sums up what its servers showed, as a node among hundreds hears of one of them once in many seconds.
+type pod struct {
+	fading.Pair         // answer times for each unit of work; what was out here when the answered set off
+	was         float64 // level by which ceilings were worked out
 }
 
 // categoryState is what an instance learns of one category.
 type categoryState struct {
-	typical float64 // a low quantile of answer times, to compare tasks that bring no hint
-	spread  float64 // a high quantile of answer times over their prediction
-	fares   float64 // part of the tasks of late that were satisfied
-	asked   float64 // fading count of the tasks it is taken over
-	taken   int     // answers since the last tick
-	away    int     // tasks given up since
+	typical     float64 // a low quantile of answer times, to compare tasks that bring no hint
+	spread      float64 // a high quantile of answer times over their prediction
+	fares       float64 // part of the tasks of late that were satisfied
+	asked       float64 // fading count of the tasks it is taken over
+	taken, away int     // since the last tick: answers, tasks given up
 }
 
 // Policy is one instance of the decisions.
 type Policy struct {
-	set            Settings
-	host           Host
-	servers        []*server
-	byID           map[ServerID]*server
-	tasks          map[TaskID]*task
-	waking         map[uint64]*task
-	state, cookies uint64
-	pods           map[int]*evidence
-	fleet          evidence
-	way            map[int]float64 // by zone: what an answer takes however little the work
+	set          Settings
+	host         Host
+	servers      []*server
+	byID         map[ServerID]*server
+	tasks        map[TaskID]*task
+	waking       map[uint64]*task
+	draws        *rand.Rand
+	cookies      uint64
+	pods         map[int]*pod
+	fleet        pod
+	loads, heard float64 // sum of the active servers' loads, and of how many
+	mean         float64 // of the loads, by which ceilings were worked out
+	active       int
+	chilly       []*server       // active, and cold of late
+	ceilings     sums.Sums       // by place: at least 1/w while the server can be drawn for a task without a key
+	way          map[int]float64 // by zone: what an answer takes however little the work
 
 	of             []categoryState
-	shares         []float64 // per customer: tasks that it may still ask for within its share
+	shares         shares.Shares
 	keys           map[string]*keyState
 	asked, again   float64 // of all keys; running part of the tasks whose key was asked for lately
 	ranks          []uint64
@@ -145,26 +145,16 @@
 // New makes an instance that knows nothing but its settings.
 func New(settings Settings, seed uint64, host Host) *Policy {
 	p := &Policy{set: settings, host: host, byID: map[ServerID]*server{}, tasks: map[TaskID]*task{},
-		pods: map[int]*evidence{}, waking: map[uint64]*task{}, keys: map[string]*keyState{},
-		warmth: 0.5, cookies: firstTask, way: map[int]float64{},
-		of:     make([]categoryState, len(settings.Categories)),
-		shares: make([]float64, len(settings.Customers))}
-	for i := range p.of {
-		p.of[i] = categoryState{spread: 2, fares: 1}
+		pods: map[int]*pod{}, waking: map[uint64]*task{}, draws: rand.New(rand.NewPCG(seed, 1)),
+		keys: map[string]*keyState{}, warmth: 0.5, cookies: firstTask, way: map[int]float64{},
+		shares: shares.New(settings.Portions)}
+	for range settings.Categories {
+		p.of = append(p.of, categoryState{spread: 2, fares: 1})
 	}
-	p.chance()
-	p.state += seed
-	p.chance()
 	return p
 }
 
-// chance is a permuted congruential generator (XSH RR 64/32); it returns a number in [0,1).
-func (p *Policy) chance() float64 {
-	old := p.state
-	p.state = old*6364136223846793005 + 1442695040888963407
-	x, turn := uint32((old>>18^old)>>27), uint32(old>>59)
-	return float64(x>>turn|x<<(-turn&31)) / (1 << 32)
-}
+func (p *Policy) chance() float64 { return p.draws.Float64() }
 
 // ListLearned takes the server list, or what changed in it.
 func (p *Policy) ListLearned(now int64, list []Listed, whole bool) {
@@ -174,9 +164,8 @@
 		if p.set.MustAsk {
 			p.host.Subscribe()
 		}
-	} else {
-		p.askWait = 0
 	}
+	p.askWait = 0
 	if whole {
 		for _, s := range p.servers {
 			s.State = Gone
@@ -186,25 +175,66 @@
 		s := p.byID[l.Server]
 		if s == nil {
 			s = &server{}
-			p.byID[l.Server] = s
-			at := sort.Search(len(p.servers), func(i int) bool { return p.servers[i].Server > l.Server })
-			p.servers = slices.Insert(p.servers, at, s)
+			p.byID[l.Server], p.servers = s, append(p.servers, s)
 		}
 		if l.Started > s.Started {
-			// A new process: what was learned of the old one misleads, hand-offs still out are its own. Where in its
-			// first part it stands is drawn: hundreds of nodes that earn less than a hand-off would else never warm
-			// it, or all give theirs at one moment.
+			// A new process: what was learned of the old one misleads. Where in its first part it stands is drawn, or
+			// hundreds of nodes that earn less than a hand-off would never warm it, or all give theirs at one moment.
 			*s = server{out: s.out, credit: p.chance()}
 		}
 		s.Listed = l
 		if p.pods[l.Pod] == nil {
-			p.pods[l.Pod] = &evidence{}
+			p.pods[l.Pod] = &pod{}
 		}
 		s.pod = p.pods[l.Pod]
 		if p.set.LiveWeights && l.Weight > 0 && l.State == Active {
-			s.hear(now, 1/l.Weight)
+			p.hear(now, s, 1/l.Weight)
 		}
 	}
+	slices.SortFunc(p.servers, func(a, b *server) int { return cmp.Compare(a.Server, b.Server) })
+	p.survey(now)
+}
+
+// survey works out anew what is kept of all servers together, and every ceiling.
+func (p *Policy) survey(now int64) {
+	p.active, p.chilly, p.loads, p.heard = 0, p.chilly[:0], 0, 0
+	for _, pod := range p.pods {
+		pod.was = pod.Level()
+	}
+	for i, s := range p.servers {
+		s.at = i
+		if s.State != Active {
+			continue
+		}
+		if p.active++; p.cold(now, s) < 1 {
+			p.chilly = append(p.chilly, s)
+		}
+		if s.heard {
+			p.loads, p.heard = p.loads+s.load, p.heard+1
+		}
+	}
+	p.mean = p.meanLoad()
+	p.fleet.was = p.fleet.Level()
+	p.ceilings.Reset(len(p.servers))
+	for _, s := range p.servers {
+		p.touch(now, s)
+	}
+}
+
+// touch works out a server's ceiling anew. Until the next survey its rise may end, but its warmth not grow.
+func (p *Policy) touch(now int64, s *server) {
+	ceiling := 0.0
+	if s.State == Active && (p.cold(now, s) == 1 || s.credit >= 1) {
+		ceiling = slack / p.weight(now, now+2*recalculate, s)
+	}
+	p.ceilings.Set(s.at, ceiling)
+}
+
+func (p *Policy) meanLoad() float64 {
+	if p.heard == 0 || p.loads <= 0 {
+		return 1
+	}
+	return p.loads / p.heard
 }
 
 // ListFailed asks again, after waits that grow but stay well within the time the rules allow.
@@ -215,10 +245,15 @@
 
 // hear takes a load report as the design has it: the rise since the last one, over the sends between, is
 // what each further send will add.
-func (s *server) hear(now int64, load float64) {
+func (p *Policy) hear(now int64, s *server, load float64) {
+	s.recount(now)
+	if s.State == Active {
+		if p.loads += load - s.load; !s.heard {
+			p.heard++
+		}
+	}
 	rise := load - s.reported
-	s.drift = 0
-	if s.heard && rise > 0 && s.sends > 0 {
+	if s.drift = 0; s.heard && rise > 0 && s.sends > 0 {
 		s.drift = rise / float64(s.sends)
 	}
 	if rise > 0 && s.heard && s.risingFrom == 0 {
@@ -228,6 +263,13 @@
 	s.recalculate = now + recalculate
 }
 
+// recount forgets the drift when no report came for the design's longest time.
+func (s *server) recount(now int64) {
+	if s.heard && now >= s.recalculate {
+		s.drift, s.sends, s.recalculate = 0, 0, now+recalculate
+	}
+}
+
 // report picks which reported value is the load; all else that depends on it asks the server.
 func (p *Policy) report(now int64, s *server, r *Report) {
 	load := -1.0
@@ -244,7 +286,8 @@
 		load = 1 + r.Queue
 	}
 	if load >= 0 && (!s.heard || load != s.reported) {
-		s.hear(now, load)
+		p.hear(now, s, load)
+		p.touch(now, s)
 	}
 }
 
@@ -257,7 +300,7 @@
 		t.limit = min(t.limit, now+soft-soft/64-2*p.set.Tick)
 	}
 	p.tasks[t.ID] = t
-	t.beyond = p.askBeyond(&arrived)
+	t.beyond = p.shares.Beyond(t.Customer, t.Repeated)
 	if t.Key != "" && p.set.WarmKeys {
 		if t.key = p.keys[t.Key]; t.key == nil {
 			t.key = &keyState{met: map[*server]int64{}}
@@ -273,26 +316,6 @@
 	p.send(now, t)
 }
 
-// askBeyond keeps the customers' shares of what this node is asked for and tells if a task is beyond its own.
-// Set against the node's own traffic, they need no guess at how traffic is spread over the nodes.
-func (p *Policy) askBeyond(t *Task) bool {
-	if t.Customer >= len(p.shares) {
-		return false
-	}
-	if !t.Repeated {
-		for i := range p.shares {
-			p.shares[i] = min(p.shares[i]+p.set.Customers[i].Portion, shareStore)
-		}
-	}
-	if p.shares[t.Customer] < 1 {
-		return true
-	}
-	if !t.Repeated {
-		p.shares[t.Customer]--
-	}
-	return false
-}
-
 func (p *Policy) cost(t *task) float64 {
 	if t.Cost > 0 {
 		return max(float64(t.Cost), smallest*p.meanOf) // guards against answers to tasks with hardly any work
@@ -312,23 +335,16 @@
 	return met && now-at < keyMemory && at > s.Started
 }
 
-// home marks the servers on which nodes agree for a key without talking: of those in the draw and warm, the
-// highest by a hash of both. Where a home is unfit, late or cold, nodes fall back on the same next one. A key
-// has as many homes as its part of the tasks asks for: a popular key would jam a single one, as each of
-// hundreds of nodes has hardly a hand-off out there.
+// home marks the servers on which nodes agree for a key without talking: of the drawn and warm the highest
+// by rank, as many as the key's part of the tasks asks for, against a popular one jamming a single server.
 func (p *Policy) home(now int64, t *task) {
 	if t.key == nil {
 		return
 	}
-	key := uint64(14695981039346656037)
-	for i := range len(t.Key) {
-		key = (key ^ uint64(t.Key[i])) * 1099511628211
-	}
+	key := rank.Key(t.Key)
 	p.ranks = p.ranks[:0]
 	for _, s := range p.drawn {
-		h := (key ^ uint64(s.Server)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
-		h = (h ^ h>>31) * 0x94d049bb133111eb
-		if s.rank = h ^ h>>29; p.cold(now, s) == 1 {
+		if s.rank = rank.Of(key, uint32(s.Server)); p.cold(now, s) == 1 {
 			p.ranks = append(p.ranks, s.rank)
 		}
 	}
@@ -366,28 +382,28 @@
 	if s.out == 0 {
 		s.silentFrom = now
 	}
-	t.handOffs = append(t.handOffs,
-		handOff{server: s, warm: warm, sentAt: now, cost: cost, crowd: float64(s.out), open: true,
-			predicted: float64(p.predict(s, cost))})
+	t.handOffs = append(t.handOffs, handOff{server: s, warm: warm, sentAt: now, cost: cost, open: true,
+		crowd: float64(s.out), predicted: float64(p.predict(s, cost))})
 	t.open++
+	s.recount(now)
 	s.out++
 	s.sends++
 	s.load += s.drift
+	p.loads += s.drift
 	s.credit -= max(p.relative(cost), 1)
+	p.touch(now, s)
 	p.host.HandOff(t.ID, s.Server, t.limit-now)
 	if patience := p.patience(s, cost); p.set.MayDuplicate && t.category.Repeat != Exclusive &&
 		t.open == 1 && patience > 0 && now+patience < t.limit-patience/2 {
 		if t.cookie == 0 {
-			t.cookie = p.cookies
-			p.cookies++
+			t.cookie, p.cookies = p.cookies, p.cookies+1
 			p.waking[t.cookie] = t
 		}
 		p.host.WakeAt(now+patience, t.cookie)
 	}
 }
 
-// patience is how long an answer may take before it counts as overdue: by the server's own high quantile, but
-// no longer than by its fit fellows', against a silent server's time-outs stretching its own.
+// patience is how long an answer may take, by the high quantile of the server or of its fit fellows.
 func (p *Policy) patience(s *server, cost float64) int64 {
 	if p.high == 0 {
 		return int64(4 * cost)
@@ -417,29 +433,22 @@
 	return cost / p.meanOf
 }
 
-// earnCold keeps the books on cold servers: for each task that a warm fellow satisfies, a cold one earns what
-// it surely can do of that fellow's even part; what it is given it pays for. Satisfied tasks are the measure,
-// as no fellow satisfies more than it can carry. Only where none is warm do arrivals count.
+// earnCold keeps the books on cold servers: with each task that a warm fellow satisfies one earns what it
+// surely can do of that even part, and pays for what it is given. Only where none is warm do arrivals count.
 func (p *Policy) earnCold(now int64, by *server, cost float64) {
-	warm, active := 0, 0
-	for _, s := range p.servers {
-		if s.State == Active {
-			active++
-			if p.cold(now, s) == 1 {
-				warm++
-			}
-		}
-	}
-	if warm == active || (by == nil) != (warm == 0) || by != nil && p.cold(now, by) < 1 {
+	warm := p.active - len(p.chilly)
+	if (by == nil) != (warm == 0) || by != nil && p.cold(now, by) < 1 {
 		return
+	} else if warm == 0 {
+		warm = p.active
 	}
-	if warm == 0 {
-		warm = active
-	}
-	for _, s := range p.servers {
-		if part := p.cold(now, s); part < 1 && s.State == Active {
+	for _, s := range p.chilly {
+		if part := p.cold(now, s); part < 1 && s.credit < 1 {
 			s.credit += part * (coldSafety + (1-coldSafety)*part) * min(p.relative(cost), 1) / float64(warm)
-			s.credit = min(s.credit, 1)
+			if s.credit >= 1 {
+				s.credit = 1
+				p.touch(now, s)
+			}
 		}
 	}
 }
@@ -493,26 +502,21 @@
 // expect is the answer time for each unit of work: the fleet's level of late, times what the pod and the
 // server were over it. The ratios last longer than the level, or a slow server seldom heard is forgotten.
 func (p *Policy) expect(s *server) (unit, crowd float64) {
-	unit, crowd = p.fleet.over(1, 0)
-	pod, crowd := s.pod.over(1, crowd)
-	own, crowd := s.own.over(1, crowd)
+	unit, crowd = p.fleet.Over(1, 0)
+	pod, crowd := s.pod.Over(1, crowd)
+	own, crowd := s.own.Over(1, crowd)
 	return unit * pod * own, crowd
 }
 
 // inDraw tells who takes part in a task's draw: the fit that will be in time by a high quantile. Where that
 // is nobody, the unfit do that this node hears often and has nothing out at: declining would help none.
 func (p *Policy) inDraw(now int64, t *task, s *server, nobody bool) bool {
-	if !p.allowed(now, t, s) || now < s.fullTill {
-		return false
-	}
-	if len(t.handOffs) > 0 && t.handOffs[len(t.handOffs)-1].server == s {
-		return false
-	}
-	if p.cold(now, s) < 1 && s.credit < 1 {
+	if n := len(t.handOffs); !p.allowed(now, t, s) || now < s.fullTill || n > 0 && t.handOffs[n-1].server == s ||
+		s.credit < 1 && p.cold(now, s) < 1 {
 		return false
 	}
 	if s.unfit {
-		return s.out == 0 && (nobody && s.own.n*learn >= 1 || now >= s.retryAt && t.category.Repeat == Rerunnable)
+		return s.out == 0 && (nobody && s.own.N*learn >= 1 || now >= s.retryAt && t.category.Repeat == Rerunnable)
 	}
 	cost := p.cost(t)
 	if s.out > 0 && s.known && now-s.silentFrom > p.patience(s, max(cost, p.meanOf)) {
@@ -533,8 +537,7 @@
 	return worst
 }
 
-// bound is what a prediction is multiplied by before it must be in time. Where a miss counts only for itself,
-// a risk costs nothing while there is room, and more the more is turned away.
+// bound multiplies a prediction. Where a miss counts only for itself, risk costs more the more is declined.
 func (p *Policy) bound(t *task) float64 {
 	spread := p.of[t.Task.Category].spread
 	if p.set.BorneMisses > 0 || spread < 1 {
@@ -543,8 +546,7 @@
 	return 1 + (spread-1)*(1-p.worst())
 }
 
-// allowance is the time a task may be predicted to take. A category that fares better than the worst gives up
-// some of its own, against a tight soft limit being starved by the work of those that can wait.
+// allowance is the time a prediction may take. What fares better than the worst gives up some of its own.
 func (p *Policy) allowance(now int64, t *task) int64 {
 	worst := p.worst()
 	part := worst / p.of[t.Task.Category].fares
@@ -554,65 +556,36 @@
 	return int64(float64(t.limit-now) * part)
 }
 
-// draw picks a server with a chance proportional to 1/w.
+// draw picks a server with a chance proportional to 1/w among those that take part.
 func (p *Policy) draw(now int64, t *task) *server {
 	if now >= t.limit {
 		return nil
 	}
+	if t.key == nil {
+		if s := p.sample(now, t); s != nil {
+			return s
+		}
+	}
 	p.drawn = p.drawn[:0]
-	for nobody := false; len(p.drawn) == 0; nobody = true {
+	for _, nobody := range []bool{false, true} {
 		for _, s := range p.servers {
 			if p.inDraw(now, t, s, nobody) {
 				p.drawn = append(p.drawn, s)
 			}
 		}
-		if nobody && len(p.drawn) == 0 {
-			return nil
+		if len(p.drawn) > 0 {
+			p.weigh(now, t)
+			return p.pick()
 		}
 	}
-	p.weigh(now, t)
-	return p.pick()
+	return nil
 }
 
-// weigh fills in w for those in the draw.
 func (p *Policy) weigh(now int64, t *task) {
-	mean, heard := 0.0, 0.0
-	for _, s := range p.servers {
-		if s.State == Active && s.heard {
-			mean, heard = mean+s.load, heard+1
-			if now >= s.recalculate {
-				s.drift, s.sends, s.recalculate = 0, 0, now+recalculate
-			}
-		}
-	}
-	mean /= max(heard, 1)
-	if mean == 0 {
-		mean = 1
-	}
 	p.weights = p.weights[:0]
 	p.home(now, t)
 	for _, s := range p.drawn {
-		w := max(s.load, mean/floorPart)
-		if !s.heard || s.risingFrom == 0 || now-s.risingFrom < settling*recalculate {
-			w = max(w, mean)
-		}
-		// Reports are late and do not tell a slow server from a quick one; the square, as a slow one that gets its
-		// part by speed still answers too late.
-		unit, _ := p.expect(s)
-		w *= max(unit*unit, 1.0/floorPart)
-		if p.set.SizeWeights && s.Weight > 0 {
-			w /= s.Weight
-		}
-		if p.cold(now, s) < 1 {
-			// It has earned this hand-off. Guards against never being drawn, and so never warming, while keys
-			// pull everything elsewhere.
-			w *= warmPull * warmPull
-		}
-		// Guards against herding on one low or late report, and against a key piling up at its home.
-		w *= (1 + float64(s.out)) * (1 + float64(s.out))
-		if s.Zone != p.set.Zone {
-			w *= farAway
-		}
+		w := p.weight(now, now, s)
 		if s.home {
 			w *= warmPull * warmPull // twice, or nodes gather a key wherever each happened to send it first
 		}
@@ -623,32 +596,57 @@
 	}
 }
 
-// pick is the design's draw: x is the sum of all w over w, sorted ascending into cumulative shares.
 func (p *Policy) pick() *server {
 	sum := 0.0
 	for _, w := range p.weights {
-		sum += w
+		sum += 1 / w
 	}
-	all := 0.0
+	dice := p.chance() * sum
 	for i, w := range p.weights {
-		x := sum / w
-		all += x
-		at := i
-		s := p.drawn[i]
-		for ; at > 0 && p.weights[at-1] > x; at-- {
-			p.weights[at], p.drawn[at] = p.weights[at-1], p.drawn[at-1]
-		}
-		p.weights[at], p.drawn[at] = x, s
-	}
-	z, dice := 0.0, p.chance()*all
-	for i, x := range p.weights {
-		if z += x; z > dice {
+		if dice -= 1 / w; dice < 0 {
 			return p.drawn[i]
 		}
 	}
 	return p.drawn[len(p.drawn)-1]
 }
 
+// sample draws by the ceilings and keeps who takes part with the chance of 1/w over its ceiling, which leaves
+// the law as it is. After some tries in vain it returns nobody, and the pass over all has the same law.
+func (p *Policy) sample(now int64, t *task) *server {
+	for sum, n := p.ceilings.Total(), 0; sum > 0 && n < tries; n++ {
+		s := p.servers[min(p.ceilings.Find(p.chance()*sum), len(p.servers)-1)]
+		if p.inDraw(now, t, s, false) && p.chance()*p.ceilings.At(s.at)*p.weight(now, now, s) < 1 {
+			return s
+		}
+	}
+	return nil
+}
+
+// weight is w without what a key does to it. A rise has come to its end, or not, by a moment of its own.
+func (p *Policy) weight(now, rises int64, s *server) float64 {
+	mean := p.meanLoad()
+	w := max(s.load, mean/floorPart)
+	if !s.heard || s.risingFrom == 0 || rises-s.risingFrom < settling*recalculate {
+		w = max(w, mean)
+	}
+	// Reports do not tell a slow server from a quick one; the square, as one that gets its part still is late.
+	unit, _ := p.expect(s)
+	w *= max(unit*unit, 1.0/floorPart)
+	if p.set.SizeWeights && s.Weight > 0 {
+		w /= s.Weight
+	}
+	if p.cold(now, s) < 1 {
+		// It has earned this hand-off. Guards against never warming while keys pull everything elsewhere.
+		w *= warmPull * warmPull
+	}
+	// Guards against herding on one low or late report, and against a key piling up at its home.
+	w *= (1 + float64(s.out)) * (1 + float64(s.out))
+	if s.Zone != p.set.Zone {
+		w *= farAway
+	}
+	return w
+}
+
 // giveUp answers at once: a decline where asking again does no harm, else a break-off.
 func (p *Policy) giveUp(now int64, t *task) {
 	p.fare(t, 0)
@@ -707,6 +705,12 @@
 	h.server.out--
 	h.mayHaveRun = a.Outcome != Full && a.Outcome != Unreached && a.Outcome != NeverSent
 	p.judge(now, t, h, a)
+	p.touch(now, h.server)
+	pod, fleet, mean := h.server.pod, &p.fleet, p.meanLoad()/p.mean
+	if mean < meanFell || mean > 1/meanFell || fleet.Level() < levelFell*fleet.was ||
+		fleet.Level() > fleet.was/levelFell || pod.Level() < levelFell*pod.was {
+		p.survey(now) // ceilings may no longer hold, or waste draws
+	}
 	switch {
 	case t.over:
 		if t.open == 0 {
@@ -753,8 +757,7 @@
 			h.cost /= p.warmth
 		}
 		typical := &p.of[t.Task.Category].typical
-		// Guards against a lock-out: measured by the mean, a jam would make every server look late even when
-		// idle, and what is declined is never measured again. The quicker answers hardly feel a jam.
+		// Guards against a lock-out: by the mean a jam makes idle servers look late, and they stay unmeasured.
 		switch {
 		case *typical == 0:
 			*typical = took
@@ -770,14 +773,12 @@
 		p.timed(h, took)
 		p.earnCold(now, s, h.cost)
 	case Full, Unreached:
-		// Guards against a server that turns hand-offs away in no time and so uses up a task's few hand-offs: it
-		// is left alone, longer each time until it takes one, and longer the seldomer this node comes by.
+		// Guards against one that turns away at once using up all hand-offs: it is left alone, ever longer.
 		s.turned = min(s.turned+1, 6)
-		wait := max(int64(p.meanOf), int64(float64(recalculate)/(2*s.own.n+1)))
+		wait := max(int64(p.meanOf), int64(float64(recalculate)/(2*s.own.N+1)))
 		s.fullTill = now + wait<<(s.turned-1)
-		if a.Outcome == Full && (a.Report.Queue != 0 || s.own.n*learn < 1) {
-			// Guards against a storm of resends in a jam: who has no room left would have answered late. One
-			// often heard whose queue is empty had another reason, which teaches nothing of its speed.
+		if a.Outcome == Full && (a.Report.Queue != 0 || s.own.N*learn < 1) {
+			// Guards against a storm of resends in a jam: the full would be late, one with an empty queue not.
 			p.timed(h, float64(t.limit-h.sentAt)*overrun)
 		}
 		if a.Outcome == Full {
@@ -793,11 +794,9 @@
 		}
 		bad = 1
 	case TimedOut:
-		// Guards against learning from the quick alone: what never answered took longer still, and a server
-		// that only times out would go on looking as good as its last few answers.
-		if fleet, _ := p.fleet.over(1, 0); s.silentFrom > h.sentAt || odd*fleet*h.cost > float64(a.Elapsed) {
-			// Guards against a silent server raising the bound for all, so that tasks are declined that its
-			// fellows would have answered.
+		// Guards against learning from the quick alone: what never answered took longer still.
+		if s.silentFrom > h.sentAt || odd*p.fleet.Level()*h.cost > float64(a.Elapsed) {
+			// Guards against a silent server raising the bound for all, and its fellows' tasks being declined.
 			p.calibrate(t, h, float64(a.Elapsed)*overrun)
 		}
 		p.timed(h, float64(a.Elapsed)*overrun)
@@ -807,7 +806,7 @@
 	}
 	part := learn
 	if bad == 0 || a.Outcome == Error {
-		part = max(learn, 1/(s.own.n+2)) // one seldom heard is judged by the little there is
+		part = max(learn, 1/(s.own.N+2)) // one seldom heard is judged by the little there is
 	}
 	s.failing += (bad - s.failing) * part
 	p.failing += (bad - p.failing) * learn / 2
@@ -845,8 +844,7 @@
 		q = highest
 	}
 	if took > h.predicted**spread && h.predicted > 0 {
-		// Guards against heavy tasks that nobody told of: they come late on any server, so past some multiple the
-		// bound tells of the tasks, not of waiting, and declining the others mends nothing.
+		// Guards against heavy tasks that nobody told of: they are late on any server, and say nothing of waiting.
 		*spread = min(*spread*(1+learn*q), mostSpread)
 	} else if h.predicted > 0 {
 		*spread = max(0.5, *spread*(1-learn*(1-q)))
@@ -859,13 +857,11 @@
 		return
 	}
 	s, unit, crowd := h.server, took/h.cost, h.crowd
-	// Guards against a few odd servers making the whole fleet look late: while most answers are prompt, one
-	// counts for little more than they do.
-	fleet, _ := p.fleet.over(1, 0)
-	pod, _ := s.pod.over(1, 0)
-	p.fleet.add(min(unit, odd*fleet), crowd, 64)
-	s.pod.add(min(unit/fleet, odd*pod), crowd, 2/learn)
-	s.own.add(unit/fleet/pod, crowd, 2/learn)
+	// Guards against a few odd servers making the whole fleet look late.
+	fleet, pod := p.fleet.Level(), s.pod.Level()
+	p.fleet.Add(min(unit, odd*fleet), crowd, 64)
+	s.pod.Add(min(unit/fleet, odd*pod), crowd, 2/learn)
+	s.own.Add(unit/fleet/pod, crowd, 2/learn)
 	if !s.known {
 		s.known, s.high = true, 2*unit
 	}
@@ -935,19 +931,19 @@
 		p.high = high / n
 	}
 	for _, s := range p.servers {
-		s.high += (p.high - s.high) * learn * (1 - min(1, s.own.n*learn))
-		s.own.fade(1 - learn)
+		s.high += (p.high - s.high) * learn * (1 - min(1, s.own.N*learn))
+		s.own.Fade(1 - learn)
 	}
 	for _, pod := range p.pods {
-		pod.fade(1 - learn)
+		pod.Fade(1 - learn)
 	}
-	p.fleet.fade(forget)
+	p.fleet.Fade(forget)
+	p.survey(now)
 	idle := !slices.ContainsFunc(p.servers, func(s *server) bool { return s.out > 0 })
 	for i := range p.of {
 		c := &p.of[i]
 		if c.taken == 0 || idle && c.away > c.taken {
-			// Guards against a lock-out: a bound so high that next to no task is taken would hardly be measured
-			// again. Having nothing out is no sign of it: a node among hundreds mostly has nothing out.
+			// Guards against a lock-out: a bound so high that next to nothing is taken would not be measured again.
 			c.spread = max(1, c.spread*(1-learn))
 		}
 		c.asked *= keyFade
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
+
+	"fawnglade/internal/fading"
 )
 
 const ms = int64(1e6)
@@ -112,18 +115,18 @@
 }
 
 func TestDriftIsTheLastRisePerHandOff(t *testing.T) {
-	s := &server{}
-	s.hear(0, 0.2)
+	s, p := &server{}, New(Settings{}, 7, nil)
+	p.hear(0, s, 0.2)
 	s.sends = 4
-	s.hear(1, 0.6)
+	p.hear(1, s, 0.6)
 	if math.Abs(s.drift-0.1) > 1e-9 {
 		t.Errorf("a rise of 0.4 over 4 hand-offs gives a drift of %g", s.drift)
 	}
 	s.sends = 4
-	if s.hear(2, 0.5); s.drift != 0 {
+	if p.hear(2, s, 0.5); s.drift != 0 {
 		t.Errorf("a falling load gives a drift of %g", s.drift)
 	}
-	if s.hear(3, 0.9); s.drift != 0 {
+	if p.hear(3, s, 0.9); s.drift != 0 {
 		t.Errorf("a rise over no hand-offs gives a drift of %g", s.drift)
 	}
 }
@@ -394,7 +397,7 @@
 	if n := b.given(1); n > 8 {
 		t.Errorf("a full server was asked %d times during 60 tasks", n)
 	}
-	seldom := &server{pod: &evidence{}}
+	seldom := &server{pod: &pod{}}
 	h := &handOff{server: seldom, sentAt: b.now, open: true}
 	if b.judge(b.now, &task{}, h, Answer{Outcome: Unreached}); seldom.fullTill < b.now+recalculate/2 {
 		t.Errorf("a server not heard of late is asked again after %d ms", (seldom.fullTill-b.now)/ms)
@@ -402,10 +405,10 @@
 }
 
 func TestCustomerBeyondItsShareIsShedFirst(t *testing.T) {
-	b := fleet(t, 2, func(s *Settings) { s.Customers, s.OverShare = []Customer{{0.7}, {0.3}}, 0.2 })
+	b := fleet(t, 2, func(s *Settings) { s.Portions, s.OverShare = []float64{0.7, 0.3}, 0.2 })
 	beyond := [2]int{}
 	for i := range 1000 { // both ask for as much
-		if b.askBeyond(&Task{Customer: i % 2}) {
+		if b.shares.Beyond(i%2, false) {
 			beyond[i%2]++
 		}
 	}
@@ -428,11 +431,11 @@
 		}
 		return Satisfied, 40 * ms
 	})
-	if unit, _ := b.fleet.over(1, 0); unit > 3 {
+	if unit, _ := b.fleet.Over(1, 0); unit > 3 {
 		t.Errorf("one server in five times out and the whole fleet is expected at %.1f", unit)
 	}
 	b.serve(60, func(ServerID) (Outcome, int64) { return TimedOut, 450 * ms })
-	unheard := &server{Listed: Listed{Server: 101}, pod: &evidence{}}
+	unheard := &server{Listed: Listed{Server: 101}, pod: &pod{}}
 	if unit, _ := b.expect(unheard); unit < 5 {
 		t.Errorf("nearly all time out and a server not heard yet is expected at %.1f", unit)
 	}
@@ -460,7 +463,7 @@
 	b.serve(20, prompt)
 	id := b.arrive(2, "")
 	s := b.byID[b.last()]
-	s.own, s.failing = evidence{}, 0
+	s.own, s.failing = fading.Pair{}, 0
 	if b.end(id, 0, Error, ms); !s.unfit {
 		t.Errorf("its failing part is taken for %.2f", s.failing)
 	}
@@ -470,8 +473,7 @@
 	given, most := 0, 0.0
 	for seed := range uint64(400) {
 		b := fleet(t, 20, nil)
-		b.Policy.state += seed * 977
-		b.Policy.chance()
+		b.draws = rand.New(rand.NewPCG(seed, 977))
 		b.ListLearned(b.now, []Listed{{Server: 21, Weight: 1, Started: b.now - 4e9}}, false)
 		b.serve(8, prompt)
 		given += b.given(21)
@@ -548,7 +550,7 @@
 		t.Errorf("with a fit server a task went to %v", b.sent)
 	}
 	for _, s := range b.servers[1:] {
-		s.out, s.own.n = 0, 1
+		s.out, s.own.N = 0, 1
 	}
 	b.servers[0].State, b.sent = Draining, nil
 	if b.arrive(2, ""); len(b.sent) != 0 {
--- a/policy/types.go
+++ b/policy/types.go
@@ -58,60 +58,48 @@
 	LateEarnings float64 // share of the earnings paid between soft and hard limit
 }
 
-// Customer is one party that shares the fleet.
-type Customer struct {
-	Portion float64
-}
-
 // Settings are the figures the decisions read; all times are nanoseconds.
 type Settings struct {
 	Categories []Category
-	Customers  []Customer
-	OverShare  float64 // earnings of a task beyond its customer's share
+	Portions   []float64 // of each customer
+	OverShare  float64   // earnings of a task beyond its customer's share
 
 	BorneMisses float64 // part of the tasks taken that may miss their soft limit unpunished; 0: no such goal
 
-	Zone int
-	Tick int64
+	Zone                        int
+	Tick, AskWithin, WarmWithin int64
 
 	MustAsk     bool // the list answers only when asked
-	AskWithin   int64
 	LiveWeights bool // the list's weight falls as a server fills
 	SizeWeights bool // the list's weight is a size
-	Utilised    bool // reports hold a utilisation
-	Timed       bool // reports hold a service time
-	Held        bool // reports hold the tasks in work
 	WarmKeys    bool // a key met lately costs less
 
-	MayDuplicate bool
-	MayRecall    bool
-	MayAdvise    bool
-	MaxAdvice    int64
-	MaxHandOffs  int
+	MayDuplicate, MayRecall, MayAdvise bool
+	Utilised, Timed, Held              bool // in reports: utilisation, service time, tasks in work
 
-	ColdFrom   float64
-	WarmWithin int64
+	MaxAdvice   int64
+	MaxHandOffs int
+
+	ColdFrom float64
 }
 
 // Listed is one line of the server list.
 type Listed struct {
-	Server  ServerID
-	Zone    int
-	Pod     int
-	State   State
-	Weight  float64
-	Started int64 // 0: long ago
+	Server    ServerID
+	Zone, Pod int
+	State     State
+	Weight    float64
+	Started   int64 // 0: long ago
 }
 
 // Task is one task as it arrives.
 type Task struct {
-	ID        TaskID
-	Category  int
-	Customer  int
-	HardLimit int64 // the clock time at which the client gives up
-	Repeated  bool  // the client says that it asks again
-	Cost      int64 // expected work, 0 if not told
-	Key       string
+	ID                 TaskID
+	Category, Customer int
+	HardLimit          int64 // the clock time at which the client gives up
+	Repeated           bool  // the client says that it asks again
+	Cost               int64 // expected work, 0 if not told
+	Key                string
 }
 
 // Report holds the load values that came with an answer; a negative one was not sent.
