Carriers of hand-offs are kept, and a long list is taken in by slices

Cause: by profile a sixth of what a task cost the node was stacks grown anew, as each hand-off had a goroutine of its own, and a context with eight allocations stood for one wake-up; a whole list of 4,096 lines held every task up for 2.5 ms. Change: carriers rest and take the next hand-off, at most 64 or a quarter of the connections; stopping a hand-off is a lock and a function; lists enter by 512 lines, and who is absent is taken off last.

--- a/cmd/fawnglade-lab/weigh.go
+++ b/cmd/fawnglade-lab/weigh.go
@@ -251,6 +251,7 @@
 	rates := c.Flags().Float64Slice("rates", []float64{5000}, "tasks a second")
 	through := c.Flags().StringSlice("through", []string{"", "plain:relay"}, "nodes' commands or plain:KIND; empty: the node beside this program")
 	seconds := c.Flags().Int("seconds", 4, "how long each is measured")
+	cores := c.Flags().Float64("cores", 1, "cores that the node is told it may use; 0: no bound")
 	asJSON := c.Flags().Bool("json", false, "print one JSON object")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if *seconds < 1 || *seconds > 60 {
@@ -264,7 +265,7 @@
 					if err != nil {
 						return err
 					}
-					s, err := scenario.Parse("cost", fmt.Appendf(nil, costText, *seconds, n, rate))
+					s, err := scenario.Parse("cost", fmt.Appendf(nil, costText, *seconds, *cores, n, rate))
 					if err != nil {
 						return err
 					}
@@ -305,6 +306,7 @@
 client = "0s"
 jitter = 0
 [nodes]
+cores = %g
 memory_mb = 1024
 sockets = 16384
 [[fleet]]
--- a/internal/lab/rig/relay.go
+++ b/internal/lab/rig/relay.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"sync/atomic"
 	"time"
 )
@@ -22,6 +23,7 @@
 	}
 	var in struct {
 		Listen string
+		Limits struct{ Cores float64 }
 		Known  struct{ Hosts []struct{ Dial string } }
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
@@ -30,6 +32,9 @@
 	if len(in.Known.Hosts) == 0 {
 		return errors.New("known: expected servers, got none")
 	}
+	if in.Limits.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(in.Limits.Cores)))
+	}
 	l, err := net.Listen("tcp", in.Listen)
 	if err != nil {
 		return err
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -159,7 +159,7 @@
 	}
 	d.version = version
 	d.node.counters.add(listLines)
-	d.node.loop.enter(func() { d.node.loop.listed(entries, whole) })
+	d.node.loop.enterList(entries, whole)
 	return nil
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -5,9 +5,10 @@
 // decides nothing itself.
 
 import (
+	"cmp"
 	"container/heap"
-	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"fawnglade/policy"
@@ -145,13 +146,46 @@
 	policy.Recalled: handOffsRecalled, policy.NeverSent: handOffsNeverSent, policy.Unknown: handOffsReset,
 }
 
+// listSlice is how many lines of the list are taken in at a time.
+const listSlice = 512
+
+// enterList enters a list in slices, with tasks in between: one of thousands of lines would hold them all up. Who is not
+// on a whole list comes last, so that until then nobody is taken off who is on it.
+func (l *loop) enterList(entries []entry, whole bool) {
+	for rest := entries; len(rest) > 0 || !whole; {
+		slice := rest[:min(listSlice, len(rest))]
+		rest = rest[len(slice):]
+		l.enter(func() { l.listed(slice, false) })
+		if len(rest) == 0 {
+			break
+		}
+	}
+	if whole {
+		l.enter(func() { l.absent(entries) })
+	}
+}
+
+// absent takes off whoever is not on a whole list.
+func (l *loop) absent(entries []entry) {
+	told := make(map[policy.ServerID]bool, len(entries))
+	for _, e := range entries {
+		told[e.Server] = true
+	}
+	var gone []entry
+	for id, address := range l.fleet {
+		if !told[id] {
+			gone = append(gone, entry{Listed: policy.Listed{Server: id, State: policy.Gone}, address: address})
+		}
+	}
+	slices.SortFunc(gone, func(a, b entry) int { return cmp.Compare(a.Server, b.Server) })
+	l.listed(gone, false)
+}
+
 // listed takes in the list or what changed in it. Connections to a server that is no longer wanted are given up.
 func (l *loop) listed(entries []entry, whole bool) {
 	list := make([]policy.Listed, 0, len(entries))
-	told := map[policy.ServerID]bool{}
 	for _, e := range entries {
 		list = append(list, e.Listed)
-		told[e.Server] = true
 		if old := l.fleet[e.Server]; old != "" && (old != e.address || e.State != policy.Active) {
 			go l.node.servers.forget(place{e.Server, old})
 		}
@@ -161,14 +195,6 @@
 			l.fleet[e.Server] = e.address
 		}
 	}
-	if whole {
-		for id, address := range l.fleet {
-			if !told[id] {
-				go l.node.servers.forget(place{id, address})
-				delete(l.fleet, id)
-			}
-		}
-	}
 	l.handle(nil, func() { l.policy.ListLearned(l.now, list, whole) })
 }
 
@@ -199,7 +225,6 @@
 	}
 	h := &handOff{exchange: x, number: len(x.handOffs), place: place{server, l.fleet[server]}, sentAt: l.now}
 	h.limit = min(l.now+timeOut, x.task.HardLimit)
-	h.stopped, h.stop = context.WithCancel(context.Background())
 	x.handOffs = append(x.handOffs, h)
 	x.open++
 	if x.settled.Load() { // against decisions that a panic has left without the end of this task
@@ -207,7 +232,7 @@
 		return
 	}
 	l.node.counters.add(handOffsSent)
-	go l.node.servers.carry(h)
+	l.node.servers.begin(h)
 }
 
 func (l *loop) Recall(id policy.TaskID, number int) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -649,10 +649,8 @@
 			t.Fatal(err)
 		}
 		done := make(chan struct{})
-		n.loop.enter(func() {
-			n.loop.listed(list, whole)
-			close(done)
-		})
+		n.loop.enterList(list, whole)
+		n.loop.enter(func() { close(done) })
 		<-done
 	}
 	learn(2, false, listEntry("s-0", server, "draining"), listEntry("young", server, "up"))
@@ -913,3 +911,40 @@
 func (timeOut) Is(target error) bool {
 	return target.Error() == "i/o timeout"
 }
+
+// A list of thousands of lines is taken in in slices, so that tasks come in between; what it means is the same.
+func TestLongListIsTakenInInSlices(t *testing.T) {
+	n := newNode(t, nil) // its loop does not run, so that what is entered can be counted
+	taken := func() (events int) {
+		for len(n.loop.events) > 0 {
+			(<-n.loop.events)()
+			events++
+		}
+		return events
+	}
+	lines := func(from, to int) (list []entry) {
+		for i := from; i < to; i++ {
+			list = append(list, entry{policy.Listed{Server: policy.ServerID(i), State: policy.Active}, fmt.Sprint("127.0.0.1:", i)})
+		}
+		return list
+	}
+	n.loop.enterList(lines(1, 4097), true)
+	if events := taken(); events != 9 || len(n.loop.fleet) != 4096 {
+		t.Errorf("4,096 lines in %d events, %d servers known; want 8 slices and a last one for who is absent, and all", events, len(n.loop.fleet))
+	}
+	n.loop.enterList(lines(4001, 5001), true)
+	for range 2 {
+		(<-n.loop.events)()
+	}
+	if len(n.loop.fleet) != 5000 {
+		t.Errorf("%d servers known before the list is through, want 5,000: nobody is taken off before", len(n.loop.fleet))
+	}
+	taken()
+	if len(n.loop.fleet) != 1000 || n.loop.fleet[4000] != "" || n.loop.fleet[5000] == "" {
+		t.Errorf("%d servers known, want the 1,000 of the second list", len(n.loop.fleet))
+	}
+	n.loop.enterList(nil, false)
+	if n.loop.enterList(nil, true); taken() != 2 || len(n.loop.fleet) != 0 {
+		t.Errorf("%d servers known after a whole list of nobody", len(n.loop.fleet))
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,8 +34,36 @@
 	sentAt   int64
 	limit    int64
 
-	stopped context.Context // done once the hand-off is recalled
-	stop    context.CancelFunc
+	mu      sync.Mutex
+	stopped bool   // recalled, or ended
+	onStop  func() // wakes whatever it waits in
+}
+
+// stop ends the wait for the hand-off's answer.
+func (h *handOff) stop() {
+	h.mu.Lock()
+	wake := h.onStop
+	h.stopped, h.onStop = true, nil
+	h.mu.Unlock()
+	if wake != nil {
+		wake()
+	}
+}
+
+// waits sets what stop is to wake, nil for nothing, and tells whether it has not been stopped yet.
+func (h *handOff) waits(wake func()) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.onStop = wake; h.stopped {
+		h.onStop = nil
+	}
+	return !h.stopped
+}
+
+func (h *handOff) isStopped() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stopped
 }
 
 type result struct {
@@ -69,7 +98,10 @@
 func (e *handOffError) Error() string { return fmt.Sprintf("%v: %v", e.stage, e.err) }
 func (e *handOffError) Unwrap() error { return e.err }
 
-var errNoRoom = errors.New("no descriptor left for a connection")
+var (
+	errNoRoom   = errors.New("no descriptor left for a connection")
+	errRecalled = errors.New("recalled before it was written")
+)
 
 // outcome tells what the error proves: a server begins a task only when its last byte has come.
 func (e *handOffError) outcome() policy.Outcome {
@@ -96,13 +128,44 @@
 	node *Node
 	most int // connections open or being opened
 
+	work    chan *handOff // taken by a carrier that has nothing to do
+	resting atomic.Int64  // carriers that wait for work
+
 	mu   sync.Mutex
 	idle map[place][]*serverConn // the longest idle first
 	open int
 }
 
 func newServers(n *Node, most int) *servers {
-	return &servers{node: n, most: most, idle: map[place][]*serverConn{}}
+	return &servers{node: n, most: most, idle: map[place][]*serverConn{}, work: make(chan *handOff)}
+}
+
+const (
+	restingPart = 4 // carriers that may rest, as a part of the connections to servers
+	mostResting = 64
+)
+
+// begin has a hand-off carried without waiting. A carrier that rests is taken before a new one: a goroutine that is
+// made for each hand-off grows its stack anew each time, a sixth of what a task costs the node.
+func (s *servers) begin(h *handOff) {
+	select {
+	case s.work <- h:
+	default:
+		go s.carrier(h)
+	}
+}
+
+// carrier carries one hand-off after another, and ends where enough others rest.
+func (s *servers) carrier(h *handOff) {
+	for {
+		s.carry(h)
+		if s.resting.Add(1) > int64(min(mostResting, max(s.most/restingPart, 1))) {
+			s.resting.Add(-1)
+			return
+		}
+		h = <-s.work
+		s.resting.Add(-1)
+	}
 }
 
 // carry runs a hand-off from its start to its one result.
@@ -121,10 +184,10 @@
 
 func (s *servers) try(h *handOff) (result, *handOffError) {
 	fail := func(at stage, err error) (result, *handOffError) {
-		return result{}, &handOffError{at, h.stopped.Err() != nil, err}
+		return result{}, &handOffError{at, h.isStopped(), err}
 	}
 	limit := s.node.clock.at(h.limit)
-	c, err := s.connection(h.stopped, h.place, limit)
+	c, err := s.connection(h, limit)
 	if err != nil {
 		return fail(notConnected, err)
 	}
@@ -135,8 +198,10 @@
 		}
 	}()
 	c.SetDeadline(limit)
-	release := context.AfterFunc(h.stopped, func() { c.SetDeadline(time.Unix(1, 0)) })
-	defer release()
+	if !h.waits(func() { c.SetDeadline(time.Unix(1, 0)) }) {
+		return fail(notConnected, errRecalled)
+	}
+	defer h.waits(nil)
 	if _, err := c.Write(h.exchange.message(h.limit - s.node.clock.now())); err != nil {
 		return fail(partlyWritten, err)
 	}
@@ -158,7 +223,7 @@
 	if r.outcome == policy.Satisfied || badTask(response.StatusCode) {
 		r.answer = answer{status: response.StatusCode, header: endToEnd(response.Header), body: body}
 	}
-	if release() && !response.Close && len(c.pending()) == 0 {
+	if h.waits(nil) && !response.Close && len(c.pending()) == 0 {
 		whole = true
 		s.keep(c)
 	}
@@ -167,7 +232,8 @@
 
 // connection takes the connection to a server that was used last, as the others may then grow old and be closed,
 // or opens one.
-func (s *servers) connection(ctx context.Context, to place, limit time.Time) (*serverConn, error) {
+func (s *servers) connection(h *handOff, limit time.Time) (*serverConn, error) {
+	to := h.place
 	for {
 		c := s.take(to)
 		if c == nil {
@@ -184,6 +250,11 @@
 	if !s.reserve() {
 		return nil, errNoRoom
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if !h.waits(cancel) {
+		cancel()
+	}
 	dialer := net.Dialer{Timeout: time.Duration(s.node.settings.ConnectWithin), Deadline: limit, KeepAlive: -1}
 	dialer.SetMultipathTCP(false)
 	raw, err := dialer.DialContext(ctx, "tcp", to.address)
--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -81,6 +81,21 @@
 	}
 }
 
+// BenchmarkSlice is 512 lines of a list taken in by a node that holds so many servers.
+func BenchmarkSlice(b *testing.B) {
+	for _, n := range []int{512, 4096} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			list := listOf(n)
+			p := New(benchSettings, 1, &quiet{})
+			p.ListLearned(1e12, list, true)
+			for i := range b.N {
+				from := i * 512 % n
+				p.ListLearned(1e12+int64(i), list[from:from+512], false)
+			}
+		})
+	}
+}
+
 // BenchmarkList is a whole list taken in by a node that holds another.
 func BenchmarkList(b *testing.B) {
 	for _, n := range []int{64, 512, 4096} {
