--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,511 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// disk is a directory that tells what was made durable from what was only written, fails when told to, and can crash.
+type disk struct {
+	mu      sync.Mutex
+	now     map[string]*memFile // as a running program sees it
+	durable map[string]*memFile // names that a synced directory holds
+	steps   int
+	failAt  int // from this step on everything fails; 0: never
+	full    int // bytes that writes may still take; -1: no bound
+	noSync  bool
+	held    bool
+}
+
+type memFile struct {
+	d       *disk
+	data    []byte
+	durable []byte
+}
+
+var errDisk = errors.New("disk fails")
+
+func newDisk() *disk { return &disk{now: map[string]*memFile{}, durable: map[string]*memFile{}, full: -1} }
+
+// step counts one thing that the store asks for; the lock is held.
+func (d *disk) step() error {
+	d.steps++
+	if d.failAt > 0 && d.steps >= d.failAt {
+		return errDisk
+	}
+	return nil
+}
+
+// crash is the disk after the power went: of what was not made durable, names and bytes, a part chosen by draw.
+func (d *disk) crash(draw *rand.Rand) *disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	after := newDisk()
+	kept := maps.Clone(d.durable)
+	for _, name := range slices.Sorted(maps.Keys(d.durable)) {
+		if d.now[name] == d.durable[name] || draw.IntN(2) == 0 {
+			continue
+		}
+		// A removal or a new name may have reached the disk by itself, in any order.
+		delete(kept, name)
+		for to, f := range d.now {
+			if f == d.durable[name] {
+				kept[to] = f
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(kept)) {
+		f := kept[name]
+		data := slices.Clone(f.durable)
+		if more := len(f.data) - len(data); more > 0 && slices.Equal(f.data[:len(data)], data) {
+			data = append(data, f.data[len(data):len(data)+draw.IntN(more+1)]...)
+		}
+		after.now[name] = &memFile{d: after, data: data, durable: slices.Clone(data)}
+	}
+	after.durable = maps.Clone(after.now)
+	return after
+}
+
+func (d *disk) do(what func() error) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.step(); err != nil {
+		return err
+	}
+	return what()
+}
+
+func (d *disk) Create(name string) (f File, err error) {
+	err = d.do(func() error {
+		if d.now[name] != nil {
+			return os.ErrExist
+		}
+		d.now[name] = &memFile{d: d}
+		f = d.now[name]
+		return nil
+	})
+	return f, err
+}
+
+func (d *disk) Open(name string, _ bool) (f File, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.now[name] == nil {
+		return nil, os.ErrNotExist
+	}
+	return d.now[name], nil
+}
+
+func (d *disk) Rename(from, to string) error {
+	return d.do(func() error {
+		d.now[to] = d.now[from]
+		delete(d.now, from)
+		return nil
+	})
+}
+
+func (d *disk) Remove(name string) error {
+	return d.do(func() error { delete(d.now, name); return nil })
+}
+
+func (d *disk) List() ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.now)), nil
+}
+
+func (d *disk) SyncDir() error {
+	return d.do(func() error { d.durable = maps.Clone(d.now); return nil })
+}
+
+func (d *disk) Lock() (func() error, error) { return func() error { return nil }, nil }
+
+func (f *memFile) ReadAt(p []byte, at int64) (int, error) {
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	n := copy(p, f.data[min(at, int64(len(f.data))):])
+	if n < len(p) {
+		return n, errors.New("end of file")
+	}
+	return n, nil
+}
+
+func (f *memFile) WriteAt(p []byte, at int64) (n int, err error) {
+	err = f.d.do(func() error {
+		n = len(p)
+		if f.d.full >= 0 {
+			n = min(n, f.d.full)
+			f.d.full -= n
+		}
+		f.data = append(f.data[:at], p[:n]...)
+		if n < len(p) {
+			return errors.New("no space left on device")
+		}
+		return nil
+	})
+	return n, err
+}
+
+func (f *memFile) Truncate(size int64) error {
+	return f.d.do(func() error { f.data = f.data[:size]; return nil })
+}
+
+func (f *memFile) Sync() error {
+	return f.d.do(func() error {
+		if f.d.noSync {
+			return errDisk
+		}
+		f.durable = slices.Clone(f.data)
+		return nil
+	})
+}
+
+func (f *memFile) Size() (int64, error) { return int64(len(f.data)), nil }
+func (f *memFile) Close() error         { return nil }
+
+func contents(t *testing.T, s *Store) map[string]string {
+	t.Helper()
+	snap := s.Snapshot()
+	defer snap.Release()
+	out, last := map[string]string{}, ""
+	if err := snap.Each("", func(k string, v []byte) bool {
+		if k <= last {
+			t.Errorf("%q comes after %q", k, last)
+		}
+		out[k], last = string(v), k
+		return true
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func open(t *testing.T, d *disk, o Options) (*Store, *Recovery) {
+	t.Helper()
+	s, r, err := OpenFiles(d, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, r
+}
+
+// history writes batches of puts and deletes; states[i] is what stands after i of them.
+func history(t *testing.T, s *Store, n int, draw *rand.Rand) (states []map[string]string) {
+	t.Helper()
+	state := map[string]string{}
+	states = append(states, maps.Clone(state))
+	for i := range n {
+		var b Batch
+		for range 1 + draw.IntN(3) {
+			key := fmt.Sprint("k", draw.IntN(8))
+			if draw.IntN(3) == 0 {
+				b.Delete(key)
+				delete(state, key)
+			} else {
+				state[key] = fmt.Sprint("v", i, strings.Repeat("x", draw.IntN(20)))
+				b.Put(key, []byte(state[key]))
+			}
+		}
+		if err := s.Apply(&b); err != nil {
+			t.Fatal(err)
+		}
+		states = append(states, maps.Clone(state))
+	}
+	return states
+}
+
+func among(states []map[string]string, got map[string]string) int {
+	return slices.IndexFunc(states, func(s map[string]string) bool { return maps.Equal(s, got) })
+}
+
+// A log cut off at any byte comes back as it stood after its last whole batch, and goes on from there.
+func TestCutOffAtEveryByte(t *testing.T) {
+	d := newDisk()
+	s, _ := open(t, d, Options{NoSelfCompact: true})
+	states := history(t, s, 40, rand.New(rand.NewPCG(1, 1)))
+	s.Close()
+	whole := d.now[segmentName(1)].data
+	ends := []int{headFixed}
+	if _, err := scan(segmentName(1), whole, true, func(_ uint64, at int64, _ []op) {
+		n, _, _ := readFrame(whole[at:])
+		ends = append(ends, int(at)+n)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for cut := range len(whole) + 1 {
+		d := newDisk()
+		d.now[segmentName(1)] = &memFile{d: d, data: slices.Clone(whole[:cut])}
+		s, r := open(t, d, Options{NoSelfCompact: true})
+		want := 0
+		for want+1 < len(ends) && ends[want+1] <= cut {
+			want++
+		}
+		if got := contents(t, s); !maps.Equal(got, states[want]) {
+			t.Fatalf("cut at %d: %v, want the state after %d batches, %v", cut, got, want, states[want])
+		}
+		if kept := ends[want]; cut > kept && r.Dropped != int64(cut-kept) {
+			t.Fatalf("cut at %d: %d bytes told as dropped, want %d", cut, r.Dropped, cut-kept)
+		}
+		if err := s.Put("after", []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+		if s, r := open(t, d, Options{}); contents(t, s)["after"] != "x" || r.Dropped != 0 {
+			t.Fatalf("cut at %d: what was written afterwards is gone", cut)
+		}
+	}
+}
+
+// Any byte that is wrong is refused with its place, or was in the last batch, which might have been a crash's; nothing
+// is ever made up.
+func TestEveryByteWrong(t *testing.T) {
+	d := newDisk()
+	s, _ := open(t, d, Options{NoSelfCompact: true, SegmentBytes: 400})
+	states := history(t, s, 30, rand.New(rand.NewPCG(2, 2)))
+	s.Close()
+	names, _ := d.List()
+	refused := 0
+	for _, name := range names {
+		for at := range len(d.now[name].data) {
+			bad := newDisk()
+			for n, f := range d.now {
+				bad.now[n] = &memFile{d: bad, data: slices.Clone(f.data)}
+			}
+			bad.now[name].data[at] ^= 0x41
+			before := slices.Clone(bad.now[name].data)
+			s, _, err := OpenFiles(bad, Options{NoSelfCompact: true})
+			if err != nil {
+				var damage *Damage
+				if !errors.As(err, &damage) && !errors.Is(err, ErrNewer) || damage != nil && damage.File != name {
+					t.Fatalf("%s at %d: %v", name, at, err)
+				}
+				if !slices.Equal(before, bad.now[name].data) {
+					t.Fatalf("%s at %d: refused, and changed", name, at)
+				}
+				refused++
+				continue
+			}
+			if name != names[len(names)-1] || among(states, contents(t, s)) < len(states)-2 && at >= headFixed {
+				if i := among(states, contents(t, s)); i < 0 || name != names[len(names)-1] {
+					t.Fatalf("%s at %d: opened in a state that never was", name, at)
+				}
+			}
+		}
+	}
+	if refused < 300 {
+		t.Errorf("only %d damages refused", refused)
+	}
+}
+
+// The power goes at every step of a day with compactions: what was acknowledged stands, what was not stands whole or
+// not at all, and what was removed does not come back.
+func TestPowerGoesAtEveryStep(t *testing.T) {
+	play := func(d *disk, seed uint64) (acknowledged, perhaps map[string]string) {
+		draw := rand.New(rand.NewPCG(seed, 3))
+		acknowledged = map[string]string{}
+		s, _, err := OpenFiles(d, Options{NoSelfCompact: true, SegmentBytes: 300})
+		if err != nil {
+			return acknowledged, acknowledged
+		}
+		for i := range 40 {
+			var b Batch
+			next := maps.Clone(acknowledged)
+			for range 1 + draw.IntN(3) {
+				key := fmt.Sprint("k", draw.IntN(6))
+				if draw.IntN(3) == 0 {
+					b.Delete(key)
+					delete(next, key)
+				} else {
+					next[key] = fmt.Sprint(i, strings.Repeat("y", draw.IntN(30)))
+					b.Put(key, []byte(next[key]))
+				}
+			}
+			if s.Apply(&b) != nil {
+				return acknowledged, next
+			}
+			acknowledged = next
+			if i%9 == 8 && s.Compact() != nil {
+				return acknowledged, acknowledged
+			}
+		}
+		return acknowledged, acknowledged
+	}
+	whole := newDisk()
+	play(whole, 1)
+	if whole.steps < 120 {
+		t.Fatalf("%d steps, too few to prove anything", whole.steps)
+	}
+	for at := 1; at <= whole.steps+1; at++ {
+		for seed := range uint64(3) {
+			d := newDisk()
+			d.failAt = at
+			acknowledged, perhaps := play(d, 1)
+			after := d.crash(rand.New(rand.NewPCG(seed, uint64(at))))
+			s, _, err := OpenFiles(after, Options{NoSelfCompact: true})
+			if err != nil {
+				t.Fatalf("power gone at step %d: %v", at, err)
+			}
+			if got := contents(t, s); !maps.Equal(got, acknowledged) && !maps.Equal(got, perhaps) {
+				t.Fatalf("power gone at step %d: %v, acknowledged %v, under way %v", at, got, acknowledged, perhaps)
+			}
+			names, _ := after.List()
+			for _, name := range names {
+				if strings.HasSuffix(name, partSuffix) {
+					t.Fatalf("power gone at step %d: %s is left", at, name)
+				}
+			}
+		}
+	}
+}
+
+func TestDiskFullAndSyncFails(t *testing.T) {
+	d := newDisk()
+	s, _ := open(t, d, Options{NoSelfCompact: true})
+	if err := s.Put("a", []byte("1")); err != nil {
+		t.Fatal(err)
+	}
+	d.full = 10
+	if err := s.Put("b", make([]byte, 100)); err == nil || errors.Is(err, ErrReadOnly) {
+		t.Errorf("disk full: %v", err)
+	}
+	if _, found, _ := s.Get("b"); found {
+		t.Error("what was not durable can be read")
+	}
+	d.full = -1
+	if err := s.Put("c", []byte("3")); err != nil {
+		t.Errorf("with room again: %v", err)
+	}
+	d.noSync = true
+	if err := s.Put("d", []byte("4")); err == nil {
+		t.Error("acknowledged though the sync failed")
+	}
+	d.noSync = false
+	if err := s.Put("e", []byte("5")); !errors.Is(err, ErrReadOnly) {
+		t.Errorf("after a failed sync: %v, want read-only", err)
+	}
+	if v, found, _ := s.Get("c"); !found || string(v) != "3" {
+		t.Error("a read-only store cannot be read")
+	}
+	s.Close()
+	again, _ := open(t, d.crash(rand.New(rand.NewPCG(1, 1))), Options{})
+	if got := contents(t, again); got["a"] != "1" || got["c"] != "3" || got["b"] != "" || got["e"] != "" {
+		t.Errorf("after it all: %v", got)
+	}
+}
+
+// Many write at once; a snapshot stands still meanwhile, and compaction goes on by itself.
+func TestWritersReadersCompaction(t *testing.T) {
+	s, _, err := Open(t.TempDir(), Options{SegmentBytes: 8 << 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Put("still", []byte("here"))
+	snap := s.Snapshot()
+	var all sync.WaitGroup
+	for w := range 8 {
+		all.Go(func() {
+			for i := range 150 {
+				if err := s.Put(fmt.Sprintf("w%d/%d", w, i%5), fmt.Append(nil, i, strings.Repeat("z", 200))); err != nil {
+					t.Error(err)
+				}
+				if i%50 == 49 {
+					if err := s.Compact(); err != nil {
+						t.Error(err)
+					}
+				}
+			}
+		})
+	}
+	s.Put("still", []byte("changed"))
+	s.Delete("still")
+	all.Wait()
+	if snap.Len() != 1 {
+		t.Errorf("a snapshot of one key has %d", snap.Len())
+	}
+	snap.Each("", func(k string, v []byte) bool {
+		if string(v) != "here" {
+			t.Errorf("a snapshot has changed: %s %s", k, v)
+		}
+		return true
+	})
+	snap.Release()
+	if got := contents(t, s); len(got) != 40 || !strings.HasPrefix(got["w3/4"], "149") {
+		t.Errorf("%d keys, %.20q", len(got), got["w3/4"])
+	}
+	n := 0
+	again := s.Snapshot()
+	again.Each("w3/", func(string, []byte) bool { n++; return true })
+	again.Release()
+	if n != 5 {
+		t.Errorf("%d keys under a prefix, want 5", n)
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestDirectories(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "new")
+	s, _, err := Open(path, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(path, Options{}); err == nil || !strings.Contains(err.Error(), "held by another") {
+		t.Errorf("opened twice: %v", err)
+	}
+	s.Put("a", []byte("1"))
+	if r, found, err := Open(path, Options{ReadOnly: true}); err != nil || found.Keys != 1 || !errors.Is(r.Put("b", nil), ErrReadOnly) {
+		t.Errorf("looked at beside its holder: %v %v", found, err)
+	}
+	s.Close()
+	name := filepath.Join(path, segmentName(1))
+	b, _ := os.ReadFile(name)
+	newer := slices.Clone(b)
+	newer[len(magic)] = version + 1
+	os.WriteFile(name, newer, 0o600)
+	if _, _, err := Open(path, Options{}); !errors.Is(err, ErrNewer) {
+		t.Errorf("from a newer version: %v", err)
+	}
+	file := filepath.Join(t.TempDir(), "f")
+	os.WriteFile(file, nil, 0o600)
+	if _, _, err := Open(file, Options{}); err == nil {
+		t.Error("a file was opened as a directory")
+	}
+}
+
+// What can be read round a damage comes over whole, and the damaged directory stays as it was.
+func TestRepair(t *testing.T) {
+	d := newDisk()
+	s, _ := open(t, d, Options{NoSelfCompact: true})
+	for i := range 10 {
+		s.Put(fmt.Sprint("k", i), []byte("value"))
+	}
+	s.Close()
+	data := d.now[segmentName(1)].data
+	data[len(data)/2] ^= 1
+	before := slices.Clone(data)
+	var damage *Damage
+	if _, _, err := OpenFiles(d, Options{}); !errors.As(err, &damage) || damage.After < 3 || damage.Offset == 0 {
+		t.Fatalf("%v, want the damage told", err)
+	}
+	to := newDisk()
+	batches, lost, err := Repair(d, to)
+	if err != nil || batches != 9 || lost == 0 || !slices.Equal(before, data) {
+		t.Fatalf("%d batches, %d bytes lost, %v", batches, lost, err)
+	}
+	out, _ := open(t, to, Options{})
+	if got := contents(t, out); len(got) != 9 {
+		t.Errorf("%d keys came over, want nine", len(got))
+	}
+	if _, _, err := Repair(d, to); err == nil {
+		t.Error("repaired into a store that is there")
+	}
+}
