Tests of what comes all at once, of draws that find nobody, and of the store's commands

Change: fleets of 4,096 in which nearly all are turned away, unfit, late, cold or silent; all reports at once, another list, every server restarted, 100,000 tasks held, a hot key; benchmarks of the worst draw and of the store.

--- a/cmd/fawnglade/main_test.go
+++ b/cmd/fawnglade/main_test.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+
+	"fawnglade/internal/store"
 )
 
 const config = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
@@ -84,3 +87,55 @@
 		}
 	}
 }
+
+// The store's commands on a whole directory, then on a damaged one.
+func TestStoreCommands(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "state")
+	s, _, err := store.Open(dir, store.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 5 {
+		s.Put(fmt.Sprint("a/", i), []byte("value"))
+	}
+	s.Put("b", []byte{0xff})
+	run := func(code int, args ...string) string {
+		t.Helper()
+		c := program(t, config, append([]string{"store"}, args...)...)
+		out, _ := c.CombinedOutput()
+		if c.ProcessState.ExitCode() != code {
+			t.Errorf("%v: exit %d, want %d: %s", args, c.ProcessState.ExitCode(), code, out)
+		}
+		return string(out)
+	}
+	for want, args := range map[string][]string{
+		"whole, 6 keys":                {"check", dir}, // beside its holder
+		`"whole":true`:                 {"check", dir, "--json"},
+		"5\ta/4\n":                     {"list", dir, "--prefix", "a/"},
+		"value":                        {"get", dir, "a/3"},
+		`{"base64":"/w==","key":"b"}`:  {"export", dir},
+		`{"key":"a/0","text":"value"}`: {"export", dir},
+	} {
+		if out := run(0, args...); !strings.Contains(out, want) {
+			t.Errorf("%v: %q, want %q in it", args, out, want)
+		}
+	}
+	run(1, "get", dir, "c")
+	run(1, "check", filepath.Join(dir, "nowhere"))
+	run(1, "repair", dir, "--to", dir)
+	s.Close()
+	files, _ := filepath.Glob(filepath.Join(dir, "seg-*"))
+	text, _ := os.ReadFile(files[0])
+	text[len(text)/2] ^= 1
+	os.WriteFile(files[0], text, 0o600)
+	if out := run(1, "check", dir); !strings.Contains(out, "is damaged at byte") {
+		t.Errorf("a damaged store: %q", out)
+	}
+	to := filepath.Join(t.TempDir(), "mended")
+	if out := run(0, "repair", dir, "--to", to); !strings.Contains(out, "5 batches copied") {
+		t.Errorf("repaired: %q", out)
+	}
+	if out := run(0, "check", to); !strings.Contains(out, "whole, 5 keys") {
+		t.Errorf("mended: %q", out)
+	}
+}
--- /dev/null
+++ b/internal/store/bench_test.go
@@ -0,0 +1,110 @@
+package store
+
+import (
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// BenchmarkPut is durable writes of 100 bytes by so many writers at once, on the disk of the test's directory.
+func BenchmarkPut(b *testing.B) {
+	for _, writers := range []int{1, 8, 64} {
+		b.Run(fmt.Sprint(writers), func(b *testing.B) {
+			s, _, err := Open(b.TempDir(), Options{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer s.Close()
+			value := make([]byte, 100)
+			var next atomic.Int64
+			var all sync.WaitGroup
+			b.ResetTimer()
+			for range writers {
+				all.Go(func() {
+					for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
+						if err := s.Put(fmt.Sprint("k", i%1000), value); err != nil {
+							b.Error(err)
+							return
+						}
+					}
+				})
+			}
+			all.Wait()
+		})
+	}
+}
+
+// BenchmarkOpen recovers a store of so many keys, and tells the memory that it then takes.
+func BenchmarkOpen(b *testing.B) {
+	for _, keys := range []int{1000, 100000, 1000000} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			dir := b.TempDir()
+			s, _, err := Open(dir, Options{NoSelfCompact: true})
+			if err != nil {
+				b.Fatal(err)
+			}
+			for i := 0; i < keys; {
+				var batch Batch
+				for range min(5000, keys) {
+					batch.Put(fmt.Sprintf("server/%07d", i), []byte("forty bytes or so of what is known of it"))
+					i++
+				}
+				if err := s.Apply(&batch); err != nil {
+					b.Fatal(err)
+				}
+			}
+			s.Close()
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			b.ResetTimer()
+			for range b.N {
+				s, r, err := Open(dir, Options{NoSelfCompact: true})
+				if err != nil || r.Keys != keys {
+					b.Fatal(err, r)
+				}
+				b.StopTimer()
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				s.Close()
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
+		})
+	}
+}
+
+// BenchmarkOverwrite writes the same thousand keys over and over; what the log takes, over what stands, is the space
+// amplification, and all that was written, over what was asked for, that of writing.
+func BenchmarkOverwrite(b *testing.B) {
+	s, _, err := Open(b.TempDir(), Options{SegmentBytes: 256 << 10})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	value := make([]byte, 1000)
+	most, start := 0.0, time.Now()
+	for i := range b.N {
+		var batch Batch
+		for k := range 50 {
+			batch.Put(fmt.Sprint("k", (i*50+k)%1000), value)
+		}
+		if err := s.Apply(&batch); err != nil {
+			b.Fatal(err)
+		}
+		s.mu.Lock()
+		total := int64(0)
+		for _, seg := range s.segments {
+			total += seg.size
+		}
+		if i > 100 {
+			most = max(most, float64(total)/float64(s.live))
+		}
+		s.mu.Unlock()
+	}
+	b.ReportMetric(most, "space")
+	b.ReportMetric(float64(b.N*50)/time.Since(start).Seconds(), "puts/s")
+}
--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -111,3 +111,21 @@
 		})
 	}
 }
+
+// BenchmarkNobody is a draw in which nobody takes part: the worst case, 32 tries and two passes.
+func BenchmarkNobody(b *testing.B) {
+	for _, n := range []int{64, 512, 4096} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := New(benchSettings, 1, &quiet{})
+			now := int64(1e12)
+			p.ListLearned(now, listOf(n), true)
+			for _, s := range p.servers {
+				s.fullTill = now + ms
+			}
+			task := &task{Task: Task{HardLimit: now + 900*ms}, category: &p.set.Categories[0], limit: now + 900*ms}
+			for range b.N {
+				p.draw(now, task)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/policy/scale_test.go
@@ -0,0 +1,185 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// counted counts what is drawn.
+type counted struct {
+	rand.Source
+	n int
+}
+
+func (c *counted) Uint64() uint64 { c.n++; return c.Source.Uint64() }
+
+// holds checks that nobody who takes part has less of a ceiling than 1/w.
+func holds(t *testing.T, what string, p *Policy, now int64) (taking int) {
+	t.Helper()
+	for s, w := range slowWeights(p, now, anyTask(p, now)) {
+		if taking++; p.ceilings.At(s.at)*w < 1 {
+			t.Fatalf("%s: server %d has a ceiling of %g, 1/w is %g", what, s.Server, p.ceilings.At(s.at), 1/w)
+		}
+	}
+	return taking
+}
+
+// Where next to nobody is fit the draw ends after its tries and one pass; it must not spin.
+func TestDrawDoesNotSpin(t *testing.T) {
+	for name, spoil := range map[string]func(s *server, i int, now int64){
+		"just turned away": func(s *server, i int, now int64) { s.fullTill = now + ms },
+		"unfit":            func(s *server, i int, now int64) { s.unfit, s.retryAt, s.out = true, now+ms, 1 },
+		"too late":         func(s *server, i int, now int64) { s.own.A, s.own.N = 1e6, 20 },
+		"cold":             func(s *server, i int, now int64) { s.Started, s.credit = now, 0 },
+		"silent":           func(s *server, i int, now int64) { s.out, s.known, s.silentFrom = 1, true, now-1e9 },
+	} {
+		for _, fit := range []int{0, 1} {
+			p := New(benchSettings, 1, &quiet{})
+			now := int64(1e12)
+			p.ListLearned(now, listOf(4096), true)
+			p.meanOf, p.high = 5e6, 2
+			for i, s := range p.servers {
+				if i >= fit {
+					spoil(s, i, now)
+				}
+			}
+			p.survey(now)
+			c := &counted{Source: rand.NewPCG(1, 2)}
+			p.draws = rand.New(c)
+			s := p.draw(now, anyTask(p, now))
+			if (s != nil) != (fit == 1) || s != nil && s != p.servers[0] {
+				t.Errorf("%s, %d fit: drew %v", name, fit, s)
+			}
+			if c.n > 2*tries+1 {
+				t.Errorf("%s, %d fit: %d numbers drawn, want %d at most", name, fit, c.n, 2*tries+1)
+			}
+		}
+	}
+}
+
+// What comes all at once: reports, another list, every server restarted, with 10,000 tasks out.
+func TestAllAtOnce(t *testing.T) {
+	const n = 1024
+	q := &quiet{}
+	set := benchSettings
+	set.Held = true
+	p := New(set, 1, q)
+	now := int64(1e12)
+	list := listOf(2 * n)
+	p.ListLearned(now, list[:n], true)
+	type out struct {
+		id     TaskID
+		server ServerID
+	}
+	var outs []out
+	arrive := func(count int) (sent int) {
+		for i := range count {
+			id := TaskID(fmt.Sprint(now, "-", i))
+			q.sent = false
+			if p.TaskArrived(now, Task{ID: id, HardLimit: now + 900*ms, Cost: 5e6}); q.sent {
+				outs = append(outs, out{id, q.server})
+				sent++
+			}
+		}
+		return sent
+	}
+	answer := func(load float64) {
+		for _, o := range outs {
+			p.HandOffAnswered(now, Answer{Task: o.id, Server: o.server, Outcome: Satisfied, Elapsed: 20 * ms, Final: true,
+				Report: Report{Utilisation: -1, Held: load, Queue: -1, ServiceTime: -1}})
+		}
+		outs = nil
+	}
+	if sent := arrive(10000); sent < 9000 {
+		t.Fatalf("%d of 10,000 tasks sent to %d idle servers", sent, n)
+	}
+	now += 20 * ms
+	answer(50)
+	holds(t, "all reports in one instant", p, now)
+	answer(0)
+	arrive(2000)
+	p.ListLearned(now, list[n:], true)
+	if got := holds(t, "another list", p, now); got != n {
+		t.Errorf("%d take part after another list, want its %d", got, n)
+	}
+	if arrive(500); len(outs) < 2000 {
+		t.Errorf("%d sent after another list", len(outs)-2000)
+	}
+	for _, o := range outs[2000:] {
+		if p.byID[o.server].State != Active {
+			t.Fatalf("sent to %d, which is on the list no more", o.server)
+		}
+	}
+	now += 20 * ms
+	answer(1)
+	again := list[n:]
+	for i := range again {
+		again[i].Started = now
+	}
+	p.ListLearned(now, again, true)
+	if got := holds(t, "every server restarted", p, now); got > n/10 {
+		t.Errorf("%d of %d cold servers may be given a task at once", got, n)
+	}
+	given := map[ServerID]int{}
+	for range 50 {
+		now += 20 * ms
+		arrive(100)
+		for _, o := range outs {
+			given[o.server]++
+		}
+		answer(1)
+		holds(t, "warming up", p, now)
+	}
+	for id, k := range given {
+		if k > 8 {
+			t.Errorf("cold server %d was given %d of 5,000 tasks, one in %d would be its even part", id, k, n)
+		}
+	}
+	if len(p.tasks) != 0 {
+		t.Errorf("%d tasks are held that have their end", len(p.tasks))
+	}
+}
+
+// 100,000 tasks held at once, then none; and one key for all of them.
+func TestManyHeldAndAHotKey(t *testing.T) {
+	q := &quiet{}
+	set := benchSettings
+	set.WarmKeys = true
+	p := New(set, 1, q)
+	now := int64(1e12)
+	p.ListLearned(now, listOf(512), true)
+	servers := map[TaskID]ServerID{}
+	for i := range 100000 {
+		id := TaskID(fmt.Sprint(i))
+		q.sent = false
+		if p.TaskArrived(now, Task{ID: id, HardLimit: now + 900*ms}); q.sent {
+			servers[id] = q.server
+		}
+	}
+	if len(p.tasks) != len(servers) || len(servers) < 90000 {
+		t.Errorf("%d held, %d sent", len(p.tasks), len(servers))
+	}
+	for id, s := range servers {
+		p.HandOffAnswered(now+ms, Answer{Task: id, Server: s, Outcome: Satisfied, Elapsed: ms, Final: true})
+	}
+	if len(p.tasks) != 0 {
+		t.Errorf("%d held after all have their end", len(p.tasks))
+	}
+	used := map[ServerID]int{}
+	for i := range 2000 {
+		now += ms / 4
+		id := TaskID(fmt.Sprint("hot", i))
+		q.sent = false
+		if p.TaskArrived(now, Task{ID: id, HardLimit: now + 900*ms, Key: "hot"}); !q.sent {
+			t.Fatal("declined by idle servers")
+		}
+		used[q.server]++
+		p.HandOffAnswered(now, Answer{Task: id, Server: q.server, Outcome: Satisfied, Elapsed: ms, Final: true})
+	}
+	for s, n := range used {
+		if n > 1000 {
+			t.Errorf("server %d got %d of 2,000 tasks of one key", s, n)
+		}
+	}
+}
