--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -33,7 +33,9 @@
 
 var errDisk = errors.New("disk fails")
 
-func newDisk() *disk { return &disk{now: map[string]*memFile{}, durable: map[string]*memFile{}, full: -1} }
+func newDisk() *disk {
+	return &disk{now: map[string]*memFile{}, durable: map[string]*memFile{}, full: -1}
+}
 
 // step counts one thing that the store asks for; the lock is held.
 func (d *disk) step() error {
