No second copy goes out while nothing is known of what a task costs

Cause: since silence under four ticks tells nothing, patience was no longer 0 for a task whose cost is unknown, and a second copy went out after four ticks; the adapter's tests showed it. Change: copies hang on a known cost.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -394,7 +394,7 @@
 	p.touch(now, s)
 	p.host.HandOff(t.ID, s.Server, t.limit-now)
 	if patience := p.patience(s, cost); p.set.MayDuplicate && t.category.Repeat != Exclusive &&
-		t.open == 1 && patience > 0 && now+patience < t.limit-patience/2 {
+		t.open == 1 && cost > 0 && now+patience < t.limit-patience/2 {
 		if t.cookie == 0 {
 			t.cookie, p.cookies = p.cookies, p.cookies+1
 			p.waking[t.cookie] = t
