--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -17,7 +17,7 @@
 // Kinds of fault, with what each must name: servers, nodes, or nothing for what is there once.
 var Kinds = map[string]string{
 	"slow": "servers", "silent": "servers", "fail": "servers", "pause": "servers", "reset": "servers", "cut": "servers",
-	"die": "servers", "replace": "servers", "drain": "servers", "add": "servers", "unlisted": "servers", "crowd": "servers",
+	"die": "servers", "replace": "servers", "drain": "servers", "unlisted": "servers", "crowd": "servers",
 	"spoil": "servers", "turn-away": "servers", "restart-servers": "servers",
 	"discovery-down": "", "discovery-move": "", "discovery-slow": "",
 	"kill": "nodes", "stop": "nodes", "freeze": "nodes", "cut-node": "nodes",
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -42,7 +42,7 @@
 		"wrong type":         {"rate = 100", `rate = "fast"`, "f:6: "},
 		"impossible":         {"count = 4", "count = 4\nspeed = -1", "f:5: fleet.0.speed: expected a number above 0, got -1"},
 		"limits crossed":     {`"500ms"`, `"50ms"`, "f:10: category.0.hard_limit: expected no less than soft_limit"},
-		"unknown fault":      {`"slow"`, `"sloth"`, "f:13: fault.0.kind: expected one of add, "},
+		"unknown fault":      {`"slow"`, `"sloth"`, "f:13: fault.0.kind: expected one of bad-clients, "},
 		"names nobody":       {"count = 2", "count = 0", "f:12: fault.0.servers: expected servers, a count, a share or a zone, got a fault that names nobody"},
 		"names who is not":   {"count = 2", `servers = ["s-9"]`, "f:15: fault.0.servers: expected names such as s-0, got \"s-9\""},
 		"more than there is": {"count = 2", "count = 9", "f:15: fault.0.count: expected no more than there are servers, got 9"},
