Read once more: what nobody used is gone from the store and the lab's clients

Cause: a list of replaced segments was worked out in two places, one never called, and the clients kept a channel and a count that nobody read.

--- a/internal/lab/rig/client.go
+++ b/internal/lab/rig/client.go
@@ -46,7 +46,7 @@
 	connect  = time.Second            // of a client to a node
 )
 
-// attempt of a client is called a try here: one message to one node.
+// try is one message of a client to one node; a task may take several.
 type try struct {
 	task     *plan.Task
 	n        int
@@ -66,12 +66,10 @@
 	turn     []int
 	outcomes []Outcome
 
-	mu     sync.Mutex
-	again  retries
-	wake   chan struct{}
-	unsent int
-	idle   chan struct{} // closed when every task has its end
-	left   int
+	mu    sync.Mutex
+	again retries
+	wake  chan struct{}
+	left  int
 }
 
 // retries is a heap by due time.
@@ -112,7 +110,7 @@
 }
 
 func newClients(d *Day) *clients {
-	c := &clients{day: d, outcomes: make([]Outcome, len(d.plan.Tasks)), wake: make(chan struct{}, 1), idle: make(chan struct{}),
+	c := &clients{day: d, outcomes: make([]Outcome, len(d.plan.Tasks)), wake: make(chan struct{}, 1),
 		left: len(d.plan.Tasks), byZone: make([][]*pool, len(d.scenario.Network.Zones)), turn: make([]int, len(d.scenario.Network.Zones))}
 	for _, n := range d.nodes {
 		c.pools = append(c.pools, &pool{side: c, node: n, all: map[*rider]struct{}{}})
@@ -127,9 +125,6 @@
 			c.byZone[zone] = c.pools
 		}
 	}
-	if c.left == 0 {
-		close(c.idle)
-	}
 	return c
 }
 
@@ -471,9 +466,7 @@
 		return
 	}
 	*o = Outcome{State: state, Took: at - t.task.Due, Tries: t.n + 1}
-	if c.left--; c.left == 0 {
-		close(c.idle)
-	}
+	c.left--
 }
 
 // close ends every connection, after a last look for what should not be there.
--- a/internal/store/segment.go
+++ b/internal/store/segment.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
-	"slices"
 	"strconv"
 	"strings"
 )
@@ -239,13 +238,3 @@
 	}
 	return found
 }
-
-// replacedBy lists the segments that others stand for.
-func replacedBy(all []scanned) []uint64 {
-	var out []uint64
-	for _, s := range all {
-		out = append(out, s.replaces...)
-	}
-	slices.Sort(out)
-	return out
-}
