A node draws from a subset of the servers; a category's failures strike it alone

Checks: servers take 76 to 120 connections and nodes are 266 to 520; each node held one to every server. At fault: ListLearned and inDraw, which took the whole list.

- choose: the first servers by rank of the node's position, until as many warm and fit ones are among them as the node's breadth asks for (at least 4, one more for two tasks a second, and no fewer than let sixteen nodes draw from each server: with three nodes that is the whole fleet).
- standing: failures are kept for each category of a server.
- A hand-off overdue while its server answered others strikes its category; where no second copy is allowed the task is recalled and sent elsewhere, if rerunnable.
- A reset after idleness is not the server's; connections idle for as long are closed before use.

Taken out: keys met lately and their homes, live weights, tasks in work as a load, the borne share of misses.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -256,3 +256,10 @@
 func (l *loop) WakeAt(at int64, cookie uint64) { heap.Push(&l.timers, timer{at, cookie}) }
 
 func (l *loop) Subscribe() { l.node.discovery.call() }
+
+// Release closes what is idle to a server; the loop does not wait for it.
+func (l *loop) Release(server policy.ServerID) {
+	if address := l.fleet[server]; address != "" {
+		go l.node.servers.forget(place{server, address})
+	}
+}
--- a/internal/node/names.go
+++ b/internal/node/names.go
@@ -85,7 +85,7 @@
 
 // reportOf reads a load report and skips what it does not know or cannot be a load.
 func reportOf(text string) policy.Report {
-	r := policy.Report{Utilisation: -1, Held: -1, Queue: -1, ServiceTime: -1}
+	r := policy.Report{Utilisation: -1, Queue: -1, ServiceTime: -1}
 	for pair := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(pair, "=")
 		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
@@ -95,8 +95,6 @@
 		switch strings.TrimSpace(name) {
 		case "util":
 			r.Utilisation = v
-		case "inflight":
-			r.Held = v
 		case "queue":
 			r.Queue = v
 		case "latency_ms":
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -184,19 +184,17 @@
 		}
 	}
 	s.OverShare = p.numberOr("over_share_worth", 0, 1)
-	s.BorneMisses = p.numberOr("goal.borne_misses", 0, 0)
 	s.Zone = int(p.number("zone", 0))
+	s.Position = int(p.numberOr("position", 0, 0))
+	s.Nodes = int(p.numberOr("group_size", 1, 1))
+	s.Streams = int(p.numberOr("limits.multiplex", 1, 1))
 	s.Tick = p.time("quantum_us", 0)
 	s.MustAsk = choice(p, "discovery", map[string]bool{"push": false, "ask": true})
 	if s.MustAsk {
 		s.AskWithin = p.time("rules.ask_within_us", 1)
 	}
-	switch choice(p, "weights", map[string]string{"off": "", "nominal": "size", "rough": "size", "live": "live"}) {
-	case "live":
-		s.LiveWeights = true
-	case "size":
-		s.SizeWeights = true
-	}
+	// A weight that says how full a server was a while ago is passed over; what servers report says it better.
+	s.SizeWeights = choice(p, "weights", map[string]bool{"off": false, "nominal": true, "rough": true, "live": false})
 	if p.values["report.how"] != "off" {
 		for _, field := range strings.Split(p.values["report.fields"], ",") {
 			switch field {
@@ -204,12 +202,9 @@
 				s.Utilised = true
 			case "latency_ms":
 				s.Timed = true
-			case "inflight":
-				s.Held = true
 			}
 		}
 	}
-	s.WarmKeys = p.truth("family_info.warm_keys", false)
 	s.MayDuplicate = p.truth("limits.may_duplicate", false)
 	s.MayRecall = p.truth("limits.cancelling", false)
 	s.MayAdvise = p.truth("limits.retry_after", false)
--- a/policy/types.go
+++ b/policy/types.go
@@ -64,18 +64,17 @@
 	Portions   []float64 // of each customer
 	OverShare  float64   // earnings of a task beyond its customer's share
 
-	BorneMisses float64 // part of the tasks taken that may miss their soft limit unpunished; 0: no such goal
+	Position, Nodes int // of this instance, and how many there are
+	Streams         int // tasks that a connection carries at once
 
 	Zone                        int
 	Tick, AskWithin, WarmWithin int64
 
 	MustAsk     bool // the list answers only when asked
-	LiveWeights bool // the list's weight falls as a server fills
 	SizeWeights bool // the list's weight is a size
-	WarmKeys    bool // a key met lately costs less
 
 	MayDuplicate, MayRecall, MayAdvise bool
-	Utilised, Timed, Held              bool // in reports: utilisation, service time, tasks in work
+	Utilised, Timed                    bool // in reports: utilisation, service time
 
 	MaxAdvice   int64
 	MaxHandOffs int
@@ -99,12 +98,11 @@
 	HardLimit          int64 // the clock time at which the client gives up
 	Repeated           bool  // the client says that it asks again
 	Cost               int64 // expected work, 0 if not told
-	Key                string
 }
 
 // Report holds the load values that came with an answer; a negative one was not sent.
 type Report struct {
-	Utilisation, Held, Queue, ServiceTime float64
+	Utilisation, Queue, ServiceTime float64
 }
 
 // Answer tells how one hand-off ended.
@@ -127,4 +125,5 @@
 	BreakOff(task TaskID)
 	WakeAt(at int64, cookie uint64)
 	Subscribe()
+	Release(server ServerID)
 }
