What earns little for its work gives up some of its time while tasks are turned away

At fault: allowance, which evened out satisfied parts of categories whatever they earn.

The settings worth, value_by and goal.worst_class are read for it; left out, nothing changes.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -163,6 +163,7 @@
 		c := policy.Category{
 			SoftLimit:    p.time(at+"objective_us", 1),
 			SoftStretch:  p.numberOr(at+"aim_stretch", 0, 0),
+			Earnings:     p.numberOr(at+"worth", 1e-6, 1),
 			LateEarnings: p.numberOr(at+"late_worth", 0, 0),
 			Repeat: choice(p, at+"repeat", map[string]policy.Repeat{
 				"safe": policy.Rerunnable, "keyed": policy.Ticketed, "unsafe": policy.Exclusive}),
@@ -184,6 +185,8 @@
 		}
 	}
 	s.OverShare = p.numberOr("over_share_worth", 0, 1)
+	s.WorstCategory = p.numberOr("goal.worst_class", 0, 1)
+	s.EarnsByWork = p.values["value_by"] == "work"
 	s.Zone = int(p.number("zone", 0))
 	s.Position = int(p.numberOr("position", 0, 0))
 	s.Nodes = int(p.numberOr("group_size", 1, 1))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,6 +39,7 @@
 	coldPull    = 1.0 / (floorPart * floorPart)
 	least       = 4   // servers that a node draws from at least, and a further one
 	carries     = 8.0 // for so many tasks a second
+	evenAt      = 0.4 // where the worst category weighs so much, what work earns favours none
 	firstMet    = 8   // answers by whose mean a category's work is first known
 	sharers     = 16  // nodes that draw from a server at least
 	spreadOut   = 0x9e3779b97f4a7c15
@@ -114,7 +115,7 @@
 type categoryState struct {
 	typical     float64 // a low quantile of answer times, to compare tasks that bring no hint
 	spread      float64 // a high quantile of answer times over their prediction
-	fares       float64 // part of the tasks of late that were satisfied
+	fares, due  float64 // part of the tasks of late that were satisfied; of its time that it keeps in need
 	asked       float64 // fading count of the tasks it is taken over
 	taken, away int     // since the last tick: answers, tasks given up
 	met         int     // answers, up to a few
@@ -161,7 +162,7 @@
 		pods: map[int]*pod{}, waking: map[uint64]*task{}, draws: rand.New(rand.NewPCG(seed, 1)),
 		cookies: firstTask, way: map[int]float64{}, shares: shares.New(settings.Portions)}
 	for range settings.Categories {
-		p.of = append(p.of, categoryState{spread: 2, fares: 1})
+		p.of = append(p.of, categoryState{spread: 2, fares: 1, due: 1})
 	}
 	return p
 }
@@ -547,7 +548,7 @@
 	return p.predict(s, cost*p.bound(t)) <= p.allowance(now, t)
 }
 
-// worst is the satisfied part of the category that fares worst.
+// worst is how the category fares that fares worst for what it is due.
 func (p *Policy) worst() float64 {
 	worst := 1.0
 	for i := range p.of {
@@ -556,6 +557,22 @@
 	return worst
 }
 
+// dues works out which part of its time each category keeps while some is turned away: the less its work earns the
+// less, and the more so the less the worst category's part of the goal weighs.
+func (p *Policy) dues() {
+	most, favour := 0.0, max(0, 1-p.set.WorstCategory/evenAt)
+	for i := range p.of {
+		c := &p.of[i]
+		if c.due = p.set.Categories[i].Earnings; !p.set.EarnsByWork {
+			c.due /= max(cmp.Or(c.typical, p.meanOf), 1)
+		}
+		most = max(most, c.due)
+	}
+	for i := range p.of {
+		p.of[i].due = math.Pow(max(p.of[i].due, most/100, 1e-300)/max(most, 1e-300), favour)
+	}
+}
+
 // bound multiplies a prediction. Where a miss counts only for itself, risk costs more the more is declined.
 func (p *Policy) bound(t *task) float64 {
 	spread := p.of[t.Task.Category].spread
@@ -568,7 +585,8 @@
 // allowance is the time a prediction may take. What fares better than the worst gives up some of its own.
 func (p *Policy) allowance(now int64, t *task) int64 {
 	worst := p.worst()
-	part := worst / p.of[t.Task.Category].fares
+	c := &p.of[t.Task.Category]
+	part := worst / c.fares * (1 - (1-c.due)*(1-worst))
 	if t.beyond {
 		part *= max(worst*worst, p.set.OverShare)
 	}
@@ -988,6 +1006,7 @@
 	if p.idle < math.MaxInt64/2 {
 		p.idle += p.idle / 32
 	}
+	p.dues()
 	p.survey(now)
 	idle := !slices.ContainsFunc(p.servers, func(s *server) bool { return s.out > 0 })
 	for i := range p.of {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -561,3 +561,26 @@
 		t.Error("sent to servers that were silent for 66 ms and answer in 0.05")
 	}
 }
+
+// Guards against a jam of work that earns next to nothing holding up what earns fifty times as much.
+func TestWhatEarnsLittleGivesUpTimeInNeed(t *testing.T) {
+	for worst, kept := range map[float64]int64{0.2: 225, 0.4: 400} { // of 400 ms, with half turned away
+		b := fleet(t, 2, func(s *Settings) {
+			s.WorstCategory, s.EarnsByWork = worst, true
+			s.Categories[0].Earnings, s.Categories[1].Earnings, s.Categories[2].Earnings = 1, 4, 64
+		})
+		b.tick()
+		if got := b.allow(&task{limit: b.now + 400*ms}); got != 400*ms {
+			t.Errorf("with nothing turned away it may take %d of 400 ms", got/ms)
+		}
+		for i := range b.of {
+			b.of[i].fares = 0.5
+		}
+		if got := b.allow(&task{limit: b.now + 400*ms}); got/ms != kept {
+			t.Errorf("where the worst weighs %g it may take %d ms, want %d", worst, got/ms, kept)
+		}
+		if got := b.allow(&task{Task: Task{Category: 2}, limit: b.now + 400*ms}); got != 400*ms {
+			t.Errorf("what earns most may take %d of 400 ms", got/ms)
+		}
+	}
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -55,6 +55,7 @@
 	Repeat       Repeat
 	Group        Group
 	Memory       int64   // how long the group still drops a repeat
+	Earnings     float64 // of a task, or of a unit of its work
 	LateEarnings float64 // share of the earnings paid between soft and hard limit
 }
 
@@ -70,6 +71,9 @@
 	Zone                        int
 	Tick, AskWithin, WarmWithin int64
 
+	WorstCategory float64 // what the worst category weighs in the goal, 0 to 1
+
+	EarnsByWork bool // a task's earnings go by its work
 	MustAsk     bool // the list answers only when asked
 	SizeWeights bool // the list's weight is a size
 
