--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -1,7 +1,5 @@
 // Package shares owns what each customer may still ask for within its share. Set against a node's own traffic, shares
-// need no guess at how traffic is spread over the nodes; a node that hears some of the customers sets the shares of these
-// against one another, as one that serves a single client knows nothing of the rest. It must never know a task, a clock
-// or a server.
+// need no guess at how traffic is spread over the nodes. It must never know a task, a clock or a server.
 package shares
 
 const store = 8 // tasks that a customer may ask for at once after asking for less than its share
@@ -9,14 +7,10 @@
 // Shares holds a part of all that is asked for, and what is left of it, for each customer.
 type Shares struct {
 	portions, left []float64
-	heard          []bool
-	all            float64 // portions of those heard
 }
 
 // New makes one with nothing left for anybody.
-func New(portions []float64) Shares {
-	return Shares{portions: portions, left: make([]float64, len(portions)), heard: make([]bool, len(portions))}
-}
+func New(portions []float64) Shares { return Shares{portions, make([]float64, len(portions))} }
 
 // Beyond takes one task and tells whether it is beyond its customer's share. One that is asked for again neither earns
 // nor costs: it was counted when it came first.
@@ -24,13 +18,9 @@
 	if customer >= len(s.left) {
 		return false
 	}
-	if !s.heard[customer] {
-		s.heard[customer] = true
-		s.all += s.portions[customer]
-	}
-	if !again && s.all > 0 {
+	if !again {
 		for i := range s.left {
-			s.left[i] = min(s.left[i]+s.portions[i]/s.all, store)
+			s.left[i] = min(s.left[i]+s.portions[i], store)
 		}
 	}
 	if s.left[customer] < 1 {
