Nodes tell one another of connections that die idle and of servers that fail a category

So it takes signs from a tenth of the nodes. At fault: judge and unheard, which could learn of this node's own traffic only.

Streams are out: no deployment has any, old or new (searched in all site files).

--- a/internal/benchwire/wire.go
+++ b/internal/benchwire/wire.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -275,14 +276,7 @@
 		if f.err == nil {
 			i.policy.HandOffAnswered(l.now, a)
 		}
-	case "OPENED":
-		id := policy.TaskID(f.word("msg_id"))
-		number := f.unsigned("shot", 31)
-		f.unsigned("server", 32)
-		f.time("lag_us")
-		if f.err == nil {
-			i.policy.AnswerStarted(l.now, id, int(number))
-		}
+	case "OPENED": // no deployment streams its answers
 	case "WITHDRAWN":
 		if id := policy.TaskID(f.word("msg_id")); f.err == nil {
 			i.policy.TaskWithdrawn(l.now, id)
@@ -291,10 +285,21 @@
 		if cookie := f.unsigned("cookie", 63); f.err == nil {
 			i.policy.Woken(l.now, cookie)
 		}
-	case "HEALTH_RESULT": // the decisions ask for no probes
-	case "PEER": // nodes share nothing here
+	case "HEALTH_RESULT":
+		server := policy.ServerID(f.unsigned("server", 32))
+		outcome := outcomes[string(f.word("disposition"))]
+		f.time("lag_us")
+		if report := f.report(); f.err == nil {
+			i.policy.Probed(l.now, server, outcome, report)
+		}
+	case "PEER":
 		f.unsigned("neighbour", 31)
-		f.word("octets")
+		octets := f.maybe()
+		if news, err := base64.StdEncoding.DecodeString(octets); err != nil {
+			f.err = fmt.Errorf("octets: expected base64, got %q", octets)
+		} else if f.err == nil {
+			i.policy.Told(l.now, news)
+		}
 	}
 	return f.err
 }
@@ -478,3 +483,9 @@
 func (i *instance) Subscribe() { i.begin("OBSERVE").int(1).end() }
 
 func (i *instance) Release(server policy.ServerID) { i.begin("RELEASE").int(int64(server)).end() }
+
+func (i *instance) Tell(news []byte) {
+	i.begin("ANNOUNCE").text("all").text(base64.StdEncoding.EncodeToString(news)).end()
+}
+
+func (i *instance) Probe(server policy.ServerID) { i.begin("TEST").int(int64(server)).end() }
--- a/internal/benchwire/wire_test.go
+++ b/internal/benchwire/wire_test.go
@@ -80,6 +80,7 @@
 		batch + "CATALOG 1 1\nSERVER 1 0 0 0 asleep 1 -\n":            "line 9: condition: expected active",
 		batch + "REGISTRY 3 FULL 1 5\n":                               "line 8: sheet: expected a list that was given, got 5",
 		batch + "REGISTRY 3 SOME 1 0\n":                               "line 8: form: expected",
+		batch + "PEER 3 1 a%k\n":                                      "line 8: octets: expected base64",
 		batch + "RESOLVED 3 aa 1 1 2 Ok 0 -\n":                        "line 8: over: expected 1 or 0",
 		batch + "RESOLVED 3 aa 1 1 1 Ok 0 util\n":                     "line 8: gauge: expected name:value",
 		batch + "CONFIGURE 4 1 group_size=3\n":                        "line 8: profile_data: profiles.count: expected",
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -263,3 +263,8 @@
 		go l.node.servers.forget(place{server, address})
 	}
 }
+
+// Tell and Probe stay without effect until the node has peers and probes.
+func (l *loop) Tell([]byte) {}
+
+func (l *loop) Probe(policy.ServerID) {}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -209,6 +209,9 @@
 		}
 	}
 	s.MayDuplicate = p.truth("limits.may_duplicate", false)
+	s.MayTell = p.truth("limits.peer_messages", false)
+	s.MayProbe = p.truth("limits.probes", false)
+	s.ProbesReport = p.values["report.how"] == "on_probe"
 	s.MayRecall = p.truth("limits.cancelling", false)
 	s.MayAdvise = p.truth("limits.retry_after", false)
 	if s.MayAdvise {
--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -18,6 +18,8 @@
 func (*quiet) WakeAt(int64, uint64)                    {}
 func (*quiet) Subscribe()                              {}
 func (*quiet) Release(ServerID)                        {}
+func (*quiet) Tell([]byte)                             {}
+func (*quiet) Probe(ServerID)                          {}
 
 func listOf(n int) []Listed {
 	list := make([]Listed, n)
--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -34,6 +34,7 @@
 	list    map[ServerID]Listed
 	broken  []string
 	cookies []uint64
+	told    [][]byte
 	coldFor map[ServerID]float64 // hand-offs given to a server since it started cold
 	part    map[ServerID]float64 // and its even part of all hand-offs, times what it surely can do
 }
@@ -121,6 +122,19 @@
 
 func (w *world) Subscribe() {}
 
+func (w *world) Tell(news []byte) {
+	if !w.set.MayTell || len(news) > 256 {
+		w.fail("a message of %d bytes, allowed: %v", len(news), w.set.MayTell)
+	}
+	w.told = append(w.told, news)
+}
+
+func (w *world) Probe(server ServerID) {
+	if l, known := w.list[server]; !w.set.MayProbe || !known || l.State != Active {
+		w.fail("a probe that is not allowed")
+	}
+}
+
 func (w *world) Release(server ServerID) {
 	if _, known := w.list[server]; !known {
 		w.fail("release of a server that was never listed")
@@ -132,7 +146,8 @@
 		list: map[ServerID]Listed{}, coldFor: map[ServerID]float64{}, part: map[ServerID]float64{}, now: 5e12}
 	w.set = Settings{MaxHandOffs: 1 + w.Intn(5), MayDuplicate: w.Intn(2) == 0, MayRecall: w.Intn(2) == 0,
 		MayAdvise: true, MaxAdvice: 1e9, MustAsk: w.Intn(2) == 0, AskWithin: 1e10, ColdFrom: 0.1, WarmWithin: 2e10,
-		Utilised: w.Intn(2) == 0, Position: w.Intn(9), Nodes: 1 + w.Intn(60), Streams: 1 + w.Intn(2)}
+		Utilised: w.Intn(2) == 0, Position: w.Intn(9), Nodes: 1 + w.Intn(60), Streams: 1 + w.Intn(2),
+		MayTell: w.Intn(2) == 0, MayProbe: w.Intn(2) == 0, ProbesReport: w.Intn(2) == 0}
 	for _, repeat := range []Repeat{Rerunnable, Ticketed, Exclusive, Ticketed} {
 		w.set.Categories = append(w.set.Categories, Category{SoftLimit: 2e8 + w.Int63n(1e9), Repeat: repeat, Group: Group(w.Intn(3)), Memory: 1e8 + w.Int63n(2e9), LateEarnings: float64(w.Intn(2))})
 	}
@@ -244,6 +259,13 @@
 		w.p.TaskArrived(w.now, t.task)
 		w.owed(t)
 	case 4:
+		// What others tell, cut short, altered and told again, must never break a rule.
+		news := []byte{1, byte(w.Intn(4)), byte(w.Intn(256)), byte(w.Intn(9)), byte(w.Intn(4)), byte(w.Intn(256))}[:w.Intn(7)]
+		if len(w.told) > 0 && w.Intn(2) == 0 {
+			news = w.told[w.Intn(len(w.told))]
+		}
+		w.p.Told(w.now, news)
+		w.p.Probed(w.now, ServerID(w.Intn(10)), Outcome(w.Intn(9)), Report{w.Float64(), float64(w.Intn(3)), -1})
 		if w.Intn(4) == 0 {
 			w.relist(w.Intn(3) == 0)
 		}
--- /dev/null
+++ b/policy/move_test.go
@@ -0,0 +1,239 @@
+package policy
+
+import (
+	"encoding/binary"
+	"testing"
+)
+
+// subset returns whom a node draws from.
+func subset(p *Policy) map[ServerID]bool {
+	near := map[ServerID]bool{}
+	for _, s := range p.servers {
+		if s.near {
+			near[s.Server] = true
+		}
+	}
+	return near
+}
+
+// Guards against each of hundreds of nodes holding a connection to every server: servers took 76 to 120, and up to 65%
+// of the hand-offs got none.
+func TestHundredsOfNodesSpreadOverTheServers(t *testing.T) {
+	const nodes, servers = 400, 50
+	sharing, moved := map[ServerID]int{}, 0
+	for at := range nodes {
+		set := benchSettings
+		set.Position, set.Nodes = at, nodes
+		p := New(set, 1, &quiet{})
+		p.ListLearned(1e12, listOf(servers), true)
+		before := subset(p)
+		if len(before) != least {
+			t.Fatalf("node %d draws from %d servers, want %d", at, len(before), least)
+		}
+		for id := range before {
+			sharing[id]++
+		}
+		gone := listOf(servers)[7]
+		gone.State = Gone
+		p.ListLearned(1e12, []Listed{gone}, false)
+		for id := range subset(p) {
+			if !before[id] {
+				moved++
+			}
+		}
+	}
+	for id, n := range sharing {
+		if n < 12 || n > 60 {
+			t.Errorf("server %d is drawn from by %d nodes, 32 would be even", id, n)
+		}
+	}
+	if len(sharing) < servers || moved > 60 {
+		t.Errorf("%d of %d servers are drawn from; one that left moved %d connections, 32 would be even", len(sharing), servers, moved)
+	}
+}
+
+func TestAFewNodesDrawFromAll(t *testing.T) {
+	b := fleet(t, 19, func(s *Settings) { s.Position, s.Nodes = 2, 4 })
+	if n := len(subset(b.Policy)); n != 19 {
+		t.Errorf("one of four nodes draws from %d of 19 servers", n)
+	}
+}
+
+func many(s *Settings) { s.Position, s.Nodes, s.Streams, s.MayTell = 3, 300, 100, true }
+
+func TestSubsetWidensPastUnfitServersAndWithTraffic(t *testing.T) {
+	b := fleet(t, 40, many)
+	before := subset(b.Policy)
+	for id := range before {
+		b.byID[id].standing[0].unfit = true
+	}
+	if b.tick(); len(subset(b.Policy)) != least+least/2+1 {
+		t.Errorf("with %d servers unfit a node draws from %d", least, len(subset(b.Policy)))
+	}
+	for id := range before {
+		b.byID[id].standing[0].unfit = false
+	}
+	b.tick()
+	for range 60 { // within a second
+		b.arrive(0)
+	}
+	if n := len(subset(b.Policy)); n < 8 {
+		t.Errorf("asked for 60 tasks in a moment a node draws from %d servers", n)
+	}
+}
+
+// Guards against servers that leave one category unanswered and serve the others as usual.
+func TestOneCategoryUnansweredStrikesItAlone(t *testing.T) {
+	b := fleet(t, 3, nil)
+	b.serve(60, prompt)
+	b.tick()
+	for range 3 {
+		id := b.arrive(2)
+		silent := b.byID[b.last()]
+		woken := b.recorder.cookies[len(b.recorder.cookies)-1]
+		b.now += 100 * ms
+		b.serve(6, prompt) // others are answered there since
+		b.now += 100 * ms
+		b.Woken(b.now, woken)
+		b.now += 250 * ms
+		if b.end(id, 0, TimedOut, 480*ms); silent.standing[2].failing == 0 || silent.standing[0].failing > 0 {
+			t.Errorf("standing by category: %+v", silent.standing)
+		}
+	}
+}
+
+// Guards against a rerunnable task waiting for a silent server to its end where no second copy is allowed.
+func TestOverdueTaskIsRecalledWhereNoCopiesAre(t *testing.T) {
+	b := fleet(t, 3, func(s *Settings) { s.MayDuplicate = false })
+	b.serve(60, prompt)
+	b.tick()
+	id := b.arrive(0)
+	first := b.last()
+	b.now += 200 * ms
+	b.Woken(b.now, b.recorder.cookies[len(b.recorder.cookies)-1])
+	if b.recalled != 1 {
+		t.Fatalf("%d recalled", b.recalled)
+	}
+	if b.end(id, 0, Recalled, 200*ms); b.last() == first || b.Policy.tasks[id].open != 1 {
+		t.Error("the recalled task did not go to another server")
+	}
+	exclusive := b.Policy.tasks[b.arrive(2)]
+	b.now += 200 * ms
+	b.overdue(b.now, exclusive, 0)
+	if b.recalled != 1 {
+		t.Error("an exclusive task was recalled")
+	}
+}
+
+// Guards against connections that something between drops unseen: what is sent on one is lost, and the server blamed.
+func TestConnectionsThatDieIdleAreClosedBeforeUse(t *testing.T) {
+	b := fleet(t, 4, func(s *Settings) { s.Streams = 100 })
+	b.serve(40, prompt)
+	for range 2 {
+		b.now += 2e9
+		id := b.arrive(0)
+		s := b.byID[b.last()]
+		if b.end(id, 0, Reset, ms); s.standing[0].failing > 0.01 {
+			t.Errorf("a reset after idleness counts against the server: %+v", s.standing[0])
+		}
+	}
+	if b.idle > 4e9 {
+		t.Fatalf("connections idle for %d ms are still trusted", b.idle/ms)
+	}
+	b.released = nil
+	for range 8 {
+		b.now += 5e9
+		b.serve(1, prompt)
+	}
+	if len(b.released) < 4 {
+		t.Errorf("of connections idle for 5 s and more %d were closed before use", len(b.released))
+	}
+}
+
+// Guards against a slow answer or two closing connections everywhere: it takes signs from a tenth of the nodes.
+func TestIdleNewsNeedManyVoices(t *testing.T) {
+	b := fleet(t, 4, many)
+	news := binary.AppendUvarint([]byte{newsVersion, idleNews}, 1200)
+	for n := range 40 {
+		if trusted := b.idle > 1e12; trusted != (n < 30) {
+			t.Fatalf("after %d voices of 300 connections are trusted: %v", n, trusted)
+		}
+		b.Told(b.now, news)
+	}
+	if b.idle != 900*ms {
+		t.Errorf("trusted for %d ms", b.idle/ms)
+	}
+	for range 200 {
+		b.now += recalculate
+		b.tick()
+	}
+	if b.idle < 5e9 {
+		t.Errorf("200 s later connections are trusted for %d ms only", b.idle/ms)
+	}
+}
+
+func TestFailNewsAreHeardUnlessSeenOtherwise(t *testing.T) {
+	b := fleet(t, 12, many)
+	b.serve(60, prompt)
+	var seen, unseen *server
+	for _, s := range b.servers {
+		if s.near && s.standing[0].n > 1 {
+			seen = s
+		} else if !s.near {
+			unseen = s
+		}
+	}
+	tell := func(s *server) {
+		b.Told(b.now, binary.AppendUvarint(binary.AppendUvarint([]byte{newsVersion, failNews}, uint64(s.Server)), 0))
+	}
+	tell(unseen)
+	tell(unseen)
+	if unseen.standing[0].unfit {
+		t.Error("two voices put a server out")
+	}
+	if tell(unseen); !unseen.standing[0].unfit || unseen.standing[1].unfit {
+		t.Errorf("after three voices %+v", unseen.standing)
+	}
+	for range 20 {
+		tell(seen)
+	}
+	if seen.standing[0].unfit {
+		t.Error("hearsay overruled what was seen")
+	}
+}
+
+func TestNonsenseNewsChangeNothing(t *testing.T) {
+	b := fleet(t, 4, many)
+	for _, news := range [][]byte{nil, {}, {1}, {2, idleNews, 100}, {1, 9, 9}, {1, idleNews}, {1, idleNews, 0}, {1, idleNews, 255, 255, 255},
+		{1, failNews}, {1, failNews, 1}, {1, failNews, 1, 200, 1}, {1, failNews, 77, 0}, {1, failNews, 255, 255, 255, 255, 255, 255, 1, 0}} {
+		for range 100 {
+			b.Told(b.now, news)
+		}
+	}
+	for _, s := range b.servers {
+		for _, st := range s.standing {
+			if st.unfit || b.idle < 1e12 {
+				t.Fatalf("idle %d, standing %+v", b.idle, st)
+			}
+		}
+	}
+}
+
+// A node tells what it saw, and no more often than once a second.
+func TestErrorsAreToldOnceASecond(t *testing.T) {
+	b := fleet(t, 4, many)
+	b.serve(20, prompt)
+	bad := ServerID(0)
+	b.serve(40, func(s ServerID) (Outcome, int64) {
+		if bad == 0 {
+			bad = s
+		}
+		if s == bad {
+			return Error, ms
+		}
+		return Satisfied, ms
+	})
+	if len(b.told) != 1 || len(b.told[0]) > 256 || b.told[0][1] != failNews {
+		t.Errorf("told %v", b.told)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -62,14 +62,14 @@
 
 type task struct {
 	Task
-	category      *Category
-	limit         int64 // the last moment at which an answer still earns
-	soft          int64 // and the last at which it earns in full
-	handOffs      []handOff
-	open          int
-	cookie        uint64
-	over, streams bool
-	beyond        bool // its customer's share
+	category *Category
+	limit    int64 // the last moment at which an answer still earns
+	soft     int64 // and the last at which it earns in full
+	handOffs []handOff
+	open     int
+	cookie   uint64
+	over     bool
+	beyond   bool // its customer's share
 }
 
 // standing is what a server showed of late in one category.
@@ -77,6 +77,8 @@
 	failing, n          float64 // running part of failures; fading count of what it is taken over
 	unfit               bool
 	retryAt, retryAfter int64
+	told                float64 // fading count of instances that say it fails
+	toldAt              int64   // when this one did
 }
 
 type server struct {
@@ -139,7 +141,9 @@
 	rate         float64
 	arrived      int
 	breadth      int
-	idle         int64           // connections idle for longer are not trusted
+	idle         int64 // connections idle for longer are not trusted
+	toldIdle     int64
+	deaths       float64         // fading count of connections that died idle
 	chilly       []*server       // active, and cold of late
 	ceilings     sums.Sums       // by place: at least 1/w while the server can be drawn
 	way          map[int]float64 // by zone: what an answer takes however little the work
@@ -750,8 +754,6 @@
 		p.recallRest(t, -1)
 		p.end(t)
 	case t.open > 0:
-	case t.streams:
-		p.giveUp(now, t) // a broken stream is not tried again
 	default:
 		p.send(now, t)
 	}
@@ -766,10 +768,13 @@
 	bad := 0.0
 	if a.Outcome == Satisfied {
 		if s.suspect > 0 && h.gap == 0 {
-			p.idle = min(p.idle, s.suspect*3/4) // a new connection works where the old one gave no answer
+			p.sawDead(now, s.suspect) // a new connection works where the old one gave no answer
 		}
 		s.suspect = 0
-	} else if h.blamed || p.unheard(h, a.Outcome) {
+	} else if h.blamed && a.Outcome == TimedOut {
+		p.sawFail(now, s, t.Task.Category)
+		return
+	} else if h.blamed || p.unheard(now, h, a.Outcome) {
 		return
 	}
 	switch a.Outcome {
@@ -837,18 +842,21 @@
 		bad = 1
 	}
 	p.mark(now, s, t, bad, a.Outcome)
+	if a.Outcome == Error && s.standing[t.Task.Category].unfit {
+		p.sawFail(now, s, t.Task.Category)
+	}
 }
 
 // unheard tells whether a hand-off may have found its connection dead. Guards against servers being judged by
 // connections that something between dropped while they were idle.
-func (p *Policy) unheard(h *handOff, o Outcome) bool {
+func (p *Policy) unheard(now int64, h *handOff, o Outcome) bool {
 	s := h.server
 	if o != Reset && o != TimedOut && o != Recalled || h.gap < shortIdle || s.silentFrom > h.sentAt {
 		return false
 	}
 	p.release(s)
 	if s.suspect = h.gap; o == Reset {
-		p.idle = min(p.idle, h.gap*3/4)
+		p.sawDead(now, h.gap)
 	}
 	return o == Reset // silence may still be the server's own
 }
@@ -922,17 +930,6 @@
 	}
 }
 
-// AnswerStarted takes the start of a streamed answer: from here on the client owns the hand-off.
-func (p *Policy) AnswerStarted(now int64, id TaskID, number int) {
-	t := p.tasks[id]
-	if t == nil || number < 0 || number >= len(t.handOffs) {
-		return
-	}
-	t.streams = true
-	t.handOffs[number].server.silentFrom = now
-	p.recallRest(t, number)
-}
-
 // TaskWithdrawn takes the news that the client has gone; work still out for it can earn nothing.
 func (p *Policy) TaskWithdrawn(_ int64, id TaskID) {
 	if t := p.tasks[id]; t != nil && !t.over {
@@ -953,7 +950,7 @@
 		return
 	}
 	t := p.waking[cookie]
-	if t == nil || t.over || t.streams || t.open != 1 {
+	if t == nil || t.over || t.open != 1 {
 		return
 	}
 	p.overdue(now, t, slices.IndexFunc(t.handOffs, func(h handOff) bool { return h.open }))
@@ -995,6 +992,7 @@
 		s.own.Fade(1 - learn)
 		for i := range s.standing {
 			s.standing[i].n *= 1 - learn
+			s.standing[i].told *= forget
 		}
 	}
 	for _, pod := range p.pods {
@@ -1002,7 +1000,7 @@
 	}
 	p.fleet.Fade(forget)
 	p.rate += (float64(p.arrived) - p.rate) / 8
-	p.arrived = 0
+	p.arrived, p.deaths = 0, p.deaths*forget
 	if p.idle < math.MaxInt64/2 {
 		p.idle += p.idle / 32
 	}
@@ -1020,3 +1018,10 @@
 		c.taken, c.away = 0, 0
 	}
 }
+
+// Probed takes what a probe brought.
+func (p *Policy) Probed(now int64, id ServerID, o Outcome, r Report) {
+	if s := p.byID[id]; s != nil && o == Satisfied {
+		p.report(now, s, &r)
+	}
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -19,6 +19,8 @@
 	declined, brokeOff int
 	cookies            []uint64
 	released           []ServerID
+	told               [][]byte
+	probed             []ServerID
 	advice             int64
 }
 
@@ -31,6 +33,8 @@
 func (r *recorder) WakeAt(_ int64, cookie uint64)  { r.cookies = append(r.cookies, cookie) }
 func (r *recorder) Subscribe()                     {}
 func (r *recorder) Release(s ServerID)             { r.released = append(r.released, s) }
+func (r *recorder) Tell(news []byte)               { r.told = append(r.told, news) }
+func (r *recorder) Probe(s ServerID)               { r.probed = append(r.probed, s) }
 func (r *recorder) last() ServerID                 { return r.sent[len(r.sent)-1] }
 func (r *recorder) given(id ServerID) (count int) {
 	for _, s := range r.sent {
--- a/policy/types.go
+++ b/policy/types.go
@@ -78,6 +78,7 @@
 	SizeWeights bool // the list's weight is a size
 
 	MayDuplicate, MayRecall, MayAdvise bool
+	MayTell, MayProbe, ProbesReport    bool // messages to other instances; probes; only these bring reports
 	Utilised, Timed                    bool // in reports: utilisation, service time
 
 	MaxAdvice   int64
@@ -130,4 +131,6 @@
 	WakeAt(at int64, cookie uint64)
 	Subscribe()
 	Release(server ServerID)
+	Tell(news []byte) // every other instance
+	Probe(server ServerID)
 }
