--- a/internal/benchwire/wire.go
+++ b/internal/benchwire/wire.go
@@ -404,7 +404,7 @@
 
 // report skips names it does not know and values that cannot be a load.
 func (f *fields) report() policy.Report {
-	r := policy.Report{Utilisation: -1, Queue: -1, ServiceTime: -1}
+	r := policy.Report{Utilisation: -1, Queue: -1, ServiceTime: -1, Rate: -1}
 	if f.absent() {
 		return r
 	}
@@ -432,6 +432,8 @@
 			r.Queue = v
 		case "latency_ms":
 			r.ServiceTime = v
+		case "qps":
+			r.Rate = v
 		}
 	}
 	return r
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,13 +33,14 @@
 	forget      = 0.5        // part of what answers showed that still counts a second later
 	odd         = 3          // an answer counts for at most this multiple of what its fellows show
 	failed      = 0.25       // running part of failures that puts a server out of the draw
-	coldSafety  = 0.5        // part of its fair part that a cold server gets, to err on the low side
+	coldSafety  = 0.75        // part of its fair part that a cold server gets, to err on the low side
 	copyPart    = 0.1        // second copies for each task
 	askedFade   = 0.9        // part of the tasks asked for that still counts a second later
 	coldPull    = 1.0 / (floorPart * floorPart)
 	least       = 4   // servers that a node draws from at least, and a further one
 	carries     = 8.0 // for so many tasks a second
 	evenAt      = 0.4 // where the worst category weighs so much, what work earns favours none
+	probeEach   = 32  // tasks
 	firstMet    = 8   // answers by whose mean a category's work is first known
 	sharers     = 16  // nodes that draw from a server at least
 	spreadOut   = 0x9e3779b97f4a7c15
@@ -87,6 +88,7 @@
 	near     bool // this node draws from it
 	standing []standing
 	usedAt   int64 // when something last went over a connection to it; 0: there is none
+	askedAt  int64 // for its load
 	suspect  int64 // how long a connection had been idle that gave no answer, until the next tells why
 
 	load            float64 // w before the exceptions: the last report and the drift since
@@ -125,28 +127,28 @@
 
 // Policy is one instance of the decisions.
 type Policy struct {
-	set          Settings
-	host         Host
-	servers      []*server
-	byID         map[ServerID]*server
-	tasks        map[TaskID]*task
-	waking       map[uint64]*task
-	draws        *rand.Rand
-	cookies      uint64
-	pods         map[int]*pod
-	fleet        pod
-	loads, heard float64 // sum of the active servers' loads, and of how many
-	mean         float64 // of the loads, by which ceilings were worked out
-	active       int     // near and on the list as active
-	rate         float64
-	arrived      int
-	breadth      int
-	idle         int64 // connections idle for longer are not trusted
-	toldIdle     int64
-	deaths       float64         // fading count of connections that died idle
-	chilly       []*server       // active, and cold of late
-	ceilings     sums.Sums       // by place: at least 1/w while the server can be drawn
-	way          map[int]float64 // by zone: what an answer takes however little the work
+	set           Settings
+	host          Host
+	servers       []*server
+	byID          map[ServerID]*server
+	tasks         map[TaskID]*task
+	waking        map[uint64]*task
+	draws         *rand.Rand
+	cookies       uint64
+	pods          map[int]*pod
+	fleet         pod
+	loads, heard  float64 // sum of the active servers' loads, and of how many
+	mean          float64 // of the loads, by which ceilings were worked out
+	active        int     // near and on the list as active
+	rate          float64
+	arrived, asks int
+	breadth       int
+	idle          int64 // connections idle for longer are not trusted
+	toldIdle      int64
+	deaths        float64         // fading count of connections that died idle
+	chilly        []*server       // active, and cold of late
+	ceilings      sums.Sums       // by place: at least 1/w while the server can be drawn
+	way           map[int]float64 // by zone: what an answer takes however little the work
 
 	of             []categoryState
 	shares         shares.Shares
@@ -342,6 +344,8 @@
 		if p.set.Timed && r.ServiceTime >= 0 {
 			load *= r.ServiceTime // servers are unequal: the same use of a slower one is a greater load
 		}
+	case r.Rate >= 0:
+		load = 1 + max(r.Queue, 0)
 	case r.Queue >= 0:
 		load = 1 + r.Queue
 	}
@@ -365,6 +369,8 @@
 		p.rate = max(p.rate, float64(p.arrived)) // guards against a busy node jamming the few that it starts with
 		p.survey(now)
 	}
+	p.asks++
+	p.probe(now)
 	p.earnCold(now, nil, 0)
 	p.copies = min(p.copies+copyPart, 4)
 	p.send(now, t)
@@ -1019,6 +1025,23 @@
 	}
 }
 
+// probe asks the server that was asked longest ago for its load, once in so many tasks, where answers bring none.
+// Guards against w never being heard; more probes, or telling what they brought, cost more than they were worth.
+func (p *Policy) probe(now int64) {
+	if p.set.MayProbe && p.set.ProbesReport && p.asks%probeEach == 0 {
+		var longest *server
+		for _, s := range p.servers {
+			if s.near && (longest == nil || s.askedAt < longest.askedAt) {
+				longest = s
+			}
+		}
+		if longest != nil {
+			longest.askedAt = now
+			p.host.Probe(longest.Server)
+		}
+	}
+}
+
 // Probed takes what a probe brought.
 func (p *Policy) Probed(now int64, id ServerID, o Outcome, r Report) {
 	if s := p.byID[id]; s != nil && o == Satisfied {
--- a/policy/types.go
+++ b/policy/types.go
@@ -107,7 +107,7 @@
 
 // Report holds the load values that came with an answer; a negative one was not sent.
 type Report struct {
-	Utilisation, Queue, ServiceTime float64
+	Utilisation, Queue, ServiceTime, Rate float64
 }
 
 // Answer tells how one hand-off ended.
