The node probes, tells news to its peers and closes idle connections; fawnglade migrate

The module asks for three things more than the node did, and reads more settings.

- Probes: GET /status/load on a connection of the node's, eight at once at most.
- News: one datagram each, to and from the addresses under news in the configuration only; 64 wait to be sent, the loop is never held up, what makes no sense or comes from elsewhere is counted.
- Release closes what is idle to a server.
Left out, a node does what it did.
The lab tells each node its position.

Tested on loopback against stand-ins of our own.

--- a/cmd/fawnglade/main.go
+++ b/cmd/fawnglade/main.go
@@ -22,7 +22,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serve(), check(), version(), storeCommands())
+	root.AddCommand(serve(), check(), version(), migrate(), storeCommands())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "fawnglade:", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/fawnglade/migrate_test.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/spf13/cobra"
+
+	"fawnglade/internal/node"
+)
+
+const oldShape = `{"name":"n0","listen":"127.0.0.1:8080","discovery":"127.0.0.1:8081","seed":"1f","limits":{"sockets":512},
+"note":12345678901234567890,"settings":{"discovery":"push","family_info":{"warm_keys":true},"goal":{"tail":0.3,"borne_misses":0.02,"whole":1},
+"group_size":3,"limits":{"connect_timeout_us":75000,"idle_close_us":60000000,"may_duplicate":true,"try_limit":3},
+"profiles":[{"deadline_us":800000,"name":"view","objective_us":300000,"repeat":"safe","aim_stretch":2,"streaming":false}],
+"quantum_us":2000,"report":{"fields":["queue"],"how":"inline"},"rules":{"cold_from":0.2,"warm_within_us":20000000},
+"weights":"live","zone":0,"zones":["a"]}}`
+
+// run plays a command line and returns what it printed.
+func run(arguments ...string) (out, complaints string, err error) {
+	root := &cobra.Command{Use: "fawnglade", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(migrate())
+	var o, e strings.Builder
+	root.SetOut(&o)
+	root.SetErr(&e)
+	root.SetArgs(append([]string{"migrate"}, arguments...))
+	err = root.Execute()
+	return o.String(), e.String(), err
+}
+
+func old(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "old.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestMigrateWritesACounterpartThatStarts(t *testing.T) {
+	from := old(t, oldShape)
+	to := filepath.Join(filepath.Dir(from), "new.json")
+	arguments := []string{"--config", from, "--out", to, "--nodes", "400", "--position", "7", "--news", "127.0.0.1:9001",
+		"--peer", "127.0.0.1:9002", "--reports", "on_probe", "--copies=false"}
+	dry, left, err := run(append(arguments, "--dry-run")...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(to); err == nil {
+		t.Fatal("a dry run wrote the file")
+	}
+	for _, want := range []string{"family_info.warm_keys", "goal.tail", "goal.borne_misses", "profiles.0.aim_stretch", "settings.weights"} {
+		if !strings.Contains(left, want) {
+			t.Errorf("%s is not told as not carried over in\n%s", want, left)
+		}
+	}
+	if strings.Contains(left, "streaming") {
+		t.Error("a category that does not stream lost nothing")
+	}
+	if _, _, err := run(arguments...); err != nil {
+		t.Fatal(err)
+	}
+	text, _ := os.ReadFile(to)
+	if string(text) != dry {
+		t.Error("the dry run printed something else than was written")
+	}
+	c, err := node.ReadConfig(to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.News.Listen != "127.0.0.1:9001" || len(c.News.Peers) != 1 || !strings.Contains(dry, `"group_size": 400`) ||
+		!strings.Contains(dry, `"multiplex": 100`) || !strings.Contains(dry, "12345678901234567890") || !strings.Contains(dry, `"may_duplicate": false`) {
+		t.Errorf("written:\n%s", text)
+	}
+	if _, _, err := run(arguments...); err == nil {
+		t.Error("it wrote over a file")
+	}
+	if again, _ := os.ReadFile(to); string(again) != string(text) {
+		t.Error("the file that was there has changed")
+	}
+	if same, _ := os.ReadFile(from); string(same) != oldShape {
+		t.Error("the old file has changed")
+	}
+}
+
+func TestMigrateNamesFileAndKeyOfBadInput(t *testing.T) {
+	for want, c := range map[string]struct {
+		text  string
+		extra []string
+	}{
+		"settings: limits.try_limit: expected":     {strings.Replace(oldShape, `"try_limit":3`, `"try_limit":"x"`, 1), nil},
+		"old.json: unexpected end":                 {oldShape[:300], nil},
+		"settings: expected an object":             {`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"1"}`, nil},
+		"settings.group_size: give --nodes":        {oldShape, []string{"--nodes", "0"}},
+		"position: expected a number below":        {oldShape, []string{"--position", "400"}},
+		"limits.multiplex: expected a number":      {oldShape, []string{"--streams", "0"}},
+		"news.peers.0: expected an address":        {oldShape, []string{"--peer", "nobody"}},
+		"report.how: expected one of":              {oldShape, []string{"--reports", "sometimes"}},
+		"settings: report.how: expected one of in": {oldShape, []string{"--reports", ""}},
+	} {
+		from := old(t, c.text)
+		to := filepath.Join(filepath.Dir(from), "new.json")
+		_, _, err := run(append([]string{"--config", from, "--out", to, "--nodes", "400", "--news", "127.0.0.1:9001"}, c.extra...)...)
+		if err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "old.json") {
+			t.Errorf("%v: got %v, want %q and the file's name in it", c.extra, err, want)
+		}
+		if _, err := os.Stat(to); err == nil {
+			t.Errorf("%v: something was written", c.extra)
+		}
+	}
+	if _, _, err := run("--config", old(t, oldShape), "--nodes", "3"); err == nil {
+		t.Error("neither --out nor --dry-run, and no complaint")
+	}
+}
--- a/internal/lab/rig/names.go
+++ b/internal/lab/rig/names.go
@@ -93,7 +93,7 @@
 var groupNames = map[string]string{"fleet": "all", "zone": "zone", "pod": "cell"}
 
 // settingsOf is what a node is told of the deployment.
-func settingsOf(s *scenario.Scenario, zone int) map[string]any {
+func settingsOf(s *scenario.Scenario, index, zone int) map[string]any {
 	micros := func(d scenario.Duration) int64 { return int64(d) / 1000 }
 	var categories, customers []any
 	for i := range s.Categories {
@@ -131,7 +131,7 @@
 	all := map[string]any{
 		"discovery": discovery, "domain_type": "proxy", "family_info": map[string]any{"warm_keys": s.Discovery.WarmKeys},
 		"goal":       map[string]any{"whole": 0.5, "worst_window": 0.1, "worst_class": 0.3, "worst_tenant": 0.1},
-		"group_size": s.Nodes.Count, "layer": 0, "tiers": []string{"lab"}, "kinds": []string{"m"}, "position": 0,
+		"group_size": s.Nodes.Count, "layer": 0, "tiers": []string{"lab"}, "kinds": []string{"m"}, "position": index,
 		"limits": map[string]any{"cancelling": r.MayRecall, "connect_timeout_us": micros(r.ConnectIn), "idle_close_us": idle,
 			"max_open": 20000, "max_retry_after_us": micros(r.MaxAdvice), "may_duplicate": r.MayDuplicate, "multiplex": 1,
 			"peer_messages": false, "probes": false, "retry_after": r.MaxAdvice > 0, "try_limit": r.MostHandOffs},
@@ -149,10 +149,10 @@
 }
 
 // configText is a node's whole configuration.
-func configText(s *scenario.Scenario, name, listen, discovery string, seed uint64, zone int, known []byte) []byte {
+func configText(s *scenario.Scenario, name, listen, discovery string, seed uint64, index, zone int, known []byte) []byte {
 	all := map[string]any{"name": name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%x", seed),
 		"limits":   map[string]any{"cores": s.Nodes.Cores, "memory_mb": s.Nodes.MemoryMB, "sockets": s.Nodes.Sockets},
-		"settings": settingsOf(s, zone)}
+		"settings": settingsOf(s, index, zone)}
 	if known != nil {
 		all["known"] = json.RawMessage(known)
 	}
--- a/internal/lab/rig/node.go
+++ b/internal/lab/rig/node.go
@@ -133,7 +133,7 @@
 }
 
 func (n *node) writeConfig(known []byte, seed uint64) error {
-	text := configText(n.day.scenario, fmt.Sprintf("n%d", n.index), n.address, n.day.discovery.addressFor(n.index), seed, n.zone, known)
+	text := configText(n.day.scenario, fmt.Sprintf("n%d", n.index), n.address, n.day.discovery.addressFor(n.index), seed, n.index, n.zone, known)
 	part := n.config + ".new"
 	if err := os.WriteFile(part, text, 0o600); err != nil {
 		return err
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -40,6 +40,12 @@
 	listCallsFailed
 	listLines
 	listLinesPassedOver
+	probesAnswered
+	probesFailed
+	newsTold
+	newsHeard
+	newsPassedOver
+	newsDropped
 	configsRead
 	configsPassedOver
 	panics
@@ -54,6 +60,7 @@
 	"hand-offs unreached", "hand-offs reset", "hand-offs recalled", "hand-offs never sent",
 	"servers connected", "servers closed idle", "servers found closed",
 	"list calls", "list calls failed", "list lines", "list lines passed over",
+	"probes answered", "probes failed", "news told", "news heard", "news passed over", "news dropped",
 	"configurations read", "configurations passed over", "panics",
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -264,7 +264,18 @@
 	}
 }
 
-// Tell and Probe stay without effect until the node has peers and probes.
-func (l *loop) Tell(policy.News) {}
+// Tell passes news on to the peers.
+func (l *loop) Tell(n policy.News) { l.node.peers.tell(n) }
 
-func (l *loop) Probe(policy.ServerID) {}
+// Probe has a server asked for its load.
+func (l *loop) Probe(server policy.ServerID) {
+	if address := l.fleet[server]; address != "" {
+		l.node.servers.probe(place{server, address})
+	}
+}
+
+func (l *loop) probed(server policy.ServerID, outcome policy.Outcome, report policy.Report) {
+	l.handle(nil, func() { l.policy.Probed(l.now, server, outcome, report) })
+}
+
+func (l *loop) told(n policy.News) { l.handle(nil, func() { l.policy.Told(l.now, n) }) }
--- a/internal/node/names.go
+++ b/internal/node/names.go
@@ -27,10 +27,10 @@
 	headerLoad      = "X-Pressure"
 	headerNeverRan  = "X-Turned-Away"
 	headerAdvice    = "Retry-After"
-	cookieKey       = "key"
 
 	pathReady = "/ready"
 	pathList  = "/v1/endpoints"
+	pathLoad  = "/status/load"
 )
 
 // ownHeaders are written by the node itself or end at it: a connection's own, and those that tell of one hand-off.
@@ -60,6 +60,11 @@
 	return fmt.Sprintf("GET %s?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", pathList, version, address)
 }
 
+// loadQuestion is a probe.
+func loadQuestion(address string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", pathLoad, address)
+}
+
 // badTask tells an answer that finds fault with the task itself. Any server would, so it is the task's answer and says
 // nothing of the server.
 func badTask(status int) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,10 @@
 		MemoryMB int64   `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
+	News struct { // between nodes, where the settings allow messages
+		Listen string   `json:"listen"`
+		Peers  []string `json:"peers"`
+	} `json:"news"`
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
@@ -62,16 +66,23 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{path: path}
-	if err := json.Unmarshal(text, c); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	if err := c.check(); err != nil {
+	c, err := ParseConfig(text)
+	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	c.path = path
 	return c, nil
 }
 
+// ParseConfig checks a configuration's text.
+func ParseConfig(text []byte) (*Config, error) {
+	c := &Config{}
+	if err := json.Unmarshal(text, c); err != nil {
+		return nil, err
+	}
+	return c, c.check()
+}
+
 func (c *Config) check() (err error) {
 	for name, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
 		if _, err := netip.ParseAddrPort(address); err != nil {
@@ -96,7 +107,10 @@
 	if c.decoded.ConnectWithin == 0 || c.decoded.IdleClose == 0 {
 		return errors.New("settings: limits.connect_timeout_us, limits.idle_close_us: expected times, got none")
 	}
-	return nil
+	if p := c.decoded.Policy; p.Nodes > 1 && p.Position >= p.Nodes {
+		return fmt.Errorf("settings: position: expected a number below group_size, which is %d, got %d", p.Nodes, p.Position)
+	}
+	return c.checkNews()
 }
 
 // Node is one node and what its parts share.
@@ -116,6 +130,7 @@
 	clients   *clients
 	servers   *servers
 	discovery *discovery
+	peers     *peers
 }
 
 // New makes a node that listens; nothing runs before Run.
@@ -139,6 +154,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.peers, err = newPeers(n); err != nil {
+		listener.Close()
+		return nil, err
+	}
 	n.clients = newClients(n, listener, rest-rest/serversPart, spare, sockets/usualPart)
 	return n, nil
 }
@@ -178,6 +197,7 @@
 	go n.loop.run()
 	go n.discovery.run()
 	go n.clients.accept()
+	go n.peers.run()
 	n.log.Info("serving", zap.String("name", n.config.Name), zap.String("listen", n.config.Listen))
 }
 
@@ -201,6 +221,7 @@
 				n.reread()
 			default:
 				n.stop()
+				n.peers.close()
 				n.counters.log(n.log, "at exit")
 				return nil
 			}
@@ -220,7 +241,7 @@
 	n.counters.add(configsRead)
 	var later []string
 	for name, same := range map[string]bool{"listen": c.Listen == n.config.Listen, "limits": c.Limits == n.config.Limits,
-		"settings": reflect.DeepEqual(c.decoded, n.config.decoded)} {
+		"settings": reflect.DeepEqual(c.decoded, n.config.decoded), "news": reflect.DeepEqual(c.News, n.config.News)} {
 		if !same {
 			later = append(later, name)
 		}
--- /dev/null
+++ b/internal/node/peers_test.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fawnglade/internal/news"
+	"fawnglade/policy"
+)
+
+// withNews gives a node a place for news and peers; its settings allow messages and probes.
+func withNews(at int, peers ...string) func(*Config) {
+	return func(c *Config) {
+		c.News.Listen, c.News.Peers = "127.0.0.1:0", peers
+		text := strings.Replace(settingsText, `"group_size":1`, fmt.Sprintf(`"group_size":3,"position":%d,"value_by":"work"`, at), 1)
+		text = strings.Replace(text, `"limits":{`, `"limits":{"peer_messages":true,"probes":true,"multiplex":100,`, 1)
+		c.Settings = []byte(strings.Replace(text, `"how":"inline"`, `"how":"on_probe"`, 1))
+	}
+}
+
+func TestNewsGoFromNodeToNode(t *testing.T) {
+	listener, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	n := nodeWith(t, withNews(1, listener.LocalAddr().String()))
+	t.Cleanup(n.peers.close)
+	told := policy.News{Server: serverID("s-0"), Category: 2}
+	n.loop.enter(func() { n.loop.Tell(told) })
+	buffer := make([]byte, 300)
+	listener.SetReadDeadline(time.Now().Add(5 * time.Second))
+	length, _, err := listener.ReadFrom(buffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := news.Decode(buffer[:length]); got != told || err != nil {
+		t.Errorf("the peer heard %+v, %v", got, err)
+	}
+	own := n.peers.socket.LocalAddr()
+	for _, message := range [][]byte{news.Encode(told), nil, {1, 2, 3, 4, 5}, make([]byte, 2000)} {
+		listener.WriteTo(message, own)
+	}
+	soon(t, "a message heard, three passed over", func() bool { return n.count(newsHeard) == 1 && n.count(newsPassedOver) == 3 })
+	stranger, err := net.Dial("udp", own.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	stranger.Write(news.Encode(told))
+	soon(t, "a stranger passed over", func() bool { return n.count(newsPassedOver) == 4 })
+}
+
+// Guards against news holding up the loop when nobody takes them from it.
+func TestNewsBeyondWhatWaitsAreDropped(t *testing.T) {
+	n := newNode(t, withNews(0))
+	t.Cleanup(n.peers.close)
+	for range mostTold + 5 {
+		n.loop.Tell(policy.News{Idle: second})
+	}
+	if n.count(newsDropped) != 5 {
+		t.Errorf("%d dropped, want 5", n.count(newsDropped))
+	}
+}
+
+func TestProbesBringLoads(t *testing.T) {
+	var probes, answered atomic.Int64
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		if r.URL.Path == pathLoad {
+			if probes.Add(1) == 3 {
+				return say(c, "503 Service Unavailable", "")
+			}
+			return say(c, "200 OK", "queue=7,qps=3")
+		}
+		answered.Add(1)
+		return echo(c, r, body)
+	})
+	n := nodeWith(t, withNews(0), server)
+	t.Cleanup(n.peers.close)
+	for i := range 3 * 32 {
+		if status, _, _ := ask(t, n, "view", fmt.Sprint("t", i), ""); status != 200 {
+			t.Fatalf("task %d: %d", i, status)
+		}
+	}
+	soon(t, "three probes, one of them failed", func() bool { return n.count(probesAnswered) == 2 && n.count(probesFailed) == 1 })
+	if probes.Load() != 3 || answered.Load() != 96 {
+		t.Errorf("%d probes and %d tasks came to the server", probes.Load(), answered.Load())
+	}
+}
+
+func TestReleaseClosesWhatIsIdle(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, nil, server)
+	ask(t, n, "view", "a", "")
+	n.loop.enter(func() { n.loop.Release(serverID("s-0")) })
+	soon(t, "its connection closed", func() bool { return n.count(serversClosedIdle) == 1 })
+	n.loop.enter(func() { n.loop.Release(99) })
+	if status, _, _ := ask(t, n, "view", "b", ""); status != 200 || n.count(serversConnected) != 2 {
+		t.Errorf("after it: %d, %d connections opened", status, n.count(serversConnected))
+	}
+}
+
+func TestNewsConfigurationIsChecked(t *testing.T) {
+	for want, change := range map[string]func(*Config){
+		"news.listen: expected an address and a port, as limits.peer": func(c *Config) { c.News.Listen = "" },
+		"news.listen: expected an address and a port, got":            func(c *Config) { c.News.Listen = "nowhere" },
+		"news.listen: expected an address and a port, as there are":   func(c *Config) { c.News.Listen, c.News.Peers = "", []string{"127.0.0.1:9"} },
+		"news.peers.1: expected an address and a port":                func(c *Config) { c.News.Peers = []string{"127.0.0.1:9", "127.0.0.1:0"} },
+		"settings: position: expected a number below group_size": func(c *Config) {
+			c.Settings = []byte(strings.Replace(string(c.Settings), `"position":0`, `"position":3`, 1))
+		},
+		"limits.multiplex: expected a number of at least 1": func(c *Config) {
+			c.Settings = []byte(strings.Replace(string(c.Settings), `"multiplex":100`, `"multiplex":0`, 1))
+		},
+	} {
+		c := &Config{Name: "n", Listen: address(), Discovery: "127.0.0.1:1", Seed: "1"}
+		withNews(0)(c)
+		change(c)
+		if err := c.check(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/probe.go
@@ -0,0 +1,59 @@
+package node
+
+// This file owns probes: one short question to a server for its load, outside any task. It must never resend, and a
+// probe that fails says nothing but that it failed.
+
+import (
+	"net/http"
+	"time"
+
+	"fawnglade/policy"
+)
+
+const mostProbes = 8 // out at once; one more is not made
+
+// probe asks a server for its load, without the loop waiting for it.
+func (s *servers) probe(to place) {
+	select {
+	case s.probing <- struct{}{}:
+	default:
+		s.node.counters.add(probesFailed)
+		return
+	}
+	go func() {
+		defer func() { <-s.probing }()
+		defer s.node.caught("probe", func() {})
+		outcome, report := s.askLoad(to)
+		if outcome == policy.Satisfied {
+			s.node.counters.add(probesAnswered)
+		} else {
+			s.node.counters.add(probesFailed)
+		}
+		s.node.loop.enter(func() { s.node.loop.probed(to.server, outcome, report) })
+	}()
+}
+
+func (s *servers) askLoad(to place) (policy.Outcome, policy.Report) {
+	limit := time.Now().Add(2 * time.Duration(s.node.settings.ConnectWithin))
+	c, err := s.connection(&handOff{place: to}, limit)
+	if err != nil {
+		return policy.Unreached, reportOf("")
+	}
+	c.SetDeadline(limit)
+	if _, err := c.Write([]byte(loadQuestion(to.address))); err == nil {
+		var r *http.Response
+		var body []byte
+		if r, body, err = c.fromServer(&http.Request{Method: http.MethodGet}); err == nil {
+			if outcome := outcomeOf(r.StatusCode, r.Header); outcome == policy.Satisfied {
+				if len(c.pending()) == 0 && !r.Close {
+					s.keep(c)
+				} else {
+					s.close(c)
+				}
+				return outcome, reportOf(string(body))
+			}
+		}
+	}
+	s.close(c)
+	return policy.Error, reportOf("")
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -137,10 +137,13 @@
 	idle  map[place][]*serverConn // the longest idle first
 	order list.List               // of all that are idle, the longest first: with thousands of servers a search takes too long
 	open  int
+
+	probing chan struct{} // one for each probe that is out
 }
 
 func newServers(n *Node, most int) *servers {
-	return &servers{node: n, most: most, idle: map[place][]*serverConn{}, work: make(chan *handOff)}
+	return &servers{node: n, most: most, idle: map[place][]*serverConn{}, work: make(chan *handOff),
+		probing: make(chan struct{}, mostProbes)}
 }
 
 const (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -144,7 +144,7 @@
 	if !ok {
 		names := ""
 		for _, name := range []string{"safe", "keyed", "unsafe", "all", "zone", "cell", "push", "ask",
-			"off", "nominal", "rough", "live"} {
+			"inline", "on_probe", "off", "nominal", "rough", "live", "request", "work"} {
 			if _, known := of[name]; known {
 				names += " " + name
 			}
@@ -185,7 +185,9 @@
 	}
 	s.OverShare = p.numberOr("over_share_worth", 0, 1)
 	s.WorstCategory = p.numberOr("goal.worst_class", 0, 1)
-	s.EarnsByWork = p.values["value_by"] == "work"
+	if p.has("value_by") {
+		s.EarnsByWork = choice(p, "value_by", map[string]bool{"request": false, "work": true})
+	}
 	s.Zone = int(p.number("zone", 0))
 	s.Position = int(p.numberOr("position", 0, 0))
 	s.Nodes = int(p.numberOr("group_size", 1, 1))
@@ -210,7 +212,9 @@
 	s.MayDuplicate = p.truth("limits.may_duplicate", false)
 	s.MayTell = p.truth("limits.peer_messages", false)
 	s.MayProbe = p.truth("limits.probes", false)
-	s.ProbesReport = p.values["report.how"] == "on_probe"
+	if p.has("report.how") {
+		s.ProbesReport = choice(p, "report.how", map[string]bool{"inline": false, "on_probe": true, "off": false})
+	}
 	s.MayRecall = p.truth("limits.cancelling", false)
 	s.MayAdvise = p.truth("limits.retry_after", false)
 	if s.MayAdvise {
