--- a/policy/move_test.go
+++ b/policy/move_test.go
@@ -239,3 +239,47 @@
 		t.Errorf("told %v", b.told)
 	}
 }
+
+// Guards against a spell that ends only once the servers have rested: in a long jam a node gives up all tasks for a
+// while, once; a short one, as a burst makes, changes nothing.
+func TestALongJamIsGivenARestOnce(t *testing.T) {
+	b := fleet(t, 4, nil)
+	b.serve(40, prompt)
+	rests := 0
+	for second := range 40 {
+		b.Policy.fleet.A, b.Policy.fleet.N = 400, 40
+		b.now += recalculate
+		b.tick()
+		if b.restTo > b.now {
+			rests++
+			if second < longJam-1 {
+				t.Fatalf("a rest after %d s of jam", second+1)
+			}
+			if b.declined = 0; b.arrive(0) == "" || b.declined != 1 {
+				t.Error("a task was taken while the fleet rests")
+			}
+		}
+	}
+	if rests != int(restFor/recalculate) {
+		t.Errorf("%d s of rest in one jam, want %d", rests, restFor/recalculate)
+	}
+}
+
+// Guards against servers that reset tasks for reasons of their own being taken for connections that die idle: closing
+// and opening connections all the time cost an incident half of its service.
+func TestResetsAmongLongLivedConnectionsAreNoSign(t *testing.T) {
+	b := fleet(t, 1, func(s *Settings) { s.Streams = 100 })
+	b.serve(40, prompt)
+	for n := range 60 {
+		b.now += 2e9
+		id, o := b.arrive(0), Satisfied
+		if n%12 == 11 {
+			o = Reset
+		}
+		b.now += ms
+		b.end(id, 0, o, ms)
+	}
+	if b.idle < 1e12 {
+		t.Errorf("one reset in twelve, and connections idle for %d ms are no longer trusted", b.idle/ms)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,10 @@
 	signers     = 10                   // one node in so many has to see connections die
 	voices      = 3                    // that a server fails a category, within about two seconds
 	grain       = 4                    // ticks of silence that tell nothing: the node may have stood still
-	window      = 64                   // servers of which one is drawn at most, so that no fleet costs more
+	jam         = 2.5                  // answer times over the work at which the fleet is jammed
+	longJam     = 9                    // seconds of it after which a node gives up all tasks for a while, once
+	restFor     = recalculate * 5
+	window      = 64 // servers of which one is drawn at most, so that no fleet costs more
 
 	listCookie, tickCookie, firstTask = 0, 1, 2
 )
@@ -68,31 +71,25 @@
 
 // standing is what a server showed of late in one category.
 type standing struct {
-	failing, n          float64 // running part of failures; fading count of what it is taken over
-	unfit               bool
-	retryAt, retryAfter int64
-	told                float64 // fading count of instances that say it fails
-	toldAt              int64   // when this one did
+	failing, n, told            float64 // running part of failures; fading counts: over which, who say so
+	unfit                       bool
+	retryAt, retryAfter, toldAt int64 // toldAt: when this instance said so
 }
 
 type server struct {
 	Listed
-	rank                    uint64
-	near                    bool // this node draws from it
-	standing                []standing
-	usedAt                  int64   // when something last went over a connection to it; 0: there is none
-	suspect                 int64   // how long a connection had been idle that gave no answer
-	load, reported, drift   float64 // w before the exceptions; its last report; what each send since adds
-	sends                   int
-	heard                   bool
+	rank               uint64
+	near, known, heard bool // near: this node draws from it
+	standing           []standing
+	usedAt, suspect    int64 // last use of a connection to it, 0: none; how long a silent one had been idle
+
+	load, reported, drift   float64      // w before the exceptions; its last report; what each send since adds
 	recalculate, risingFrom int64        // recalculate: when next, if no report comes before
-	out, turned             int          // turned: hand-offs turned away in a row
+	sends, out, turned      int          // since the last report; out now; turned away in a row
 	own                     fading.Pair  // answer times for each unit of work; what was out when they set off
 	pod                     *fading.Pair // the same of its pod, as one server is heard of once in many seconds
-	high                    float64      // quantile of answer time for each unit of expected work
-	credit                  float64
+	high, credit            float64      // quantile of answer time for each unit of expected work
 	silentFrom, fullTill    int64
-	known                   bool
 }
 
 // categoryState is what an instance learns of one category.
@@ -106,36 +103,34 @@
 
 // Policy is one instance of the decisions.
 type Policy struct {
-	set     Settings
-	host    Host
-	draws   *rand.Rand
-	cookies uint64
-	started bool
-	askWait int64
-
-	tasks          map[TaskID]*task
-	waking         map[uint64]*task
-	of             []categoryState
-	shares         shares.Shares
-	meanOf, copies float64 // mean cost of a task; second copies that may still go out
-	arrived, asks  int     // tasks since the last tick, and ever
-	rate           float64 // tasks a second
-	until          int64   // by when the task being drawn for is to be answered
-
-	servers       []*server // by rank
-	byID          map[ServerID]*server
-	pods          map[int]*fading.Pair
-	fleet         fading.Pair
-	failing, high float64         // of all servers: running part of failures; mean of the high quantiles
-	way           map[int]float64 // by zone: what an answer takes however little the work
-	idle          int64           // connections idle for longer are not trusted
-	deaths        float64         // fading count of those that died idle
-	toldIdle      int64
-
-	breadth      int       // how many servers to draw from
-	near, chilly []*server // those; of these the cold ones
-	drawn        []*server
-	weights      []float64
+	set            Settings
+	host           Host
+	draws          *rand.Rand
+	cookies        uint64
+	started        bool
+	askWait, until int64 // until: by when the task being drawn for is to be answered
+
+	tasks                map[TaskID]*task
+	waking               map[uint64]*task
+	of                   []categoryState
+	shares               shares.Shares
+	meanOf, copies, rate float64 // mean cost of a task; second copies that may still go out; tasks a second
+	arrived, asks        int     // tasks since the last tick, and ever
+
+	servers          []*server // by rank
+	byID             map[ServerID]*server
+	pods             map[int]*fading.Pair
+	fleet            fading.Pair
+	failing, high    float64         // of all servers: running part of failures; mean of the high quantiles
+	way              map[int]float64 // by zone: what an answer takes however little the work
+	idle, deadGap    int64           // connections idle for longer are not trusted; one died after so long
+	deaths           float64         // fading count of signs that they die idle
+	seen, jammed     int             // own signs in a row; seconds for which all have been late
+	toldIdle, restTo int64           // when that was told; until when this node gives the fleet a rest
+
+	breadth             int       // how many servers to draw from
+	near, chilly, drawn []*server // those; of these the cold ones; who takes part in the draw
+	weights             []float64
 }
 
 // New makes an instance that knows nothing but its settings.
@@ -159,8 +154,7 @@
 			p.host.Subscribe()
 		}
 	}
-	p.askWait = 0
-	if whole {
+	if p.askWait = 0; whole {
 		for _, s := range p.servers {
 			s.State = Gone
 		}
@@ -539,7 +533,7 @@
 // draw picks a server with a chance proportional to 1/w among those that take part. Those that will be in
 // time for the soft limit come first.
 func (p *Policy) draw(now int64, t *task) *server {
-	if now >= t.limit {
+	if now >= t.limit || now < p.restTo {
 		return nil
 	}
 	all, from := p.near, p.near
@@ -663,7 +657,7 @@
 	if a.Outcome != TimedOut && a.Outcome != Recalled && a.Outcome != NeverSent && a.Outcome != Reset {
 		s.silentFrom = now
 	}
-	if a.Outcome != Satisfied && (h.blamed || p.unheard(now, h, a.Outcome)) {
+	if a.Outcome == NeverSent || a.Outcome != Satisfied && (h.blamed || p.unheard(now, h, a.Outcome)) {
 		if h.blamed && a.Outcome == TimedOut {
 			p.tell(now, &s.standing[c].toldAt, News{Server: s.Server, Category: c})
 		}
@@ -685,8 +679,6 @@
 		if a.Outcome == Full {
 			return
 		}
-	case NeverSent:
-		return
 	case Recalled:
 		// Guards against a silent server that looks fit because second copies always overtake it.
 		if a.Elapsed < p.patience(s, h.cost) || s.silentFrom > h.sentAt {
@@ -700,8 +692,7 @@
 		}
 		p.timed(h, took*overrun)
 	}
-	p.mark(now, s, t, bad, a.Outcome)
-	if a.Outcome == Error && s.standing[c].unfit {
+	if p.mark(now, s, t, bad, a.Outcome); a.Outcome == Error && s.standing[c].unfit {
 		p.tell(now, &s.standing[c].toldAt, News{Server: s.Server, Category: c})
 	}
 }
@@ -712,7 +703,9 @@
 	if s.suspect > 0 && h.gap == 0 {
 		p.sawDead(now, s.suspect) // a new connection works where the old one gave no answer
 	}
-	s.suspect, s.turned = 0, 0
+	if s.suspect, s.turned = 0, 0; h.gap > 0 && h.gap >= p.deadGap*3/4 {
+		p.seen = 0
+	}
 	p.calibrate(t, h, took)
 	if fresh && h.cost > 0 {
 		p.earnCold(now, s, h.cost)
@@ -740,10 +733,12 @@
 		return false
 	}
 	p.release(h.server)
-	if h.server.suspect = h.gap; o == Reset {
+	if o == Reset {
 		p.sawDead(now, h.gap)
+		return true
 	}
-	return o == Reset // silence may still be the server's own
+	h.server.suspect = h.gap
+	return false // silence may still be the server's own
 }
 
 // mark judges a server, in one category, by one more end of a hand-off.
@@ -834,6 +829,11 @@
 	for _, pod := range p.pods {
 		pod.Fade(1 - learn)
 	}
+	if p.fleet.Level() < jam {
+		p.jammed = 0
+	} else if p.jammed++; p.jammed == longJam { // what all depend on may recover only while it rests
+		p.restTo = now + restFor
+	}
 	p.fleet.Fade(forget)
 	p.rate += (float64(p.arrived) - p.rate) / 8
 	p.arrived, p.deaths = 0, p.deaths*forget
@@ -852,10 +852,12 @@
 	}
 }
 
-// sawDead takes the sight of a connection that was dead after standing idle for so long.
+// sawDead takes a connection that was dead when used. Two in a row count, if none between lived as long.
 func (p *Policy) sawDead(now, gap int64) {
-	p.died(gap)
-	p.tell(now, &p.toldIdle, News{Idle: gap})
+	if p.deadGap, p.seen = gap, p.seen+1; p.seen >= 2 {
+		p.died(gap)
+		p.tell(now, &p.toldIdle, News{Idle: gap})
+	}
 }
 
 // tell sends news, the same no more often than once a second.
@@ -866,11 +868,9 @@
 	}
 }
 
-// died counts connections that died idle. One sign is none, as a slow answer looks alike: it takes two, or
-// where nodes tell one another signs from a part of them within a second or two.
+// died counts connections that died idle: where nodes tell one another it takes signs from a part of them.
 func (p *Policy) died(gap int64) {
-	p.deaths++
-	if p.deaths >= 2 && (!p.set.MayTell || p.deaths >= float64(p.set.Nodes)/signers) {
+	if p.deaths++; !p.set.MayTell || p.deaths >= float64(p.set.Nodes)/signers {
 		p.idle = min(p.idle, gap*3/4)
 	}
 }
