--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,7 +41,7 @@
 	firstMet    = 8                    // answers by whose mean a category's work is first known
 	probeEach   = 32                   // tasks for which a server is probed
 	shortIdle   = recalculate * 3 / 10 // a connection used so lately is not dead
-	signers     = 10                   // one node in so many has to see connections die
+	signers     = 25                   // one node in so many has to see connections die
 	voices      = 3                    // that a server fails a category, within about two seconds
 	grain       = 4                    // ticks of silence that tell nothing: the node may have stood still
 	jam         = 2.5                  // answer times over the work at which the fleet is jammed
