A rest only in need and after twelve seconds; resets count as before with one task a connection

A node rests only if the worst category fares at 0.7 or less, after twelve seconds: the level alone is high on sockets, where small tasks take many times their work. Window of 32 servers in place of 64: all deployments stay under it.

--- a/policy/move_test.go
+++ b/policy/move_test.go
@@ -245,9 +245,16 @@
 func TestALongJamIsGivenARestOnce(t *testing.T) {
 	b := fleet(t, 4, nil)
 	b.serve(40, prompt)
+	for range 40 { // slow all the time, but nothing is turned away
+		b.Policy.fleet.A, b.Policy.fleet.N = 400, 40
+		b.now += recalculate
+		if b.tick(); b.restTo > 0 {
+			t.Fatal("a rest though nothing was turned away")
+		}
+	}
 	rests := 0
 	for second := range 40 {
-		b.Policy.fleet.A, b.Policy.fleet.N = 400, 40
+		b.Policy.fleet.A, b.Policy.fleet.N, b.of[0].fares = 400, 40, 0.4
 		b.now += recalculate
 		b.tick()
 		if b.restTo > b.now {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,9 +45,10 @@
 	voices      = 3                    // that a server fails a category, within about two seconds
 	grain       = 4                    // ticks of silence that tell nothing: the node may have stood still
 	jam         = 2.5                  // answer times over the work at which the fleet is jammed
-	longJam     = 9                    // seconds of it after which a node gives up all tasks for a while, once
+	inNeed      = 0.7                  // if the worst category also fares no better
+	longJam     = 12                   // seconds of it after which a node gives up all tasks for a while, once
 	restFor     = recalculate * 5
-	window      = 64 // servers of which one is drawn at most, so that no fleet costs more
+	window      = 32 // servers of which one is drawn at most, so that no fleet costs more
 
 	listCookie, tickCookie, firstTask = 0, 1, 2
 )
@@ -117,19 +118,18 @@
 	meanOf, copies, rate float64 // mean cost of a task; second copies that may still go out; tasks a second
 	arrived, asks        int     // tasks since the last tick, and ever
 
-	servers          []*server // by rank
-	byID             map[ServerID]*server
-	pods             map[int]*fading.Pair
-	fleet            fading.Pair
-	failing, high    float64         // of all servers: running part of failures; mean of the high quantiles
-	way              map[int]float64 // by zone: what an answer takes however little the work
-	idle, deadGap    int64           // connections idle for longer are not trusted; one died after so long
-	deaths           float64         // fading count of signs that they die idle
-	seen, jammed     int             // own signs in a row; seconds for which all have been late
-	toldIdle, restTo int64           // when that was told; until when this node gives the fleet a rest
-
-	breadth             int       // how many servers to draw from
-	near, chilly, drawn []*server // those; of these the cold ones; who takes part in the draw
+	servers             []*server // by rank
+	byID                map[ServerID]*server
+	pods                map[int]*fading.Pair
+	fleet               fading.Pair
+	failing, high       float64         // of all servers: running part of failures; mean of the high quantiles
+	way                 map[int]float64 // by zone: what an answer takes however little the work
+	idle, deadGap       int64           // connections idle for longer are not trusted; one died after so long
+	deaths              float64         // fading count of signs that they die idle
+	seen, jammed        int             // own signs in a row; seconds for which all have been late
+	toldIdle, restTo    int64           // when that was told; until when this node gives the fleet a rest
+	breadth             int             // how many servers to draw from
+	near, chilly, drawn []*server       // those; of these the cold ones; who takes part in the draw
 	weights             []float64
 }
 
@@ -139,9 +139,7 @@
 		tasks: map[TaskID]*task{}, waking: map[uint64]*task{}, byID: map[ServerID]*server{}, high: 2,
 		pods: map[int]*fading.Pair{}, way: map[int]float64{}, shares: shares.New(settings.Portions),
 		idle: math.MaxInt64}
-	for range settings.Categories {
-		p.of = append(p.of, categoryState{spread: 2, fares: 1, due: 1})
-	}
+	p.of = slices.Repeat([]categoryState{{spread: 2, fares: 1, due: 1}}, len(settings.Categories))
 	return p
 }
 
@@ -654,7 +652,7 @@
 // judge learns from how a hand-off ended.
 func (p *Policy) judge(now int64, t *task, h *handOff, a Answer) {
 	s, c, took, bad := h.server, t.Task.Category, float64(a.Elapsed), 1.0
-	if a.Outcome != TimedOut && a.Outcome != Recalled && a.Outcome != NeverSent && a.Outcome != Reset {
+	if o := a.Outcome; o != TimedOut && o != Recalled && o != NeverSent && (o != Reset || p.set.Streams < 2) {
 		s.silentFrom = now
 	}
 	if a.Outcome == NeverSent || a.Outcome != Satisfied && (h.blamed || p.unheard(now, h, a.Outcome)) {
@@ -729,7 +727,8 @@
 
 // unheard tells whether a hand-off found its connection dead: something between dropped it while it was idle.
 func (p *Policy) unheard(now int64, h *handOff, o Outcome) bool {
-	if o != Reset && o != TimedOut && o != Recalled || h.gap < shortIdle || h.server.silentFrom > h.sentAt {
+	if o != Reset && o != TimedOut && o != Recalled || h.gap < shortIdle || h.server.silentFrom > h.sentAt ||
+		p.set.Streams < 2 { // which of many connections it was is not known here
 		return false
 	}
 	p.release(h.server)
@@ -737,8 +736,8 @@
 		p.sawDead(now, h.gap)
 		return true
 	}
-	h.server.suspect = h.gap
-	return false // silence may still be the server's own
+	h.server.suspect = h.gap // silence may still be the server's own
+	return false
 }
 
 // mark judges a server, in one category, by one more end of a hand-off.
@@ -829,7 +828,7 @@
 	for _, pod := range p.pods {
 		pod.Fade(1 - learn)
 	}
-	if p.fleet.Level() < jam {
+	if p.fleet.Level() < jam || p.worst() > inNeed {
 		p.jammed = 0
 	} else if p.jammed++; p.jammed == longJam { // what all depend on may recover only while it rests
 		p.restTo = now + restFor
