--- a/policy/move_test.go
+++ b/policy/move_test.go
@@ -243,7 +243,7 @@
 // Guards against a spell that ends only once the servers have rested: in a long jam a node gives up all tasks for a
 // while, once; a short one, as a burst makes, changes nothing.
 func TestALongJamIsGivenARestOnce(t *testing.T) {
-	b := fleet(t, 4, nil)
+	b := fleet(t, 4, func(s *Settings) { s.Utilised = true })
 	b.serve(40, prompt)
 	for range 40 { // slow all the time, but nothing is turned away
 		b.Policy.fleet.A, b.Policy.fleet.N = 400, 40
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,7 +46,7 @@
 	grain       = 4                    // ticks of silence that tell nothing: the node may have stood still
 	jam         = 2.5                  // answer times over the work at which the fleet is jammed
 	inNeed      = 0.7                  // if the worst category also fares no better
-	longJam     = 12                   // seconds of it after which a node gives up all tasks for a while, once
+	longJam     = 9                    // seconds of it after which a node gives up all tasks for a while, once
 	restFor     = recalculate * 5
 	window      = 32 // servers of which one is drawn at most, so that no fleet costs more
 
@@ -828,7 +828,7 @@
 	for _, pod := range p.pods {
 		pod.Fade(1 - learn)
 	}
-	if p.fleet.Level() < jam || p.worst() > inNeed {
+	if p.fleet.Level() < jam || p.worst() > inNeed || !p.set.Utilised { // only where they tell how busy they are
 		p.jammed = 0
 	} else if p.jammed++; p.jammed == longJam { // what all depend on may recover only while it rests
 		p.restTo = now + restFor
