--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -1,5 +1,5 @@
 // Package news owns the form in which instances' news travel: a version, a kind, and whole numbers of up to ten bytes,
-// at most Most bytes together. It must never decide what news are worth; what makes no sense is an error.
+// at most Most bytes together. It must never decide what to make of news; what makes no sense is an error.
 package news
 
 import (
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// hear enters what peers tell, unless the loop has its hands full: news are worth no task's time.
+// hear enters what peers tell, unless the loop has its hands full: no task is to wait for news.
 func (p *peers) hear() {
 	buffer := make([]byte, news.Most+1)
 	for {
