News say when they were told; old and repeated ones are passed over and counted

- Each message holds its time. internal/news.Inbox passes over what is older than 2 s or ahead by as much, and the same from the same sender within a second; bounded.
- Told goes by servers that are active on the own list alone.
The nines are checked and passed on; no decision goes by them.

--- a/cmd/fawnglade/migrate.go
+++ b/cmd/fawnglade/migrate.go
@@ -9,8 +9,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -37,6 +38,7 @@
 	c.Flags().IntVar(&s.streams, "streams", 100, "tasks that a connection to a server carries at once")
 	c.Flags().StringVar(&s.news, "news", "", "address with port on which this node hears the others; left out, no messages")
 	c.Flags().StringSliceVar(&s.peers, "peer", nil, "address with port of another node's news; once for each")
+	list := c.Flags().String("peers", "", "file with such addresses, one a line; this node's own may stand among them")
 	c.Flags().StringVar(&s.reports, "reports", "inline", "where servers report their load: inline, on_probe, off")
 	c.Flags().BoolVar(&s.copies, "copies", true, "second copies stay allowed where they were")
 	c.RunE = func(c *cobra.Command, _ []string) error {
@@ -46,6 +48,13 @@
 		if *out == "" && !*dry {
 			return errors.New("nowhere to write: give --out, or --dry-run")
 		}
+		if *list != "" {
+			addresses, err := os.ReadFile(*list)
+			if err != nil {
+				return err
+			}
+			s.peers = append(s.peers, strings.Fields(string(addresses))...)
+		}
 		text, err := os.ReadFile(*path)
 		if err != nil {
 			return err
@@ -97,13 +106,13 @@
 	if err := in.Decode(&file); err != nil {
 		return nil, nil, err
 	}
-	if _, err := in.Token(); err != io.EOF {
-		return nil, nil, errors.New("expected one object, got more behind it")
-	}
 	if s.nodes < 1 {
 		return nil, nil, errors.New("settings.group_size: give --nodes, the old file cannot tell it")
 	}
-	settings, _ := file["settings"].(map[string]any) // an object, as the check has passed
+	settings, ok := file["settings"].(map[string]any)
+	if !ok { // a reader that takes Settings for settings has let it pass
+		return nil, nil, errors.New("settings: expected an object under this very name, got none")
+	}
 	settings["group_size"], settings["position"] = s.nodes, s.position
 	limits := inside(settings, "limits")
 	limits["multiplex"], limits["peer_messages"] = s.streams, s.news != ""
@@ -114,7 +123,10 @@
 	if limits["may_duplicate"] == true && !s.copies {
 		limits["may_duplicate"] = false
 	}
-	delete(file, "news")
+	if _, had := file["news"]; had {
+		left = append(left, "news: the one of the old file; --news and --peers tell the new one")
+		delete(file, "news")
+	}
 	if s.news != "" {
 		file["news"] = map[string]any{"listen": s.news, "peers": append([]string{}, s.peers...)}
 	}
@@ -143,6 +155,9 @@
 		settings["weights"] = "off"
 		left = append(left, "settings.weights: live weights are passed over, servers' reports say it better; now off")
 	}
+	if fields, _ := inside(settings, "report")["fields"].([]any); slices.Contains(fields, any("inflight")) {
+		left = append(left, "settings.report.fields: inflight is no longer read")
+	}
 	moved, err = json.MarshalIndent(file, "", "  ")
 	return append(moved, '\n'), left, err
 }
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -1,10 +1,12 @@
-// Package news owns the form in which instances' news travel: a version, a kind, and whole numbers of up to ten bytes,
-// at most Most bytes together. It must never decide what to make of news; what makes no sense is an error.
+// Package news owns the form in which instances' news travel, and which of what comes is news at all: a version, a kind,
+// when it was told in milliseconds, and whole numbers, at most Most bytes together. It must never decide what to make of
+// news; what makes no sense, is old or was told before is an error.
 package news
 
 import (
 	"encoding/binary"
 	"errors"
+	"maps"
 	"math"
 
 	"fawnglade/policy"
@@ -18,39 +20,92 @@
 	idle    = 1 // microseconds
 	fails   = 2 // server, category
 
-	micro       = 1000
-	longestIdle = 3600e6 // in microseconds; longer makes no sense
+	micro, milli = int64(1e3), int64(1e6)
+
+	oldest  = 2000 * milli // how long ago, or ahead by another clock, news may have been told
+	apart   = 900 * milli  // nobody tells the same more than once a second; a millisecond is lost in writing
+	mostMet = 8192         // kept against repeats
 )
 
-var errNonsense = errors.New("news: expected version 1 with a known kind and its numbers")
+var (
+	errNonsense = errors.New("news: expected version 1 with a known kind and its numbers")
+	errOld      = errors.New("news: told too long ago, or by a clock that is ahead")
+	errRepeated = errors.New("news: told before")
+	errFull     = errors.New("news: too many at once")
+)
 
-// Encode writes news down.
-func Encode(n policy.News) []byte {
+// Encode writes down news told now.
+func Encode(n policy.News, now int64) []byte {
+	kind, numbers := byte(fails), []uint64{uint64(now / milli), uint64(n.Server), uint64(n.Category)}
 	if n.Idle > 0 {
-		return binary.AppendUvarint([]byte{version, idle}, uint64(n.Idle/micro))
+		kind, numbers = idle, []uint64{uint64(now / milli), uint64(n.Idle / micro)}
 	}
-	return binary.AppendUvarint(binary.AppendUvarint([]byte{version, fails}, uint64(n.Server)), uint64(n.Category))
+	message := []byte{version, kind}
+	for _, v := range numbers {
+		message = binary.AppendUvarint(message, v)
+	}
+	return message
 }
 
-// Decode reads news. Whether server and category are known is for the reader to see.
-func Decode(message []byte) (policy.News, error) {
-	if len(message) < 3 || len(message) > Most || message[0] != version {
-		return policy.News{}, errNonsense
-	}
-	first, n := binary.Uvarint(message[2:])
-	if n <= 0 {
-		return policy.News{}, errNonsense
+// decode reads news. Whether server and category are known is for the reader to see.
+func decode(message []byte) (n policy.News, told int64, err error) {
+	if len(message) < 2 || len(message) > Most || message[0] != version {
+		return n, 0, errNonsense
 	}
-	rest := message[2+n:]
-	switch message[1] {
-	case idle:
-		if first > 0 && first <= longestIdle && len(rest) == 0 {
-			return policy.News{Idle: int64(first) * micro}, nil
+	var numbers []uint64
+	for rest := message[2:]; len(rest) > 0; {
+		v, length := binary.Uvarint(rest)
+		if length <= 0 {
+			return n, 0, errNonsense
 		}
-	case fails:
-		if category, m := binary.Uvarint(rest); m > 0 && m == len(rest) && first <= math.MaxUint32 && category < math.MaxInt32 {
-			return policy.News{Server: policy.ServerID(first), Category: int(category)}, nil
+		numbers, rest = append(numbers, v), rest[length:]
+	}
+	if len(numbers) == 0 || numbers[0] > uint64(math.MaxInt64/milli) {
+		return n, 0, errNonsense
+	}
+	told = int64(numbers[0]) * milli
+	switch numbers = numbers[1:]; {
+	case message[1] == idle && len(numbers) == 1 && numbers[0] > 0 && numbers[0] < 1<<32:
+		return policy.News{Idle: int64(numbers[0]) * micro}, told, nil
+	case message[1] == fails && len(numbers) == 2 && numbers[0] <= math.MaxUint32 && numbers[1] < math.MaxInt32:
+		return policy.News{Server: policy.ServerID(numbers[0]), Category: int(numbers[1])}, told, nil
+	}
+	return n, 0, errNonsense
+}
+
+// what is what a sender told of: how long a connection stood is no other news.
+type what struct {
+	from, category int
+	server         policy.ServerID
+	idle           bool
+}
+
+// Inbox tells news from what is old or was told before. The zero value has met nothing.
+type Inbox struct{ met map[what]int64 }
+
+// Open reads a message that has come from a sender, known by a number of its own.
+func (b *Inbox) Open(from int, message []byte, now int64) (policy.News, error) {
+	n, told, err := decode(message)
+	if err != nil {
+		return n, err
+	}
+	if told < now-oldest || told > now+oldest {
+		return policy.News{}, errOld
+	}
+	of := what{from, n.Category, n.Server, n.Idle > 0}
+	if last, met := b.met[of]; met && told < last+apart {
+		return policy.News{}, errRepeated
+	}
+	if b.met == nil {
+		b.met = map[what]int64{}
+	}
+	if len(b.met) >= mostMet {
+		// One that old is turned away for its age alone.
+		maps.DeleteFunc(b.met, func(_ what, told int64) bool { return told < now-oldest })
+		if len(b.met) >= mostMet {
+			return policy.News{}, errFull
 		}
 	}
-	return policy.News{}, errNonsense
+	b.met[of] = told
+	return n, nil
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -25,18 +25,19 @@
 type peers struct {
 	node    *Node
 	socket  *net.UDPConn
-	known   map[netip.AddrPort]bool
+	known   map[netip.AddrPort]int // a number for each
+	inbox   news.Inbox             // of hear alone
 	waiting chan policy.News
 }
 
-// check reads the configuration of news.
+// checkNews checks the configuration of news.
 func (c *Config) checkNews() error {
 	if c.News.Listen == "" {
 		if len(c.News.Peers) > 0 {
-			return errors.New("news.listen: expected an address and a port, as there are news.peers")
+			return errors.New("news.listen: expected an address and a port, as there are news.peers, got none")
 		}
 		if c.decoded.Policy.MayTell && c.decoded.Policy.Nodes > 1 {
-			return errors.New("news.listen: expected an address and a port, as limits.peer_messages is true in the settings")
+			return errors.New("news.listen: expected an address and a port, as limits.peer_messages is true in the settings, got none")
 		}
 		return nil
 	}
@@ -55,7 +56,7 @@
 }
 
 func newPeers(n *Node) (*peers, error) {
-	p := &peers{node: n, known: map[netip.AddrPort]bool{}, waiting: make(chan policy.News, mostTold)}
+	p := &peers{node: n, known: map[netip.AddrPort]int{}, waiting: make(chan policy.News, mostTold)}
 	if n.config.News.Listen == "" {
 		return p, nil
 	}
@@ -65,9 +66,9 @@
 	}
 	p.socket = socket
 	own := socket.LocalAddr().(*net.UDPAddr).AddrPort()
-	for _, address := range n.config.News.Peers {
+	for i, address := range n.config.News.Peers { // the same list may serve all nodes
 		if at := netip.MustParseAddrPort(address); at != own {
-			p.known[at] = true
+			p.known[at] = i
 		}
 	}
 	return p, nil
@@ -88,7 +89,7 @@
 	}
 	go p.hear()
 	for n := range p.waiting {
-		message := news.Encode(n)
+		message := news.Encode(n, p.node.clock.now())
 		for at := range p.known {
 			if _, err := p.socket.WriteToUDPAddrPort(message, at); err != nil {
 				p.node.counters.add(newsDropped)
@@ -107,8 +108,13 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		told, bad := news.Decode(buffer[:length])
-		if err != nil || bad != nil || !p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())] {
+		peer, known := p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if err != nil || !known {
+			p.node.counters.add(newsPassedOver)
+			continue
+		}
+		told, err := p.inbox.Open(peer, buffer[:length], p.node.clock.now())
+		if err != nil {
 			p.node.counters.add(newsPassedOver)
 			continue
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -185,6 +185,7 @@
 	}
 	s.OverShare = p.numberOr("over_share_worth", 0, 1)
 	s.WorstCategory = p.numberOr("goal.worst_class", 0, 1)
+	s.Nines, s.TopNines = p.numberOr("goal.nines_part", 0, 0), p.numberOr("goal.top_nines", 0, 0)
 	if p.has("value_by") {
 		s.EarnsByWork = choice(p, "value_by", map[string]bool{"request": false, "work": true})
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -880,7 +880,7 @@
 	switch {
 	case n.Idle >= shortIdle:
 		p.died(n.Idle)
-	case n.Idle == 0 && s != nil && n.Category >= 0 && n.Category < len(p.of):
+	case n.Idle == 0 && s != nil && s.State == Active && n.Category >= 0 && n.Category < len(p.of):
 		st := &s.standing[n.Category]
 		// What this instance saw itself goes first; one voice is none, as a single error puts a server out there.
 		if st.told++; st.told >= voices && !st.unfit && (st.n < 1 || st.failing > failed/2) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -33,10 +33,11 @@
 
 // Settings are the figures the decisions read; all times are nanoseconds.
 type Settings struct {
-	Categories    []Category
-	Portions      []float64 // of each customer
-	OverShare     float64   // earnings of a task beyond its customer's share
-	WorstCategory float64   // what the worst category weighs in the goal, 0 to 1
+	Categories      []Category
+	Portions        []float64 // of each customer
+	OverShare       float64   // earnings of a task beyond its customer's share
+	WorstCategory   float64   // what the worst category weighs in the goal, 0 to 1
+	Nines, TopNines float64   // what the nines weigh in it, and how many are all; no decision goes by them yet
 
 	Position, Nodes             int // of this instance, and how many there are
 	Streams                     int // tasks that a connection carries at once
