--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -161,6 +161,27 @@
 	return len(s.open) + int(s.atDoor.Load())
 }
 
+const (
+	emptyAfter = time.Second // after a drain began, by when nobody connects any more
+	emptyEach  = 100 * time.Millisecond
+)
+
+// empty closes what stands idle while the node is drained: connections that are in use end with their next answer, and the
+// others are not to be held.
+func (s *clients) empty() {
+	var since time.Time
+	for now := range time.Tick(emptyEach) {
+		switch {
+		case !s.node.orders.drained():
+			since = time.Time{}
+		case since.IsZero():
+			since = now
+		case now.Sub(since) > emptyAfter:
+			s.settle()
+		}
+	}
+}
+
 // idle tells whether the connection holds no task and none is under way; the lock is held.
 func (c *client) idle(now time.Time) bool {
 	return c.busy == 0 && !c.closed && !c.leaving && now.Sub(c.lastUse) > lingers &&
@@ -201,7 +222,7 @@
 func (c *client) isLast(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy > 1 || !x.last && !c.leaving && !c.side.node.stopping.Load() {
+	if c.busy > 1 || !x.last && !c.leaving && !c.side.node.leaving() {
 		return false
 	}
 	c.closed = true
@@ -350,7 +371,7 @@
 	n := c.side.node
 	if r.URL.Path == pathReady {
 		status := http.StatusOK
-		if n.stopping.Load() {
+		if n.notReady() != "" {
 			status = http.StatusServiceUnavailable
 		}
 		x.settle(answer{status: status})
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 )
 
 const (
@@ -226,6 +227,18 @@
 	}
 }
 
+// closeGently ends the sending side and waits a moment for the peer to close, as closing on one that is still sending
+// would throw away what it was sent.
+func (c *conn) closeGently() {
+	if half, ok := c.Conn.(*net.TCPConn); ok {
+		half.CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(lingers))
+	for c.from = c.to; c.fill() == nil; {
+		c.from = c.to
+	}
+}
+
 // quiet tells that the peer has neither closed the connection nor sent anything on it unasked. It guards against
 // late answers and against a connection that a restarted server no longer knows.
 func (c *conn) quiet() bool {
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -48,6 +48,10 @@
 	newsDropped
 	configsRead
 	configsPassedOver
+	callsAnswered
+	callsBad
+	callsDropped
+	ordersPassedOver
 	panics
 	counterCount
 )
@@ -61,7 +65,8 @@
 	"servers connected", "servers closed idle", "servers found closed",
 	"list calls", "list calls failed", "list lines", "list lines passed over",
 	"probes answered", "probes failed", "news told", "news heard", "news passed over", "news dropped",
-	"configurations read", "configurations passed over", "panics",
+	"configurations read", "configurations passed over",
+	"console calls answered", "console calls bad", "console calls dropped", "orders passed over", "panics",
 }
 
 type counters [counterCount]atomic.Int64
--- /dev/null
+++ b/internal/node/daily_test.go
@@ -0,0 +1,294 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fawnglade/policy"
+)
+
+func withConsole(c *Config) { c.Console = address() }
+
+// callOn makes one call at the console and returns what it says.
+func callOn(t *testing.T, n *Node, text string) (status int, body string, header http.Header) {
+	t.Helper()
+	c, err := net.Dial("tcp", n.console.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	io.WriteString(c, text)
+	return answerOn(bufio.NewReader(c))
+}
+
+func callText(call string) string { return call + " HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n" }
+
+func (n *Node) call(t *testing.T, call string) int {
+	t.Helper()
+	status, _, _ := callOn(t, n, callText(call))
+	return status
+}
+
+func TestConsoleTurnsDownWhatItCannotUse(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, withConsole, server)
+	soon(t, "ready", func() bool { return n.call(t, "GET /ready") == 200 })
+	for text, want := range map[string]int{
+		"nonsense\r\n\r\n": 400,
+		"GET /ready HTTP/1.1\r\nHost: c\r\nX: " + strings.Repeat("x", maxCallHead) + "\r\n\r\n": 431,
+		strings.Repeat("x", 3*maxCallHead):                              431,
+		callText("GET /"):                                               404,
+		callText("PUT /ready"):                                          405,
+		callText("GET /drain"):                                          405,
+		callText("POST /servers/disable?target=s-0"):                    405,
+		callText("PUT /servers/disable"):                                400,
+		callText("PUT /servers/disable?target="):                        400,
+		callText("PUT /servers/disable?target=s-0&target=s-0"):          400,
+		callText("PUT /servers/disable?target=%zz"):                     400,
+		callText("PUT /servers/disable?target=s-9"):                     404,
+		callText("PUT /servers/enable?target=s-9"):                      404,
+		"PUT /servers/disable?target=s-0 HTTP/1.1\r\nHost: c\r\nno end": 408,
+	} {
+		status, body, header := callOn(t, n, text)
+		if status != want || strings.Count(body, "\n") != 1 {
+			t.Errorf("%.60q: %d %q, want %d and one line", text, status, body, want)
+		}
+		if (header.Get("Allow") != "") != (want == 405) {
+			t.Errorf("%.60q: %d with Allow %q", text, status, header.Get("Allow"))
+		}
+	}
+	if n.orders.isOut(serverID("s-0")) || n.count(callsBad) != 14 {
+		t.Errorf("a bad call took a server out, or is not counted: %d", n.count(callsBad))
+	}
+}
+
+// Guards against callers that say nothing, or half a call, keeping the others out.
+func TestSilentCallersMakeRoom(t *testing.T) {
+	n := nodeWith(t, withConsole)
+	var silent []net.Conn
+	for i := range 6 * mostCalls {
+		c, err := net.Dial("tcp", n.console.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if silent = append(silent, c); i%2 == 0 {
+			io.WriteString(c, "PUT /drain HTTP/1.1\r\nHo")
+		}
+	}
+	for _, call := range []string{"GET /ready", "PUT /drain", "PUT /undrain"} {
+		if status := n.call(t, call); status != 200 {
+			t.Errorf("%s among callers that say nothing: %d", call, status)
+		}
+	}
+	n.console.mu.Lock()
+	defer n.console.mu.Unlock()
+	if n.console.open > n.console.most {
+		t.Errorf("%d callers at once, bound %d", n.console.open, n.console.most)
+	}
+}
+
+// Guards against a console that answers only when the loop has time.
+func TestConsoleDoesNotWaitForTheLoop(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, withConsole, server)
+	soon(t, "ready", func() bool { return n.call(t, "GET /ready") == 200 })
+	held := make(chan struct{})
+	n.loop.enter(func() { <-held })
+	for range cap(n.loop.events) {
+		n.loop.enter(func() {})
+	}
+	for _, call := range []string{"PUT /servers/disable?target=s-0", "PUT /drain", "PUT /undrain", "PUT /servers/enable?target=s-0", "GET /ready"} {
+		if status := n.call(t, call); status != 200 {
+			t.Errorf("%s: %d while the loop stands still", call, status)
+		}
+	}
+	close(held)
+}
+
+// A server taken out gets nothing, whatever the list says of it, until one call puts it back, cold.
+func TestServerTakenOut(t *testing.T) {
+	one, first := serverOf(t, echo)
+	two, _ := serverOf(t, echo)
+	n := nodeWith(t, withConsole, one, two)
+	soon(t, "ready", func() bool { return n.call(t, "GET /ready") == 200 })
+	ask20 := func(round string) int64 {
+		before := first.Load()
+		for i := range 20 {
+			if status, _, _ := ask(t, n, "batch", fmt.Sprint(round, i), ""); status != 200 {
+				t.Errorf("%s: task %d was answered %d", round, i, status)
+			}
+		}
+		return first.Load() - before
+	}
+	if ask20("before") == 0 {
+		t.Fatal("the server is not in use before")
+	}
+	for range 2 {
+		if status := n.call(t, "PUT /servers/disable?target=s-0"); status != 200 {
+			t.Fatalf("taken out: %d", status)
+		}
+	}
+	listings := []string{listText(2, false, listEntry("s-0", one, "up")), listText(3, false, listEntry("s-0", one, "removed")),
+		listText(4, true, listEntry("s-1", two, "up")), listText(5, false, listEntry("s-0", one, "up"))}
+	for i := range len(listings) + 1 {
+		time.Sleep(2 * ordersLook)
+		if got := ask20(fmt.Sprint("out", i)); got != 0 {
+			t.Errorf("%d tasks for a server that is out, after %d listings", got, i)
+		}
+		if i < len(listings) {
+			n.discovery.line([]byte(listings[i]))
+		}
+	}
+	if got := n.count(handOffsNeverSent); got != 0 {
+		t.Errorf("the decisions chose a server that is out %d times", got)
+	}
+	before := n.clock.now()
+	if n.call(t, "PUT /servers/enable?target=s-0") != 200 {
+		t.Fatal("not put back")
+	}
+	soon(t, "the server is in use again", func() bool { return ask20(fmt.Sprint("back", time.Now().UnixNano())) > 0 })
+	cold := make(chan int64, 1)
+	n.loop.enter(func() { cold <- n.orders.laid.over(n.orders.entries["s-0"]).Started })
+	if started := <-cold; started < before {
+		t.Errorf("put back as started at %d, before it was put back at %d", started, before)
+	}
+}
+
+// The last look before a hand-off is written stands by itself: the decisions may not know of the order yet.
+func TestHandOffLooksOnceMore(t *testing.T) {
+	server, tasks := serverOf(t, echo)
+	n := newNode(t, withConsole, server)
+	n.orders.tell("s-0")
+	n.orders.change(func(o *standingOrders) string { return o.putOut("s-0", 1) })
+	h := &handOff{exchange: newExchange(), place: place{serverID("s-0"), server}, limit: n.clock.now() + second}
+	_, err := n.servers.try(h)
+	if err == nil || err.outcome() != policy.NeverSent || tasks.Load() != 0 {
+		t.Errorf("%v, %d tasks came to a server that is out", err, tasks.Load())
+	}
+}
+
+// Orders outlive the process, and both processes of a node go by them.
+func TestOrdersAreSharedAndOutliveAProcess(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	var dir, at string
+	n := nodeWith(t, func(c *Config) { withConsole(c); dir, at = c.dir, c.Listen }, server)
+	other := newNode(t, func(c *Config) { withConsole(c); c.dir, c.Listen = dir, at }, server)
+	other.start()
+	soon(t, "both ready", func() bool { return n.call(t, "GET /ready") == 200 && other.call(t, "GET /ready") == 200 })
+	n.call(t, "PUT /servers/disable?target=s-0")
+	n.call(t, "PUT /drain")
+	soon(t, "the other knows", func() bool {
+		return other.orders.isOut(serverID("s-0")) && other.call(t, "GET /ready") == 503
+	})
+	later := newNode(t, func(c *Config) { c.dir, c.Listen = dir, at })
+	if !later.orders.isOut(serverID("s-0")) || !later.orders.drained() || !later.orders.listed("s-0") {
+		t.Error("a later process does not know the orders")
+	}
+	other.call(t, "PUT /servers/enable?target=s-0")
+	soon(t, "the first knows", func() bool { return !n.orders.isOut(serverID("s-0")) })
+	if !n.orders.drained() {
+		t.Error("an order of one process undid one of the other")
+	}
+	var done sync.WaitGroup
+	for i := range 20 {
+		for _, p := range []*Node{n, other} {
+			name := fmt.Sprintf("s-%d-%p", i, p)
+			p.orders.tell(name)
+			done.Go(func() {
+				if _, err := p.orders.change(func(o *standingOrders) string { return o.putOut(name, 1) }); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	}
+	done.Wait()
+	n.orders.look()
+	if out := len(n.orders.now.Load().ids); out != 40 {
+		t.Errorf("%d of 40 orders stand after both processes were called at once", out)
+	}
+}
+
+// What lies in the folder is not trusted: the node starts, says so, and keeps what could be read of servers taken out.
+func TestOrdersThatMakeNoSense(t *testing.T) {
+	n := newNode(t, withConsole)
+	good := "fawnglade-orders 1 " + n.orders.whose() + "\n"
+	for text, kept := range map[string]int{
+		"":               0,
+		"fawnglade-ord":  0,
+		"\x00\xff\n\x00": 0,
+		good:             0,
+		"fawnglade-orders 1 \"n9\" 127.0.0.1:9\nserver \"s-0\" 1 0\nend\n":                         0,
+		"fawnglade-orders 7 " + n.orders.whose() + "\nserver \"s-0\" 1 0\nfuture things\nend\n":    1,
+		good + "server \"s-0\" 1 0\nserver \"s-1\" 2":                                              1,
+		good + "server \"s-0\" 1 0\nserver s-1 2 0\nserver \"s-2\" 9 x\nserver \"s-3\" 9 0\nend\n": 2,
+		good + strings.Repeat("nonsense\n", 1<<18):                                                 0,
+	} {
+		if err := os.WriteFile(n.orders.path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		again := newNode(t, func(c *Config) { c.dir, c.Listen = n.config.dir, n.config.Listen })
+		if got := len(again.orders.now.Load().ids); got != kept || again.count(ordersPassedOver) != 1 {
+			t.Errorf("%.80q: %d servers out, want %d; counted %d times", text, got, kept, again.count(ordersPassedOver))
+		}
+	}
+	os.Remove(n.orders.path)
+	os.Mkdir(n.orders.path, 0o700)
+	if again := newNode(t, func(c *Config) { c.dir, c.Listen = n.config.dir, n.config.Listen }); again.count(ordersPassedOver) != 1 {
+		t.Error("a folder in the place of the file is not told")
+	}
+	if n.orders.tell("s-0"); true {
+		if _, err := n.orders.change(func(o *standingOrders) string { return o.putOut("s-0", 1) }); err == nil || n.orders.isOut(serverID("s-0")) {
+			t.Error("an order that can't be kept was said yes to, or counts")
+		}
+	}
+}
+
+// While drained the node says no, ends connections with their next answer or when they stand idle, and serves who comes.
+func TestDrainEmptiesTheNode(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, withConsole, server)
+	soon(t, "ready", func() bool { return n.call(t, "GET /ready") == 200 })
+	used, in := dial(t, n)
+	io.WriteString(used, taskText("batch", "t1", ""))
+	answerOn(in)
+	idle, idleIn := dial(t, n)
+	io.WriteString(idle, taskText("batch", "t2", ""))
+	answerOn(idleIn)
+	if n.call(t, "PUT /drain") != 200 || n.call(t, "GET /ready") != 503 {
+		t.Fatal("ready while drained")
+	}
+	c, cIn := dial(t, n)
+	io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+	if status, _, _ := answerOn(cIn); status != 503 {
+		t.Errorf("where clients connect it says %d", status)
+	}
+	io.WriteString(used, taskText("batch", "t3", ""))
+	if r, err := http.ReadResponse(in, nil); err != nil || r.StatusCode != 200 || !r.Close {
+		t.Errorf("%v, %v on a connection in use, want an answer that closes it", r, err)
+	}
+	if status, _, _ := ask(t, n, "batch", "t4", ""); status != 200 {
+		t.Errorf("a client that came in the next moment got %d", status)
+	}
+	idle.SetReadDeadline(time.Now().Add(4 * time.Second))
+	if _, err := idleIn.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection is held: %v", err)
+	}
+	for range 2 {
+		if n.call(t, "PUT /undrain") != 200 || n.call(t, "GET /ready") != 200 {
+			t.Error("not ready after the end of the drain")
+		}
+	}
+	if status, _, _ := ask(t, n, "batch", "t5", ""); status != 200 {
+		t.Errorf("after the drain a task got %d", status)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -44,6 +44,9 @@
 	return last
 }
 
+// listedAs is what the list calls a server, and where it is.
+type listedAs struct{ name, address string }
+
 type loop struct {
 	node   *Node
 	policy *policy.Policy
@@ -51,12 +54,12 @@
 	now    int64
 	timers timers
 	tasks  map[policy.TaskID]*exchange
-	fleet  map[policy.ServerID]string // addresses
+	fleet  map[policy.ServerID]listedAs
 }
 
 func newLoop(n *Node) *loop {
 	l := &loop{node: n, events: make(chan func(), 1024), tasks: map[policy.TaskID]*exchange{},
-		fleet: map[policy.ServerID]string{}}
+		fleet: map[policy.ServerID]listedAs{}}
 	l.policy = policy.New(n.settings.Policy, n.config.seed, l)
 	return l
 }
@@ -172,9 +175,9 @@
 		told[e.Server] = true
 	}
 	var gone []entry
-	for id, address := range l.fleet {
+	for id, as := range l.fleet {
 		if !told[id] {
-			gone = append(gone, entry{Listed: policy.Listed{Server: id, State: policy.Gone}, address: address})
+			gone = append(gone, entry{Listed: policy.Listed{Server: id, State: policy.Gone}, name: as.name, address: as.address})
 		}
 	}
 	slices.SortFunc(gone, func(a, b entry) int { return cmp.Compare(a.Server, b.Server) })
@@ -183,16 +186,33 @@
 
 // listed takes in the list or what changed in it. Connections to a server that is no longer wanted are given up.
 func (l *loop) listed(entries []entry, whole bool) {
+	l.node.orders.tell(names(entries)...)
+	l.take(l.node.orders.over(entries, whole), whole)
+}
+
+// ordered takes in what operators have changed by hand.
+func (l *loop) ordered() { l.take(l.node.orders.changed(), false) }
+
+func names(entries []entry) []string {
+	list := make([]string, len(entries))
+	for i, e := range entries {
+		list[i] = e.name
+	}
+	return list
+}
+
+// take takes in entries as the decisions are to see them.
+func (l *loop) take(entries []entry, whole bool) {
 	list := make([]policy.Listed, 0, len(entries))
 	for _, e := range entries {
 		list = append(list, e.Listed)
-		if old := l.fleet[e.Server]; old != "" && (old != e.address || e.State != policy.Active) {
+		if old := l.fleet[e.Server].address; old != "" && (old != e.address || e.State != policy.Active) {
 			go l.node.servers.forget(place{e.Server, old})
 		}
 		if e.State == policy.Gone {
 			delete(l.fleet, e.Server)
 		} else if e.address != "" {
-			l.fleet[e.Server] = e.address
+			l.fleet[e.Server] = listedAs{e.name, e.address}
 		}
 	}
 	l.handle(nil, func() { l.policy.ListLearned(l.now, list, whole) })
@@ -223,7 +243,7 @@
 	if x == nil {
 		return
 	}
-	h := &handOff{exchange: x, number: len(x.handOffs), place: place{server, l.fleet[server]}, sentAt: l.now}
+	h := &handOff{exchange: x, number: len(x.handOffs), place: place{server, l.fleet[server].address}, sentAt: l.now}
 	h.limit = min(l.now+timeOut, x.task.HardLimit)
 	x.handOffs = append(x.handOffs, h)
 	x.open++
@@ -259,7 +279,7 @@
 
 // Release closes what is idle to a server; the loop does not wait for it.
 func (l *loop) Release(server policy.ServerID) {
-	if address := l.fleet[server]; address != "" {
+	if address := l.fleet[server].address; address != "" {
 		go l.node.servers.forget(place{server, address})
 	}
 }
@@ -269,7 +289,7 @@
 
 // Probe has a server asked for its load.
 func (l *loop) Probe(server policy.ServerID) {
-	if address := l.fleet[server]; address != "" {
+	if address := l.fleet[server].address; address != "" {
 		l.node.servers.probe(place{server, address})
 	}
 }
--- a/internal/node/names.go
+++ b/internal/node/names.go
@@ -28,11 +28,26 @@
 	headerNeverRan  = "X-Turned-Away"
 	headerAdvice    = "Retry-After"
 
-	pathReady = "/ready"
-	pathList  = "/v1/endpoints"
-	pathLoad  = "/status/load"
+	pathReady   = "/ready"
+	pathDisable = "/servers/disable"
+	pathEnable  = "/servers/enable"
+	pathDrain   = "/drain"
+	pathUndrain = "/undrain"
+	queryTarget = "target"
+
+	pathList = "/v1/endpoints"
+	pathLoad = "/status/load"
+
+	envConsole   = "NODE_CONSOLE"
+	envInherited = "NODE_INHERITED_FD" // the descriptor of the clients' listening socket, where the platform holds it
 )
 
+// consoleMethods are the calls of the console.
+var consoleMethods = map[string]string{
+	pathReady: http.MethodGet, pathDisable: http.MethodPut, pathEnable: http.MethodPut, pathDrain: http.MethodPut,
+	pathUndrain: http.MethodPut,
+}
+
 // ownHeaders are written by the node itself or end at it: a connection's own, and those that tell of one hand-off.
 var ownHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
@@ -118,6 +133,7 @@
 // entry is one server of the list, with the address that this node is to use for it.
 type entry struct {
 	policy.Listed
+	name    string
 	address string
 }
 
@@ -132,7 +148,7 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return entry{}, err
 	}
-	e := entry{address: in.Dial, Listed: policy.Listed{
+	e := entry{name: in.Host, address: in.Dial, Listed: policy.Listed{
 		Server: serverID(in.Host), Zone: zoneOf(in.Site, zones), Pod: in.Block, Weight: in.Share,
 		Started: int64(in.Born * 1e6),
 	}}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,12 +52,15 @@
 		Listen string   `json:"listen"`
 		Peers  []string `json:"peers"`
 	} `json:"news"`
+	Console  string          `json:"console"` // where operators call; $NODE_CONSOLE goes before it
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
-	path    string
-	seed    uint64
-	decoded settings.Settings
+	path      string
+	dir       string // for small files that outlive a process
+	inherited string // $NODE_INHERITED_FD
+	seed      uint64
+	decoded   settings.Settings
 }
 
 // ReadConfig reads and checks a configuration.
@@ -66,17 +69,22 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := ParseConfig(text)
-	if err != nil {
+	c := &Config{path: path, dir: os.TempDir(), inherited: os.Getenv(envInherited)}
+	if err := json.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if console := os.Getenv(envConsole); console != "" {
+		c.Console = console
+	}
+	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	c.path = path
 	return c, nil
 }
 
 // ParseConfig checks a configuration's text.
 func ParseConfig(text []byte) (*Config, error) {
-	c := &Config{}
+	c := &Config{dir: os.TempDir()}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, err
 	}
@@ -110,7 +118,34 @@
 	if p := c.decoded.Policy; p.Nodes > 1 && p.Position >= p.Nodes {
 		return fmt.Errorf("settings: position: expected a number below group_size, which is %d, got %d", p.Nodes, p.Position)
 	}
-	return c.checkNews()
+	if err := c.checkNews(); err != nil {
+		return err
+	}
+	return c.checkConsole()
+}
+
+func (c *Config) checkConsole() error {
+	if c.Console != "" {
+		at, err := netip.ParseAddrPort(c.Console)
+		if err != nil {
+			return fmt.Errorf("console: expected an address and a port, got %q", c.Console)
+		}
+		if at == netip.MustParseAddrPort(c.Listen) && at.Port() != 0 {
+			return fmt.Errorf("console: expected another address than listen, got %q for both", c.Console)
+		}
+	}
+	if c.inherited == "" {
+		return nil
+	}
+	fd, err := strconv.ParseUint(c.inherited, 10, 31)
+	if err != nil {
+		return fmt.Errorf("%s: expected a descriptor's number, got %q", envInherited, c.inherited)
+	}
+	listens, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
+	if err != nil || listens == 0 {
+		return fmt.Errorf("%s: expected a listening socket, got descriptor %d, which is none", envInherited, fd)
+	}
+	return nil
 }
 
 // Node is one node and what its parts share.
@@ -120,6 +155,7 @@
 	log        *zap.Logger
 	clock      clock
 	counters   counters
+	serving    atomic.Bool // list, orders and loop are in place
 	stopping   atomic.Bool
 	held       atomic.Int64 // bytes of bodies of tasks without an answer
 	mostHeld   int64
@@ -131,6 +167,8 @@
 	servers   *servers
 	discovery *discovery
 	peers     *peers
+	console   *console
+	orders    *orders
 }
 
 // New makes a node that listens; nothing runs before Run.
@@ -142,19 +180,24 @@
 		sockets = 1024
 	}
 	spare := sockets / spareShare
-	rest := sockets - min(ownFiles, sockets/4) - spare
+	callers := min(mostCalls, sockets/callsPart)
+	rest := sockets - min(ownFiles, sockets/4) - spare - callers
+	n.orders = newOrders(n)
 	n.loop, n.servers, n.discovery = newLoop(n), newServers(n, rest/serversPart), newDiscovery(n)
 	n.mostHeld = defaultHeld
 	if mb := config.Limits.MemoryMB; mb > 0 {
 		n.mostHeld = mb << 20 / heldShare
 	}
-	how := net.ListenConfig{KeepAlive: -1}
-	how.SetMultipathTCP(false)
-	listener, err := how.Listen(context.Background(), "tcp", config.Listen)
+	listener, err := n.listener()
 	if err != nil {
 		return nil, err
 	}
+	if n.console, err = newConsole(n, callers); err != nil {
+		listener.Close()
+		return nil, err
+	}
 	if n.peers, err = newPeers(n); err != nil {
+		n.console.close()
 		listener.Close()
 		return nil, err
 	}
@@ -162,6 +205,50 @@
 	return n, nil
 }
 
+// bind opens a listening socket.
+func bind(address string) (net.Listener, error) {
+	how := net.ListenConfig{KeepAlive: -1}
+	how.SetMultipathTCP(false)
+	return how.Listen(context.Background(), "tcp", address)
+}
+
+// listener is where clients connect: the socket that the platform holds, else one of this process.
+func (n *Node) listener() (net.Listener, error) {
+	if n.config.inherited == "" {
+		return bind(n.config.Listen)
+	}
+	fd, err := strconv.Atoi(n.config.inherited)
+	if err != nil {
+		return nil, err
+	}
+	file := os.NewFile(uintptr(fd), envInherited)
+	defer file.Close() // the listener has a descriptor of its own
+	listener, err := net.FileListener(file)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", envInherited, err)
+	}
+	if at := listener.Addr().String(); at != n.config.Listen {
+		n.log.Warn("the inherited socket is bound elsewhere than listen says", zap.String("bound", at), zap.String("listen", n.config.Listen))
+	}
+	return listener, nil
+}
+
+// notReady tells why the node takes no new clients now, in a word; nothing if it does.
+func (n *Node) notReady() string {
+	switch {
+	case n.stopping.Load():
+		return "stopping"
+	case n.orders.drained():
+		return "drained"
+	case !n.serving.Load():
+		return "starting"
+	}
+	return ""
+}
+
+// leaving tells whether connections of clients end with their next answer.
+func (n *Node) leaving() bool { return n.stopping.Load() || n.orders.drained() }
+
 func indexes(names []string) map[string]int {
 	of := map[string]int{}
 	for i, name := range names {
@@ -195,9 +282,13 @@
 		n.loop.listed(nil, true)
 	}
 	go n.loop.run()
+	go n.orders.watch()
+	go n.console.run()
+	go n.clients.empty()
 	go n.discovery.run()
 	go n.clients.accept()
 	go n.peers.run()
+	n.loop.enter(func() { n.serving.Store(true) })
 	n.log.Info("serving", zap.String("name", n.config.Name), zap.String("listen", n.config.Listen))
 }
 
@@ -222,6 +313,7 @@
 			default:
 				n.stop()
 				n.peers.close()
+				n.console.close()
 				n.counters.log(n.log, "at exit")
 				return nil
 			}
@@ -241,7 +333,8 @@
 	n.counters.add(configsRead)
 	var later []string
 	for name, same := range map[string]bool{"listen": c.Listen == n.config.Listen, "limits": c.Limits == n.config.Limits,
-		"settings": reflect.DeepEqual(c.decoded, n.config.decoded), "news": reflect.DeepEqual(c.News, n.config.News)} {
+		"settings": reflect.DeepEqual(c.decoded, n.config.decoded), "news": reflect.DeepEqual(c.News, n.config.News),
+		"console": c.Console == n.config.Console} {
 		if !same {
 			later = append(later, name)
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -924,7 +924,8 @@
 	}
 	lines := func(from, to int) (list []entry) {
 		for i := from; i < to; i++ {
-			list = append(list, entry{policy.Listed{Server: policy.ServerID(i), State: policy.Active}, fmt.Sprint("127.0.0.1:", i)})
+			name := fmt.Sprint("s-", i)
+			list = append(list, entry{Listed: policy.Listed{Server: policy.ServerID(i), State: policy.Active}, name: name, address: "127.0.0.1:1"})
 		}
 		return list
 	}
@@ -940,7 +941,7 @@
 		t.Errorf("%d servers known before the list is through, want 5,000: nobody is taken off before", len(n.loop.fleet))
 	}
 	taken()
-	if len(n.loop.fleet) != 1000 || n.loop.fleet[4000] != "" || n.loop.fleet[5000] == "" {
+	if len(n.loop.fleet) != 1000 || n.loop.fleet[4000].address != "" || n.loop.fleet[5000].address == "" {
 		t.Errorf("%d servers known, want the 1,000 of the second list", len(n.loop.fleet))
 	}
 	n.loop.enterList(nil, false)
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -34,6 +34,9 @@
 }
 
 func (s *servers) askLoad(to place) (policy.Outcome, policy.Report) {
+	if s.node.orders.isOut(to.server) {
+		return policy.NeverSent, reportOf("")
+	}
 	limit := time.Now().Add(2 * time.Duration(s.node.settings.ConnectWithin))
 	c, err := s.connection(&handOff{place: to}, limit)
 	if err != nil {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -102,12 +102,13 @@
 var (
 	errNoRoom   = errors.New("no descriptor left for a connection")
 	errRecalled = errors.New("recalled before it was written")
+	errTakenOut = errors.New("the server was taken out")
 )
 
 // outcome tells what the error proves: a server begins a task only when its last byte has come.
 func (e *handOffError) outcome() policy.Outcome {
 	switch {
-	case e.stage < writtenWhole && (e.stopped || errors.Is(e.err, errNoRoom)):
+	case e.stage < writtenWhole && (e.stopped || errors.Is(e.err, errNoRoom) || errors.Is(e.err, errTakenOut)):
 		return policy.NeverSent
 	case e.stage < writtenWhole:
 		return policy.Unreached
@@ -208,6 +209,9 @@
 		return fail(notConnected, errRecalled)
 	}
 	defer h.waits(nil)
+	if s.node.orders.isOut(h.place.server) {
+		return fail(notConnected, errTakenOut) // ordered since the decisions chose it
+	}
 	if _, err := c.Write(h.exchange.message(h.limit - s.node.clock.now())); err != nil {
 		return fail(partlyWritten, err)
 	}
