Upgrade beside the serving process: inherited socket, handover, one node's limits

The old process is found on a Unix socket in TMPDIR; it tells list and names, pauses its accepting once the new one serves, closes with each next answer, and goes on if the new one dies. Ruled out while testing: a console that did not answer before the start had begun, which was the test's own order. Each test was seen to fail without its code: pause, resume, limits, place taken back, closing answers, names carried, inherited socket, version check.

--- /dev/null
+++ b/cmd/fawnglade/upgrade_test.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// call makes one call at a console; status 0 stands for no answer.
+func call(console, text string) int {
+	c, err := net.Dial("tcp", console)
+	if err != nil {
+		return 0
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, "%s HTTP/1.1\r\nHost: c\r\n\r\n", text)
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	return r.StatusCode
+}
+
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+// Three processes of one node in a row, under load, on a socket that outlives them: nothing ends at the door.
+func TestUpgradeUnderLoad(t *testing.T) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	go http.Serve(server, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(3 * time.Millisecond)
+		io.WriteString(w, r.Header.Get("X-Txn"))
+	}))
+	door, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer door.Close()
+	held, err := door.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	dir := t.TempDir()
+	text := strings.NewReplacer(`"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q`, door.Addr()),
+		`"dial":"127.0.0.1:1"`, fmt.Sprintf(`"dial":%q`, server.Addr())).Replace(config)
+	start := func() (*exec.Cmd, string) {
+		free, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		console := free.Addr().String()
+		free.Close()
+		c := program(t, text, "serve")
+		c.Env = append(c.Env, "TMPDIR="+dir, "NODE_CONSOLE="+console, "NODE_INHERITED_FD=3")
+		c.ExtraFiles = []*os.File{held}
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Process.Kill() })
+		until(t, "ready", func() bool { return call(console, "GET /ready") == 200 })
+		return c, console
+	}
+	old, console := start()
+	if status := call(console, "PUT /servers/disable?target=s-9"); status != 404 {
+		t.Errorf("a server never listed was taken out: %d", status)
+	}
+	var done sync.WaitGroup
+	var stop atomic.Bool
+	var tasks, lost atomic.Int64
+	for i := range 8 {
+		done.Go(func() {
+			var c net.Conn
+			var in *bufio.Reader
+			for k := 0; !stop.Load(); k++ {
+				if c == nil {
+					if c, err = net.Dial("tcp", door.Addr().String()); err != nil {
+						lost.Add(1)
+						return
+					}
+					in = bufio.NewReader(c)
+				}
+				id := fmt.Sprintf("t%d-%d", i, k)
+				fmt.Fprintf(c, "GET /view HTTP/1.1\r\nHost: h\r\nX-Txn: %s\r\n\r\n", id)
+				tasks.Add(1)
+				r, err := http.ReadResponse(in, nil)
+				if err != nil {
+					lost.Add(1)
+					c = nil
+					continue
+				}
+				body, err := io.ReadAll(r.Body)
+				if err != nil || r.StatusCode == 200 && string(body) != id {
+					lost.Add(1)
+				}
+				if r.Close || i%2 == 0 { // half of them connect anew for each task
+					c.Close()
+					c = nil
+				}
+			}
+		})
+	}
+	for range 2 {
+		time.Sleep(200 * time.Millisecond)
+		fresh, at := start()
+		old.Process.Signal(syscall.SIGTERM)
+		if err := old.Wait(); err != nil {
+			t.Errorf("the old process ended with %v", err)
+		}
+		old, console = fresh, at
+	}
+	time.Sleep(200 * time.Millisecond)
+	stop.Store(true)
+	done.Wait()
+	if lost.Load() > 0 || tasks.Load() < 100 {
+		t.Errorf("%d of %d tasks ended at the door", lost.Load(), tasks.Load())
+	}
+	if call(console, "PUT /servers/disable?target=s-1") != 200 {
+		t.Error("the third process does not know the server")
+	}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -33,15 +33,16 @@
 type clients struct {
 	node     *Node
 	listener net.Listener
-	most     int // connections at work; beyond these only a few, to say that there is no room
-	spare    int
-	usual    int // connections that have brought tasks; of more, those that stand idle are closed
+	again    chan struct{} // after a pause
 	used     atomic.Int64
 	atWork   atomic.Int64
 	atDoor   atomic.Int64 // accepted and waiting for room
 
-	mu   sync.Mutex
-	open map[*client]struct{}
+	mu    sync.Mutex
+	open  map[*client]struct{}
+	most  int // connections at work; beyond these only a few, to say that there is no room
+	spare int
+	usual int // connections that have brought tasks; of more, those that stand idle are closed
 }
 
 // client is one connection. Its reader and its writer meet in turns, where exchanges stand in the order of their
@@ -61,8 +62,49 @@
 	began   time.Time // when the message that is being read began; zero between messages
 }
 
-func newClients(n *Node, listener net.Listener, most, spare, usual int) *clients {
-	return &clients{node: n, listener: listener, most: most, spare: spare, usual: usual, open: map[*client]struct{}{}}
+func newClients(n *Node, listener net.Listener) *clients {
+	return &clients{node: n, listener: listener, again: make(chan struct{}, 1), open: map[*client]struct{}{}}
+}
+
+// allot sets how many connections there may be.
+func (s *clients) allot(most, spare, usual int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most, s.spare, s.usual = most, spare, usual
+}
+
+// room is how many connections may be at work.
+func (s *clients) room() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.most
+}
+
+// pause leaves new connections to another process that accepts from the same socket, until resume.
+func (s *clients) pause() {
+	if l, ok := s.listener.(*net.TCPListener); ok {
+		l.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+func (s *clients) resume() {
+	if l, ok := s.listener.(*net.TCPListener); ok {
+		l.SetDeadline(time.Time{})
+	}
+	s.wake()
+}
+
+// close ends the taking of connections.
+func (s *clients) close() {
+	s.listener.Close()
+	s.wake()
+}
+
+func (s *clients) wake() {
+	select {
+	case s.again <- struct{}{}:
+	default:
+	}
 }
 
 // accept takes connections until the listener is closed. Those it does not get to in time are lost all the same: a
@@ -73,6 +115,10 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			<-s.again
+			continue
+		}
 		if err != nil {
 			time.Sleep(5 * time.Millisecond) // no descriptor left for a moment; others are being closed
 			continue
@@ -377,7 +423,7 @@
 		x.settle(answer{status: status})
 		return
 	}
-	if int(c.side.atWork.Load()) > c.side.most {
+	if int(c.side.atWork.Load()) > c.side.room() {
 		n.counters.add(tasksNoRoom)
 		x.last = true
 		x.settle(n.noRoom())
@@ -389,7 +435,7 @@
 		x.settle(answer{status: http.StatusBadRequest, body: []byte(err.Error() + "\n")})
 		return
 	}
-	if n.held.Add(int64(len(body))) > n.mostHeld {
+	if n.held.Add(int64(len(body))) > n.mostHeld.Load() {
 		n.held.Add(-int64(len(body)))
 		n.counters.add(tasksNoRoom)
 		x.settle(n.noRoom())
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -43,8 +43,8 @@
 }
 
 // newConsole opens the console, if the configuration has one.
-func newConsole(n *Node, most int) (*console, error) {
-	s := &console{node: n, most: most}
+func newConsole(n *Node) (*console, error) {
+	s := &console{node: n}
 	if n.config.Console == "" {
 		return s, nil
 	}
@@ -55,6 +55,13 @@
 	return s, nil
 }
 
+// allot sets how many callers there may be at once.
+func (s *console) allot(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most = most
+}
+
 func (s *console) close() {
 	if s.listener != nil {
 		s.listener.Close()
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -52,6 +52,7 @@
 	callsBad
 	callsDropped
 	ordersPassedOver
+	handoversPassedOver
 	panics
 	counterCount
 )
@@ -66,7 +67,7 @@
 	"list calls", "list calls failed", "list lines", "list lines passed over",
 	"probes answered", "probes failed", "news told", "news heard", "news passed over", "news dropped",
 	"configurations read", "configurations passed over",
-	"console calls answered", "console calls bad", "console calls dropped", "orders passed over", "panics",
+	"console calls answered", "console calls bad", "console calls dropped", "orders passed over", "handovers passed over", "panics",
 }
 
 type counters [counterCount]atomic.Int64
--- a/internal/node/daily_test.go
+++ b/internal/node/daily_test.go
@@ -292,3 +292,7 @@
 		t.Errorf("after the drain a task got %d", status)
 	}
 }
+
+func listedHere(name string) policy.Listed {
+	return policy.Listed{Server: serverID(name), State: policy.Active, Weight: 1}
+}
--- /dev/null
+++ b/internal/node/handover.go
@@ -0,0 +1,349 @@
+package node
+
+// This file owns the meeting of a node's two processes at an upgrade: how the new one finds the old, what it is told, how they
+// split the limits, and who takes new connections. It must never hold up a start: whoever does not answer in time, or talks
+// nonsense, is nobody. What operators ordered is not told here; both read it from the file of orders.
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	handoverVersion = 1
+	handoverWithin  = 1500 * time.Millisecond
+	longestHeritage = 16 << 20
+	longestPath     = 100 // the system takes a few more
+	readyWord       = "ready\n"
+)
+
+// hello is what the new process says first.
+type hello struct {
+	Version int    `json:"handover"`
+	Node    string `json:"node"`
+}
+
+// heritage is what the old process knows and the new one takes over.
+type heritage struct {
+	hello
+	List   json.RawMessage `json:"list"`   // in discovery's form
+	Listed []string        `json:"listed"` // every name that was ever listed
+}
+
+type handover struct {
+	node *Node
+	path string
+
+	mu        sync.Mutex
+	listener  *net.UnixListener
+	successor net.Conn
+	before    net.Conn // the process that this one takes over from, until it has ended
+	yielded   bool     // the successor takes the new connections
+}
+
+func newHandover(n *Node) *handover {
+	return &handover{node: n, path: filepath.Join(n.config.dir, n.fileName(".sock"))}
+}
+
+func (h *handover) hello() hello {
+	return hello{Version: handoverVersion, Node: h.node.orders.whose()}
+}
+
+// find looks for the node's other process and asks what it knows; nil where there is none.
+func (h *handover) find() *heritage {
+	told, err := h.ask()
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		return nil
+	case err != nil:
+		h.node.counters.add(handoversPassedOver)
+		h.node.log.Warn("no other process answers, a plain start", zap.String("at", h.path), zap.Error(err))
+		return nil
+	}
+	h.node.log.Info("takes over from another process of this node", zap.Int("names", len(told.Listed)))
+	return told
+}
+
+func (h *handover) ask() (*heritage, error) {
+	at, done, err := h.address(h.path)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	c, err := net.DialTimeout("unix", at, handoverWithin)
+	if err != nil {
+		return nil, err
+	}
+	told, err := h.talk(c)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	h.before = c
+	return told, nil
+}
+
+func (h *handover) talk(c net.Conn) (*heritage, error) {
+	if err := sameUser(c); err != nil {
+		return nil, err
+	}
+	c.SetDeadline(time.Now().Add(handoverWithin))
+	if err := json.NewEncoder(c).Encode(h.hello()); err != nil {
+		return nil, err
+	}
+	line, err := readLine(bufio.NewReader(c), longestHeritage)
+	if err != nil {
+		return nil, err
+	}
+	var told heritage
+	if err := json.Unmarshal(line, &told); err != nil {
+		return nil, err
+	}
+	c.SetDeadline(time.Time{})
+	return &told, h.check(told.hello)
+}
+
+func (h *handover) check(other hello) error {
+	if own := h.hello(); other != own {
+		return fmt.Errorf("expected version %d of node %s, got %d of %.80q", own.Version, own.Node, other.Version, other.Node)
+	}
+	return nil
+}
+
+// readLine reads one line of at most so many bytes.
+func readLine(in *bufio.Reader, most int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := in.ReadSlice('\n')
+		if line = append(line, part...); err == nil {
+			return line, nil
+		}
+		if err != bufio.ErrBufferFull {
+			return nil, err
+		}
+		if len(line) > most {
+			return nil, errors.New("a line without an end")
+		}
+	}
+}
+
+// address is how to name a path to a Unix socket: one that is too long goes by its folder's descriptor.
+func (h *handover) address(path string) (at string, done func(), err error) {
+	if len(path) <= longestPath {
+		return path, func() {}, nil
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return "", nil, err
+	}
+	return fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path)), func() { dir.Close() }, nil
+}
+
+// sameUser guards against another user's process in the place of this node's: the folder may be anybody's.
+func sameUser(c net.Conn) error {
+	raw, err := c.(*net.UnixConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	var peer *syscall.Ucred
+	if broken := raw.Control(func(fd uintptr) {
+		peer, err = syscall.GetsockoptUcred(int(fd), syscall.SOL_SOCKET, syscall.SO_PEERCRED)
+	}); broken != nil || err != nil {
+		return errors.Join(broken, err)
+	}
+	if int(peer.Uid) != os.Geteuid() {
+		return fmt.Errorf("a process of user %d", peer.Uid)
+	}
+	return nil
+}
+
+// open takes the place where a later process looks, from whoever has it: a process that is stopping, or one that has died.
+func (h *handover) open() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.listener != nil {
+		h.listener.Close()
+		h.listener = nil
+	}
+	fresh := fmt.Sprintf("%s.%d", h.path, os.Getpid())
+	os.Remove(fresh)
+	err := func() error {
+		at, done, err := h.address(fresh)
+		if err != nil {
+			return err
+		}
+		defer done()
+		l, err := net.ListenUnix("unix", &net.UnixAddr{Name: at, Net: "unix"})
+		if err != nil {
+			return err
+		}
+		l.SetUnlinkOnClose(false) // the path may be the successor's by then
+		if err := errors.Join(os.Chmod(fresh, 0o600), os.Rename(fresh, h.path)); err != nil {
+			l.Close()
+			os.Remove(fresh)
+			return err
+		}
+		h.listener = l
+		go h.serve(l)
+		return nil
+	}()
+	if err != nil { // the node serves all the same; an upgrade will be a plain start
+		h.node.log.Warn("a later process will not find this one", zap.Error(err))
+	}
+}
+
+func (h *handover) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.listener != nil {
+		h.listener.Close()
+	}
+}
+
+// end lets the other process know that this one has ended, a moment before the machine would.
+func (h *handover) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.successor != nil {
+		h.successor.Close()
+	}
+}
+
+func (h *handover) serve(l *net.UnixListener) {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		go h.follow(c)
+	}
+}
+
+// follow tells a new process what this one knows, and goes by what becomes of it until it ends. There is one at a time.
+func (h *handover) follow(c net.Conn) {
+	defer c.Close()
+	defer h.node.caught("handover", func() {})
+	in := bufio.NewReader(c)
+	if err := h.greet(c, in); err != nil {
+		h.node.counters.add(handoversPassedOver)
+		h.node.log.Warn("a caller that does not take over", zap.Error(err))
+		return
+	}
+	h.node.log.Info("another process is to take over")
+	h.node.allot()
+	defer func() {
+		h.mu.Lock()
+		h.successor, h.yielded = nil, false
+		h.mu.Unlock()
+		h.node.allot()
+		if !h.node.stopping.Load() {
+			h.node.log.Warn("the process that was to take over has ended, this one goes on")
+			h.node.clients.resume()
+			h.open()
+		}
+	}()
+	c.SetDeadline(time.Time{})
+	line, err := readLine(in, len(readyWord))
+	if err != nil || string(line) != readyWord {
+		return
+	}
+	h.mu.Lock()
+	h.yielded = true
+	h.mu.Unlock()
+	h.node.clients.pause()
+	h.node.log.Info("another process takes the new connections")
+	io.Copy(io.Discard, in)
+}
+
+func (h *handover) greet(c net.Conn, in *bufio.Reader) error {
+	if err := sameUser(c); err != nil {
+		return err
+	}
+	c.SetDeadline(time.Now().Add(handoverWithin))
+	line, err := readLine(in, 4<<10)
+	if err != nil {
+		return err
+	}
+	var other hello
+	if err := json.Unmarshal(line, &other); err != nil {
+		return err
+	}
+	if err := h.check(other); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	taken := h.successor != nil
+	if !taken {
+		h.successor = c
+	}
+	h.mu.Unlock()
+	if taken {
+		return errors.New("another process is taking over already")
+	}
+	told := heritage{hello: h.hello(), Listed: h.node.orders.told()}
+	list := make(chan json.RawMessage, 1)
+	go h.node.loop.enter(func() { list <- h.node.orders.list() })
+	select {
+	case told.List = <-list:
+	case <-time.After(handoverWithin / 2): // names alone are better than no answer
+	}
+	if err := json.NewEncoder(c).Encode(told); err != nil {
+		h.mu.Lock()
+		h.successor = nil
+		h.mu.Unlock()
+		return err
+	}
+	return nil
+}
+
+// served tells the old process that this one serves, and from then on stands where the next one looks.
+func (h *handover) served() {
+	h.mu.Lock()
+	before := h.before
+	h.mu.Unlock()
+	if before != nil {
+		io.WriteString(before, readyWord)
+		go func() {
+			io.Copy(io.Discard, before)
+			before.Close()
+			h.mu.Lock()
+			h.before = nil
+			h.mu.Unlock()
+			h.node.allot()
+			h.node.log.Info("the process before has ended")
+		}()
+	}
+	h.open()
+}
+
+// hasYielded tells whether a successor takes the new connections.
+func (h *handover) hasYielded() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.yielded
+}
+
+// processes is how many processes the node has now, this one with them.
+func (h *handover) processes() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.successor != nil || h.before != nil {
+		return 2
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/node/handover_test.go
@@ -0,0 +1,210 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// processes makes nodes that are processes of one and the same: they share a folder, an address and the socket there.
+func processes(t *testing.T, servers ...string) (next func() *Node) {
+	t.Helper()
+	held, err := net.Listen("tcp", address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { held.Close() })
+	dir := t.TempDir()
+	return func() *Node {
+		n := newNode(t, func(c *Config) {
+			withConsole(c)
+			file, err := held.(*net.TCPListener).File()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer file.Close()
+			fd, err := syscall.Dup(int(file.Fd())) // the node's own, as it closes it
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.dir, c.Listen, c.inherited = dir, held.Addr().String(), strconv.Itoa(fd)
+		}, servers...)
+		t.Cleanup(n.handover.close)
+		return n
+	}
+}
+
+func (n *Node) mostOpen() int {
+	n.servers.mu.Lock()
+	defer n.servers.mu.Unlock()
+	return n.servers.most
+}
+
+// The new process knows what the old one did, takes all new connections, and both keep within one node's limits.
+func TestNewProcessTakesOver(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	next := processes(t)
+	old := next()
+	old.start()
+	old.discovery.line([]byte(wholeList(7, []entry{{name: "s-7", address: server, Listed: listedHere("s-7")}}, []string{"a"})))
+	old.discovery.line([]byte(listText(8, false, listEntry("s-8", server, "up"))))
+	old.discovery.line([]byte(listText(9, false, listEntry("s-8", server, "removed"))))
+	soon(t, "the list", func() bool { return old.orders.listed("s-8") })
+	kept, keptIn := dial(t, old)
+	io.WriteString(kept, taskText("batch", "t1", "a"))
+	if status, _, _ := answerOn(keptIn); status != 200 {
+		t.Fatalf("the old process answered %d", status)
+	}
+	alone := old.mostOpen()
+	fresh := next()
+	if fresh.heritage == nil || !fresh.orders.listed("s-7") && len(fresh.known()) != 1 {
+		t.Fatalf("the old process was not found, or told nothing: %+v", fresh.heritage)
+	}
+	soon(t, "the old one has given up its half", func() bool { return old.mostOpen() < alone })
+	if both := old.mostOpen() + fresh.mostOpen(); both > alone+1 {
+		t.Errorf("both together may open %d connections to servers, one alone %d", both, alone)
+	}
+	if fresh.notReady() == "" {
+		t.Error("ready before it serves")
+	}
+	fresh.start()
+	soon(t, "the new one is ready", func() bool { return fresh.call(t, "GET /ready") == 200 })
+	soon(t, "the old one has yielded", old.handover.hasYielded)
+	if !fresh.orders.listed("s-8") {
+		t.Error("a name that was listed once is not known any more")
+	}
+	taken := old.count(clientsTaken)
+	for i := range 30 {
+		if status, _, _ := ask(t, fresh, "batch", fmt.Sprint("new", i), ""); status != 200 {
+			t.Errorf("task %d on a new connection was answered %d", i, status)
+		}
+	}
+	if old.count(clientsTaken) != taken {
+		t.Error("the old process takes new connections")
+	}
+	io.WriteString(kept, taskText("batch", "t2", "a"))
+	if r, err := http.ReadResponse(keptIn, nil); err != nil || r.StatusCode != 200 || !r.Close {
+		t.Errorf("%v, %v on a kept connection, want an answer that closes it", r, err)
+	}
+	old.stop()
+	old.handover.end()
+	soon(t, "the new one has the whole limits", func() bool { return fresh.mostOpen() == alone })
+	third := next()
+	if third.heritage == nil {
+		t.Error("a third process does not find the second")
+	}
+}
+
+// Guards against an upgrade that fails taking the node with it.
+func TestOldProcessGoesOnWhereTheNewOneDies(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	next := processes(t, server)
+	old := next()
+	old.start()
+	alone := old.mostOpen()
+	for _, ready := range []bool{false, true, true} {
+		fresh := next()
+		soon(t, "half the limits", func() bool { return old.mostOpen() < alone })
+		if ready {
+			fresh.handover.served()
+			soon(t, "the old one yields", old.handover.hasYielded)
+		}
+		fresh.handover.close()
+		fresh.handover.mu.Lock()
+		fresh.handover.before.Close()
+		fresh.handover.mu.Unlock()
+		fresh.clients.listener.Close()
+		soon(t, "all is as before", func() bool { return old.mostOpen() == alone && !old.handover.hasYielded() })
+		for i := range 10 {
+			if status, _, _ := ask(t, old, "batch", fmt.Sprint(ready, i, time.Now().UnixNano()), ""); status != 200 {
+				t.Errorf("after the new process died a task was answered %d", status)
+			}
+		}
+	}
+}
+
+// What stands where the old process should be is not trusted, and holds up no start for long.
+func TestNobodyToTakeOverFrom(t *testing.T) {
+	for name, place := range map[string]func(path string){
+		"a file":   func(path string) { os.WriteFile(path, []byte("x"), 0o600) },
+		"a folder": func(path string) { os.Mkdir(path, 0o700) },
+		"left over": func(path string) {
+			l, _ := net.ListenUnix("unix", &net.UnixAddr{Name: path})
+			l.SetUnlinkOnClose(false)
+			l.Close()
+		},
+		"silent": func(path string) { answerAt(t, path, "") },
+		"noise":  func(path string) { answerAt(t, path, "\x00\xff{{{\n") },
+		"closes": func(path string) { answerAt(t, path, "close") },
+		"another version": func(path string) {
+			answerAt(t, path, `{"handover":9,"node":"x"}`+"\n")
+		},
+		"endless": func(path string) { answerAt(t, path, strings.Repeat("x", longestHeritage+2)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			next := processes(t)
+			probe := next()
+			place(probe.handover.path)
+			began := time.Now()
+			n := next()
+			if n.heritage != nil || n.count(handoversPassedOver) != 1 || time.Since(began) > 2*handoverWithin {
+				t.Errorf("took over %+v after %v, counted %d times", n.heritage, time.Since(began), n.count(handoversPassedOver))
+			}
+			n.start()
+			soon(t, "ready", func() bool { return n.call(t, "GET /ready") == 200 })
+		})
+	}
+}
+
+// answerAt is a process of nobody's that says the same to all.
+func answerAt(t *testing.T, path, text string) {
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if text == "close" {
+				c.Close()
+				continue
+			}
+			go io.WriteString(c, text)
+		}
+	}()
+}
+
+func TestAddressesOfOperatorsAreChecked(t *testing.T) {
+	pipe, _, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pipe.Close()
+	for want, change := range map[string]func(*Config){
+		`console: expected an address and a port, got "here"`:         func(c *Config) { c.Console = "here" },
+		"console: expected another address than listen, got":          func(c *Config) { c.Listen = "127.0.0.1:9"; c.Console = c.Listen },
+		`NODE_INHERITED_FD: expected a descriptor's number, got "-1"`: func(c *Config) { c.inherited = "-1" },
+		`expected a descriptor's number, got "five"`:                  func(c *Config) { c.inherited = "five" },
+		"expected a listening socket, got descriptor 999999":          func(c *Config) { c.inherited = "999999" },
+		"expected a listening socket, got descriptor " + strconv.Itoa(int(pipe.Fd())): func(c *Config) {
+			c.inherited = strconv.Itoa(int(pipe.Fd()))
+		},
+	} {
+		c := &Config{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Seed: "1", Settings: []byte(settingsText)}
+		change(c)
+		if err := c.check(); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
--- a/internal/node/names.go
+++ b/internal/node/names.go
@@ -174,6 +174,37 @@
 	return e, nil
 }
 
+// wholeList is a list in discovery's form.
+func wholeList(version int64, entries []entry, zones []string) []byte {
+	type line struct {
+		Host   string  `json:"host"`
+		Dial   string  `json:"dial"`
+		Site   string  `json:"site"`
+		Block  int     `json:"block"`
+		Health string  `json:"health"`
+		Share  float64 `json:"share"`
+		Born   float64 `json:"born_ms"`
+	}
+	list := struct {
+		Version int64  `json:"seq"`
+		Whole   bool   `json:"whole"`
+		Entries []line `json:"hosts"`
+	}{version, true, make([]line, len(entries))}
+	for i, e := range entries {
+		l := line{Host: e.name, Dial: e.address, Block: e.Pod, Share: e.Weight, Born: float64(e.Started) / 1e6,
+			Health: [...]string{policy.Active: "up", policy.Draining: "draining", policy.Gone: "removed"}[e.State]}
+		if e.Zone >= 0 && e.Zone < len(zones) {
+			l.Site = zones[e.Zone]
+		}
+		list.Entries[i] = l
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		return nil // no list is what a plain start begins with
+	}
+	return text
+}
+
 // serverID makes the number that the decisions know a server by. It comes from the name alone, so that all nodes
 // agree on it without talking.
 func serverID(host string) policy.ServerID {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 
 const (
 	stillTaking = 450 * time.Millisecond // after SIGTERM, as connections go on coming for a while
+	stillKept   = 700 * time.Millisecond // where a successor takes the new ones, idle connections stay so long
 	ownFiles    = 24                     // standard files, the poller, the listener, discovery, what the runtime opens
 	fewest      = 32                     // descriptors with which a node can do anything
 	spareShare  = 16                     // a sixteenth of the descriptors is kept to tell clients that there is no room
@@ -158,7 +159,7 @@
 	serving    atomic.Bool // list, orders and loop are in place
 	stopping   atomic.Bool
 	held       atomic.Int64 // bytes of bodies of tasks without an answer
-	mostHeld   int64
+	mostHeld   atomic.Int64
 	categories map[string]int
 	customers  map[string]int
 
@@ -169,30 +170,21 @@
 	peers     *peers
 	console   *console
 	orders    *orders
+	handover  *handover
+	heritage  *heritage // what the process before has told; nil at a plain start
 }
 
 // New makes a node that listens; nothing runs before Run.
 func New(config *Config, log *zap.Logger) (*Node, error) {
 	n := &Node{config: config, settings: &config.decoded, log: log, clock: clock{time.Now()},
 		categories: indexes(config.decoded.Categories), customers: indexes(config.decoded.Customers)}
-	sockets := config.Limits.Sockets
-	if sockets == 0 {
-		sockets = 1024
-	}
-	spare := sockets / spareShare
-	callers := min(mostCalls, sockets/callsPart)
-	rest := sockets - min(ownFiles, sockets/4) - spare - callers
 	n.orders = newOrders(n)
-	n.loop, n.servers, n.discovery = newLoop(n), newServers(n, rest/serversPart), newDiscovery(n)
-	n.mostHeld = defaultHeld
-	if mb := config.Limits.MemoryMB; mb > 0 {
-		n.mostHeld = mb << 20 / heldShare
-	}
+	n.loop, n.servers, n.discovery = newLoop(n), newServers(n), newDiscovery(n)
 	listener, err := n.listener()
 	if err != nil {
 		return nil, err
 	}
-	if n.console, err = newConsole(n, callers); err != nil {
+	if n.console, err = newConsole(n); err != nil {
 		listener.Close()
 		return nil, err
 	}
@@ -201,10 +193,35 @@
 		listener.Close()
 		return nil, err
 	}
-	n.clients = newClients(n, listener, rest-rest/serversPart, spare, sockets/usualPart)
+	n.clients = newClients(n, listener)
+	n.handover = newHandover(n)
+	n.heritage = n.handover.find()
+	n.allot()
 	return n, nil
 }
 
+// allot shares out the limits: to rules and limits a node is one, however many processes it has at the moment.
+func (n *Node) allot() {
+	processes := n.handover.processes()
+	all := n.config.Limits.Sockets
+	if all == 0 {
+		all = 1024
+	}
+	sockets := all / processes
+	spare := sockets / spareShare
+	callers := min(mostCalls, sockets/callsPart)
+	rest := sockets - min(ownFiles, sockets/4) - spare - callers
+	n.servers.allot(rest / serversPart)
+	n.console.allot(callers)
+	n.clients.allot(rest-rest/serversPart, spare, all/usualPart)
+	held := int64(defaultHeld)
+	if mb := n.config.Limits.MemoryMB; mb > 0 {
+		held = mb << 20 / heldShare
+		debug.SetMemoryLimit(mb << 20 * 6 / 10 / int64(processes))
+	}
+	n.mostHeld.Store(held / int64(processes))
+}
+
 // bind opens a listening socket.
 func bind(address string) (net.Listener, error) {
 	how := net.ListenConfig{KeepAlive: -1}
@@ -247,7 +264,9 @@
 }
 
 // leaving tells whether connections of clients end with their next answer.
-func (n *Node) leaving() bool { return n.stopping.Load() || n.orders.drained() }
+func (n *Node) leaving() bool {
+	return n.stopping.Load() || n.orders.drained() || n.handover.hasYielded()
+}
 
 func indexes(names []string) map[string]int {
 	of := map[string]int{}
@@ -262,33 +281,47 @@
 	if cores := n.config.Limits.Cores; cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(cores)))
 	}
-	if n.config.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(n.config.Limits.MemoryMB << 20 * 6 / 10)
-	}
 	debug.SetGCPercent(400) // the heap is small; its collection takes time from tasks
 }
 
-// start sets the parts to work, beginning with the list that the node had last.
-func (n *Node) start() {
-	if len(n.config.Known) > 0 {
-		entries, version, _, err := n.listOf(n.config.Known)
-		if err != nil {
-			n.log.Warn("known list passed over", zap.Error(err))
-		} else {
-			n.discovery.version = version
+// known is the list that the node had last: the one of the process before, else the configuration's.
+func (n *Node) known() []entry {
+	if n.heritage != nil {
+		n.orders.tell(n.heritage.Listed...)
+		if entries, _, _, err := n.listOf(n.heritage.List); err == nil {
+			return entries // without its version, so that discovery is asked for the whole list
 		}
-		n.loop.listed(entries, true)
-	} else {
-		n.loop.listed(nil, true)
+		n.counters.add(handoversPassedOver)
+		n.log.Warn("the list of the process before passed over")
+	}
+	if len(n.config.Known) == 0 {
+		return nil
 	}
+	entries, version, _, err := n.listOf(n.config.Known)
+	if err != nil {
+		n.log.Warn("known list passed over", zap.Error(err))
+		return nil
+	}
+	n.discovery.version = version
+	return entries
+}
+
+// start sets the parts to work, beginning with the list that the node had last. Clients are taken once all else is in place:
+// beside another process they come from the first moment.
+func (n *Node) start() {
+	n.loop.listed(n.known(), true)
 	go n.loop.run()
 	go n.orders.watch()
 	go n.console.run()
 	go n.clients.empty()
 	go n.discovery.run()
-	go n.clients.accept()
 	go n.peers.run()
-	n.loop.enter(func() { n.serving.Store(true) })
+	inPlace := make(chan struct{})
+	n.loop.enter(func() { close(inPlace) })
+	<-inPlace
+	go n.clients.accept()
+	n.serving.Store(true)
+	n.handover.served()
 	n.log.Info("serving", zap.String("name", n.config.Name), zap.String("listen", n.config.Listen))
 }
 
@@ -314,6 +347,7 @@
 				n.stop()
 				n.peers.close()
 				n.console.close()
+				n.handover.end()
 				n.counters.log(n.log, "at exit")
 				return nil
 			}
@@ -347,8 +381,13 @@
 func (n *Node) stop() {
 	n.log.Info("stopping")
 	n.stopping.Store(true)
-	time.Sleep(stillTaking)
-	n.clients.listener.Close()
+	if n.handover.hasYielded() {
+		time.Sleep(stillKept)
+	} else {
+		time.Sleep(stillTaking)
+	}
+	n.clients.close()
+	n.handover.close()
 	longest := time.Duration(slices.Max(n.settings.HardLimits))
 	for end := time.Now().Add(longest + stillTaking); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if n.clients.settle() == 0 {
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -384,6 +384,15 @@
 	return e
 }
 
+// list is what discovery last said of all, without the orders; of the loop alone.
+func (o *orders) list() []byte {
+	entries := make([]entry, 0, len(o.entries))
+	for _, name := range slices.Sorted(maps.Keys(o.entries)) {
+		entries = append(entries, o.entries[name])
+	}
+	return wholeList(0, entries, o.node.settings.Zones)
+}
+
 // changed tells the entries that look another way under the present orders.
 func (o *orders) changed() []entry {
 	before, now := o.laid, o.now.Load()
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -128,22 +128,22 @@
 }
 
 type servers struct {
-	node *Node
-	most int // connections open or being opened
-
+	node    *Node
 	work    chan *handOff // taken by a carrier that has nothing to do
 	resting atomic.Int64  // carriers that wait for work
+	mayRest atomic.Int64
 
 	mu    sync.Mutex
 	idle  map[place][]*serverConn // the longest idle first
 	order list.List               // of all that are idle, the longest first: with thousands of servers a search takes too long
 	open  int
+	most  int // connections open or being opened
 
 	probing chan struct{} // one for each probe that is out
 }
 
-func newServers(n *Node, most int) *servers {
-	return &servers{node: n, most: most, idle: map[place][]*serverConn{}, work: make(chan *handOff),
+func newServers(n *Node) *servers {
+	return &servers{node: n, idle: map[place][]*serverConn{}, work: make(chan *handOff),
 		probing: make(chan struct{}, mostProbes)}
 }
 
@@ -152,6 +152,16 @@
 	mostResting = 64
 )
 
+// allot sets how many connections there may be, and closes idle ones beyond that.
+func (s *servers) allot(most int) {
+	s.mayRest.Store(int64(min(mostResting, max(most/restingPart, 1))))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.most = most; s.open > s.most && s.order.Len() > 0; {
+		s.drop(s.order.Front().Value.(*serverConn).place, 1)
+	}
+}
+
 // begin has a hand-off carried without waiting. A carrier that rests is taken before a new one: a goroutine that is
 // made for each hand-off grows its stack anew each time, a sixth of what a task costs the node.
 func (s *servers) begin(h *handOff) {
@@ -166,7 +176,7 @@
 func (s *servers) carrier(h *handOff) {
 	for {
 		s.carry(h)
-		if s.resting.Add(1) > int64(min(mostResting, max(s.most/restingPart, 1))) {
+		if s.resting.Add(1) > s.mayRest.Load() {
 			s.resting.Add(-1)
 			return
 		}
