--- a/internal/node/body_test.go
+++ b/internal/node/body_test.go
@@ -150,10 +150,10 @@
 
 // What a body that does not go out whole proves, and what becomes of a task whose body is held no more.
 func TestLongTaskIsSentOnce(t *testing.T) {
-	body := noise(4 << 20)
+	body := noise(36 << 20) // more than the machine takes in for a server that does not read
 	var mode atomic.Value
 	seen := new(atomic.Int64)
-	server := listen(t, func(c net.Conn) {
+	serve := func(c net.Conn) {
 		in := bufio.NewReader(c)
 		r, err := http.ReadRequest(in)
 		if err != nil {
@@ -177,7 +177,8 @@
 			say(c, "200 OK", "too soon")
 			time.Sleep(50 * time.Millisecond)
 		}
-	})
+	}
+	one, two := listen(t, serve), listen(t, serve)
 	for how, want := range map[string]map[string]int{
 		"dies":       {"view": 503, "update": 503, "pay": 503},
 		"turns away": {"view": 503, "update": 503, "pay": 503},
@@ -187,7 +188,7 @@
 	} {
 		mode.Store(how)
 		for category, status := range want {
-			n := nodeWith(t, nil, server)
+			n := nodeWith(t, nil, one, two)
 			before := seen.Load()
 			if got, _, _ := ask(t, n, category, "t1", string(body)); got != status {
 				t.Errorf("%s, %s: %d, want %d", how, category, got, status)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -588,3 +588,26 @@
 		}
 	}
 }
+
+// Guards against a task whose body still comes being judged as a slow server's, counted as its crowd, or sent again when
+// part of its body is held no more.
+func TestTaskWhoseBodyStillComes(t *testing.T) {
+	for category, repeat := range []Repeat{Rerunnable, Ticketed, Exclusive} {
+		for _, o := range []Outcome{Unreached, Error} {
+			b := fleet(t, 4, nil)
+			b.serve(40, prompt)
+			b.cookies = nil
+			b.TaskArrived(b.now, Task{ID: "long", Category: category, HardLimit: b.now + 1000*ms, Flows: true})
+			s := b.byID[b.last()]
+			if len(b.cookies) != 0 || s.out != 0 {
+				t.Errorf("%d timers wait for it, %d out at its server", len(b.cookies), s.out)
+			}
+			sent := len(b.sent)
+			b.HandOffAnswered(b.now+ms, Answer{Task: "long", Server: s.Server, Outcome: o, Spent: true, Report: Report{-1, -1, -1}})
+			declined := repeat == Rerunnable || o == Unreached
+			if len(b.sent) != sent || s.out != 0 || (b.declined == 1) != declined || (b.brokeOff == 1) == declined {
+				t.Errorf("repeat %d, outcome %d: %d more hand-offs, %d out, %d declined, %d broken off", repeat, o, len(b.sent)-sent, s.out, b.declined, b.brokeOff)
+			}
+		}
+	}
+}
