--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -596,11 +596,11 @@
 		for _, o := range []Outcome{Unreached, Error} {
 			b := fleet(t, 4, nil)
 			b.serve(40, prompt)
-			b.cookies = nil
+			b.recorder.cookies = nil
 			b.TaskArrived(b.now, Task{ID: "long", Category: category, HardLimit: b.now + 1000*ms, Flows: true})
 			s := b.byID[b.last()]
-			if len(b.cookies) != 0 || s.out != 0 {
-				t.Errorf("%d timers wait for it, %d out at its server", len(b.cookies), s.out)
+			if len(b.recorder.cookies) != 0 || s.out != 0 {
+				t.Errorf("%d timers wait for it, %d out at its server", len(b.recorder.cookies), s.out)
 			}
 			sent := len(b.sent)
 			b.HandOffAnswered(b.now+ms, Answer{Task: "long", Server: s.Server, Outcome: o, Spent: true, Report: Report{-1, -1, -1}})
