Under a flood silence within a message counts, not how long it takes

Cause: idle() in client.go took any message that had begun a second ago for one that has stopped half way. The test was seen to fail without it.

--- a/internal/node/body_test.go
+++ b/internal/node/body_test.go
@@ -380,3 +380,26 @@
 		}
 	}
 }
+
+// Guards against a client that writes its head slowly being taken for one that has stopped half way, while a crowd of those
+// and of others that say nothing waits for room.
+func TestSlowHeadInACrowdIsServed(t *testing.T) {
+	t.Parallel()
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, func(c *Config) { unhurried(c); c.Limits.Sockets = 64 }, server)
+	c, in := dial(t, n)
+	text := taskText("batch", "t1", "a")
+	for i := range 8 {
+		io.WriteString(c, text[i*len(text)/8:(i+1)*len(text)/8])
+		for k := range 2 * n.clients.most {
+			crowd, _ := dial(t, n)
+			if k%2 == 0 {
+				io.WriteString(crowd, "GET /batch HTT")
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	if status, body, _ := answerOn(in); status != 200 {
+		t.Errorf("a slow client among a crowd got %d %q", status, body)
+	}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -26,7 +26,7 @@
 	longLinger = 3 * time.Second         // for a client that is still sending what nobody wants
 	pipelined  = 4                       // tasks read ahead on one connection
 	lingers    = 25 * time.Millisecond
-	// of a message, while others wait for a connection
+	// of silence within a message, while others wait for a connection
 	slowUnderFlood = time.Second
 )
 
@@ -233,7 +233,7 @@
 // idle tells whether the connection holds no task and none is under way; the lock is held.
 func (c *client) idle(now time.Time) bool {
 	return c.busy == 0 && !c.closed && !c.leaving && now.Sub(c.lastUse) > lingers &&
-		(c.began.IsZero() || now.Sub(c.began) > slowUnderFlood)
+		(c.began.IsZero() || now.UnixNano()-max(c.conn.heard.Load(), c.began.UnixNano()) > int64(slowUnderFlood))
 }
 
 // dismiss wakes the reader, which alone can tell whether a task has come meanwhile.
