The new process begins with the loads that the old one heard; no word amid an answer

The old process tells the last report of each server; the new one enters them as if probed, before the first draw. Its clock is set before the list is learned: at a start the decisions saw time 0. Found by reading: 100 Continue could land in the middle of an answer that still flows (test seen to fail: the next answer was read as noise). HTTP/1.0 connections end with their answer, as its end may be the only one.

--- a/internal/node/body_test.go
+++ b/internal/node/body_test.go
@@ -403,3 +403,27 @@
 		t.Errorf("a slow client among a crowd got %d %q", status, body)
 	}
 }
+
+// Guards against the word to go on landing in the middle of an answer that is still being written.
+func TestWordToGoOnWaitsForTheAnswerBefore(t *testing.T) {
+	long := noise(24 << 20) // more than the machine takes in for a client that does not read
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		if r.Method == http.MethodGet {
+			return say(c, "200 OK", string(long))
+		}
+		return say(c, "200 OK", body)
+	})
+	n := nodeWith(t, unhurried, server)
+	c, in := dial(t, n)
+	io.WriteString(c, "GET /batch HTTP/1.1\r\nHost: h\r\nX-Txn: t1\r\n\r\n")
+	soon(t, "the answer flows", func() bool { return n.count(answersFlowed) == 1 })
+	io.WriteString(c, "POST /batch HTTP/1.1\r\nHost: h\r\nX-Txn: t2\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+	time.Sleep(50 * time.Millisecond)
+	if _, body, _ := answerOn(in); body != string(long) {
+		t.Errorf("an answer of %d bytes came as %d others", len(long), len(body))
+	}
+	io.WriteString(c, "abc")
+	if _, body, _ := answerOn(in); body != "abc" {
+		t.Errorf("the second task was answered %.40q", body)
+	}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -317,7 +317,7 @@
 			x.last = true // what else stands on the connection can't be told apart
 			x.settle(answer{status: statusOf(err)})
 		} else {
-			x.last = r.Close
+			x.last = r.Close || x.old // the end of the connection may be the only end of an answer that HTTP/1.0 knows
 			c.take(x, r)
 		}
 		c.turns <- x
@@ -343,8 +343,8 @@
 // giveBack returns what a body took of the memory for bodies.
 func (c *client) giveBack(x *exchange) { c.side.node.held.Add(-int64(cap(x.body))) }
 
-// next reads one message, or as much of a long one as is held. A client may take its time before it begins one, not within, and not before its first: a
-// connection that says nothing holds descriptors.
+// next reads one message, or as much of a long one as is held. A client may take its time before it begins one, not within,
+// and not before its first: a connection that says nothing holds descriptors.
 func (c *client) next(x *exchange) (*http.Request, error) {
 	first := !c.used
 	for len(c.conn.pending()) == 0 {
@@ -369,7 +369,7 @@
 	}
 	c.conn.SetReadDeadline(from.Add(slowHead))
 	c.mu.Unlock()
-	r, m, err := c.conn.fromClient()
+	r, m, err := c.conn.fromClient(c.unanswered)
 	if err != nil {
 		return nil, err
 	}
@@ -385,6 +385,13 @@
 	return r, nil
 }
 
+// unanswered tells that no answer is due or being written. Guards against a word in the middle of one.
+func (c *client) unanswered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy == 0
+}
+
 // collect reads a body, or as much of a long one as the node has memory for.
 func (c *client) collect(x *exchange, m *message) (whole bool, err error) {
 	most := 4 << 10
@@ -604,9 +611,6 @@
 // close, as closing on a client that is still sending would throw the answer away.
 func (c *client) say(x *exchange, a *answer, last bool) (goesOn bool) {
 	defer c.side.node.caught("answer", func() { c.conn.Close() })
-	if x.old && a.flow != nil && a.flow.length < 0 {
-		last = true // the end of the connection is the only one there is
-	}
 	head, chunks := a.text(x, last)
 	var whole bool
 	if a.flow != nil {
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -232,8 +232,8 @@
 // wantsWord tells that the sender waits for a word before it sends its body.
 func wantsWord(h http.Header) bool { return strings.EqualFold(h.Get("Expect"), "100-continue") }
 
-// fromClient reads the head of a client's message, and tells one that holds its body back to go on.
-func (c *conn) fromClient() (r *http.Request, m *message, err error) {
+// fromClient reads the head of a client's message, and tells one that holds its body back to go on, if it may say so now.
+func (c *conn) fromClient(mayTell func() bool) (r *http.Request, m *message, err error) {
 	for bytes.HasPrefix(c.pending(), []byte("\r\n")) {
 		c.from += 2 // an empty line before a message is nothing
 	}
@@ -247,7 +247,7 @@
 		}
 		return r.Body, lengthOf(r.ContentLength, r.TransferEncoding), nil
 	})
-	if err == nil && m.in.Buffered()+len(c.pending()) == 0 && m.length != 0 && wantsWord(r.Header) {
+	if err == nil && m.in.Buffered()+len(c.pending()) == 0 && m.length != 0 && wantsWord(r.Header) && mayTell() {
 		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	return r, m, err
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -37,8 +37,9 @@
 // heritage is what the old process knows and the new one takes over.
 type heritage struct {
 	hello
-	List   json.RawMessage `json:"list"`   // in discovery's form
-	Listed []string        `json:"listed"` // every name that was ever listed
+	List   json.RawMessage   `json:"list"`   // in discovery's form
+	Listed []string          `json:"listed"` // every name that was ever listed
+	Loads  map[string]string `json:"loads"`  // the last load report of each server on the list, as the protocol words it
 }
 
 type handover struct {
@@ -296,10 +297,11 @@
 		return errors.New("another process is taking over already")
 	}
 	told := heritage{hello: h.hello(), Listed: h.node.orders.told()}
-	list := make(chan json.RawMessage, 1)
-	go h.node.loop.enter(func() { list <- h.node.orders.list() })
+	learned := make(chan heritage, 1)
+	go h.node.loop.enter(func() { learned <- heritage{List: h.node.orders.list(), Loads: h.node.loop.loads()} })
 	select {
-	case told.List = <-list:
+	case l := <-learned:
+		told.List, told.Loads = l.List, l.Loads
 	case <-time.After(handoverWithin / 2): // names alone are better than no answer
 	}
 	if err := json.NewEncoder(c).Encode(told); err != nil {
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -47,6 +47,12 @@
 	return n.servers.most
 }
 
+func (n *Node) loadsHeard() map[string]string {
+	loads := make(chan map[string]string, 1)
+	n.loop.enter(func() { loads <- n.loop.loads() })
+	return <-loads
+}
+
 // The new process knows what the old one did, takes all new connections, and both keep within one node's limits.
 func TestNewProcessTakesOver(t *testing.T) {
 	server, _ := serverOf(t, echo)
@@ -80,6 +86,9 @@
 	if !fresh.orders.listed("s-8") {
 		t.Error("a name that was listed once is not known any more")
 	}
+	if loads := fresh.loadsHeard(); loads["s-7"] != "queue=1" {
+		t.Errorf("loads heard from the old process: %v", loads)
+	}
 	taken := old.count(clientsTaken)
 	for i := range 30 {
 		if status, _, _ := ask(t, fresh, "batch", fmt.Sprint("new", i), ""); status != 200 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -309,7 +309,11 @@
 // start sets the parts to work, beginning with the list that the node had last. Clients are taken once all else is in place:
 // beside another process they come from the first moment.
 func (n *Node) start() {
+	n.loop.now = n.clock.now()
 	n.loop.listed(n.known(), true)
+	if n.heritage != nil {
+		n.loop.inherit(n.heritage.Loads)
+	}
 	go n.loop.run()
 	go n.orders.watch()
 	go n.console.run()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -364,7 +364,7 @@
 			}
 		}()
 		c := newConn(near)
-		_, m, err := c.fromClient()
+		_, m, err := c.fromClient(func() bool { return false })
 		var got []byte
 		whole := false
 		if err == nil {
