The new process takes over what the decisions had learned

It replaces the loads alone, which the old process told before. Tests seen to fail without it: TestInheritance, TestNewProcessTakesOver.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	handoverVersion = 1
+	handoverVersion = 2
 	handoverWithin  = 1500 * time.Millisecond
 	longestHeritage = 16 << 20
 	longestPath     = 100 // the system takes a few more
@@ -37,9 +37,9 @@
 // heritage is what the old process knows and the new one takes over.
 type heritage struct {
 	hello
-	List   json.RawMessage   `json:"list"`   // in discovery's form
-	Listed []string          `json:"listed"` // every name that was ever listed
-	Loads  map[string]string `json:"loads"`  // the last load report of each server on the list, as the protocol words it
+	List    json.RawMessage `json:"list"`    // in discovery's form
+	Listed  []string        `json:"listed"`  // every name that was ever listed
+	Learned json.RawMessage `json:"learned"` // by the decisions
 }
 
 type handover struct {
@@ -298,10 +298,10 @@
 	}
 	told := heritage{hello: h.hello(), Listed: h.node.orders.told()}
 	learned := make(chan heritage, 1)
-	go h.node.loop.enter(func() { learned <- heritage{List: h.node.orders.list(), Loads: h.node.loop.loads()} })
+	go h.node.loop.enter(func() { learned <- heritage{List: h.node.orders.list(), Learned: h.node.loop.learned()} })
 	select {
 	case l := <-learned:
-		told.List, told.Loads = l.List, l.Loads
+		told.List, told.Learned = l.List, l.Learned
 	case <-time.After(handoverWithin / 2): // names alone are better than no answer
 	}
 	if err := json.NewEncoder(c).Encode(told); err != nil {
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"fawnglade/internal/learned"
 )
 
 // processes makes nodes that are processes of one and the same: they share a folder, an address and the socket there.
@@ -47,10 +50,12 @@
 	return n.servers.most
 }
 
-func (n *Node) loadsHeard() map[string]string {
-	loads := make(chan map[string]string, 1)
-	n.loop.enter(func() { loads <- n.loop.loads() })
-	return <-loads
+// learned is what the decisions have learned, as it would be told.
+func (n *Node) learned() (all learned.All) {
+	text := make(chan json.RawMessage, 1)
+	n.loop.enter(func() { text <- n.loop.learned() })
+	json.Unmarshal(<-text, &all)
+	return all
 }
 
 // The new process knows what the old one did, takes all new connections, and both keep within one node's limits.
@@ -86,8 +91,8 @@
 	if !fresh.orders.listed("s-8") {
 		t.Error("a name that was listed once is not known any more")
 	}
-	if loads := fresh.loadsHeard(); loads["s-7"] != "queue=1" {
-		t.Errorf("loads heard from the old process: %v", loads)
+	if l := fresh.learned(); !l.Servers[uint32(serverID("s-7"))].Known || l.MeanOf == 0 || l.Categories[3].Met == 0 {
+		t.Errorf("not what the old process had learned: %+v", l)
 	}
 	taken := old.count(clientsTaken)
 	for i := range 30 {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -7,12 +7,15 @@
 import (
 	"cmp"
 	"container/heap"
+	"encoding/json"
 	"errors"
-	"maps"
 	"net/http"
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
+	"fawnglade/internal/learned"
 	"fawnglade/policy"
 )
 
@@ -57,12 +60,11 @@
 	timers timers
 	tasks  map[policy.TaskID]*exchange
 	fleet  map[policy.ServerID]listedAs
-	heard  map[policy.ServerID]policy.Report // the last report of each that is in the fleet
 }
 
 func newLoop(n *Node) *loop {
 	l := &loop{node: n, events: make(chan func(), 1024), tasks: map[policy.TaskID]*exchange{},
-		fleet: map[policy.ServerID]listedAs{}, heard: map[policy.ServerID]policy.Report{}}
+		fleet: map[policy.ServerID]listedAs{}}
 	l.policy = policy.New(n.settings.Policy, n.config.seed, l)
 	return l
 }
@@ -153,7 +155,6 @@
 		l.finish(x, tasksBrokenOff, r.answer)
 	}
 	l.node.counters.add(how)
-	l.note(h.place.server, r.report)
 	l.handle(x, func() {
 		l.policy.HandOffAnswered(l.now, policy.Answer{Task: x.task.ID, Number: h.number, Server: h.place.server,
 			Outcome: r.outcome, Elapsed: max(r.at-h.sentAt-r.flowed, 0), Final: x.settled.Load(), Spent: x.spent(), Fresh: r.fresh,
@@ -230,7 +231,6 @@
 		}
 		if e.State == policy.Gone {
 			delete(l.fleet, e.Server)
-			delete(l.heard, e.Server)
 		} else if e.address != "" {
 			l.fleet[e.Server] = listedAs{e.name, e.address}
 		}
@@ -314,33 +314,27 @@
 	}
 }
 
-// note keeps what a server reported, for the process that may come after this one.
-func (l *loop) note(server policy.ServerID, r policy.Report) {
-	if _, listed := l.fleet[server]; listed && (r.Utilisation >= 0 || r.Queue >= 0) {
-		l.heard[server] = r
-	}
-}
-
-// loads is what was last reported of each server, by name.
-func (l *loop) loads() map[string]string {
-	loads := make(map[string]string, len(l.heard))
-	for id, r := range l.heard {
-		loads[l.fleet[id].name] = reportText(r)
+// learned is what the decisions have learned, for the process that comes after this one.
+func (l *loop) learned() json.RawMessage {
+	text, err := json.Marshal(l.policy.Learned())
+	if err != nil {
+		l.node.log.Warn("what was learned can't be told", zap.Error(err))
 	}
-	return loads
+	return text
 }
 
-// inherit begins with the loads that the process before had heard, so that the first draws are no blind ones.
-func (l *loop) inherit(loads map[string]string) {
-	for _, name := range slices.Sorted(maps.Keys(loads)) {
-		if id := serverID(name); l.fleet[id].name == name {
-			l.probed(id, policy.Satisfied, reportOf(loads[name]))
-		}
+// inherit begins with what the decisions of the process before had learned, if that makes sense.
+func (l *loop) inherit(text json.RawMessage) {
+	var all learned.All
+	if err := json.Unmarshal(text, &all); err != nil || !all.Sound(len(l.node.settings.Categories)) {
+		l.node.counters.add(handoversPassedOver)
+		l.node.log.Warn("what the process before had learned passed over", zap.Error(err))
+		return
 	}
+	l.handle(nil, func() { l.policy.Inherit(&all) })
 }
 
 func (l *loop) probed(server policy.ServerID, outcome policy.Outcome, report policy.Report) {
-	l.note(server, report)
 	l.handle(nil, func() { l.policy.Probed(l.now, server, outcome, report) })
 }
 
--- a/internal/node/names.go
+++ b/internal/node/names.go
@@ -124,20 +124,6 @@
 	return r
 }
 
-// reportText is a load report as a server words it.
-func reportText(r policy.Report) string {
-	var parts []string
-	for _, one := range []struct {
-		name  string
-		value float64
-	}{{"util", r.Utilisation}, {"queue", r.Queue}, {"latency_ms", r.ServiceTime}} {
-		if one.value >= 0 {
-			parts = append(parts, one.name+"="+strconv.FormatFloat(one.value, 'g', -1, 64))
-		}
-	}
-	return strings.Join(parts, ",")
-}
-
 type listLine struct {
 	Version *int64            `json:"seq"`
 	Whole   bool              `json:"whole"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -312,7 +312,7 @@
 	n.loop.now = n.clock.now()
 	n.loop.listed(n.known(), true)
 	if n.heritage != nil {
-		n.loop.inherit(n.heritage.Loads)
+		n.loop.inherit(n.heritage.Learned)
 	}
 	go n.loop.run()
 	go n.orders.watch()
--- a/policy/draw_test.go
+++ b/policy/draw_test.go
@@ -30,24 +30,24 @@
 		change func(s *server)
 		want   float64
 	}{
-		"as reported":           {func(s *server) { s.load = 4 }, 4},
-		"idle":                  {func(s *server) { s.load = 0 }, 1. / 20}, // a twentieth of the mean, which is 1
-		"never heard":           {func(s *server) { s.load, s.heard = 0, false }, 2},
-		"rising for two":        {func(s *server) { s.load, s.risingFrom = 1, now-2*recalculate }, 1.5},
-		"above while rising":    {func(s *server) { s.load, s.risingFrom = 6, now-2*recalculate }, 6},
-		"twice as slow":         {func(s *server) { s.load, s.own.A, s.own.N = 1, 3, 1 }, 4},
-		"in a pod twice slower": {func(s *server) { s.load, s.pod = 1, &fading.Pair{A: 3, N: 1} }, 4},
-		"of twice the size":     {func(s *server) { s.load, s.Weight = 4, 2 }, 2},
-		"with two out":          {func(s *server) { s.load, s.out = 2, 2 }, 18},
-		"in another zone":       {func(s *server) { s.load, s.Zone = 2, 1 }, 12},
-		"cold, and has earned":  {func(s *server) { s.load, s.Started, s.credit = 4, now-1e9, 1 }, 4. / 400},
+		"as reported":           {func(s *server) { s.Load = 4 }, 4},
+		"idle":                  {func(s *server) { s.Load = 0 }, 1. / 20}, // a twentieth of the mean, which is 1
+		"never heard":           {func(s *server) { s.Load, s.Heard = 0, false }, 2},
+		"rising for two":        {func(s *server) { s.Load, s.risingFrom = 1, now-2*recalculate }, 1.5},
+		"above while rising":    {func(s *server) { s.Load, s.risingFrom = 6, now-2*recalculate }, 6},
+		"twice as slow":         {func(s *server) { s.Load, s.Own.A, s.Own.N = 1, 3, 1 }, 4},
+		"in a pod twice slower": {func(s *server) { s.Load, s.pod = 1, &fading.Pair{A: 3, N: 1} }, 4},
+		"of twice the size":     {func(s *server) { s.Load, s.Weight = 4, 2 }, 2},
+		"with two out":          {func(s *server) { s.Load, s.out = 2, 2 }, 18},
+		"in another zone":       {func(s *server) { s.Load, s.Zone = 2, 1 }, 12},
+		"cold, and has earned":  {func(s *server) { s.Load, s.Started, s.credit = 4, now-1e9, 1 }, 4. / 400},
 	} {
 		set := benchSettings
 		set.SizeWeights = true
 		p := New(set, 1, &quiet{})
 		p.ListLearned(now, listOf(2), true)
 		for _, s := range p.servers {
-			s.Zone, s.load, s.heard, s.risingFrom = 0, 2, true, 1
+			s.Zone, s.Load, s.Heard, s.risingFrom = 0, 2, true, 1
 		}
 		c.change(p.servers[0])
 		if got := taking(p, now)[p.servers[0]]; math.Abs(got/c.want-1) > 1e-9 {
@@ -97,7 +97,7 @@
 		now := int64(1e12)
 		p.ListLearned(now, listOf(n), true)
 		for _, s := range p.servers {
-			s.load, s.reported, s.heard, s.risingFrom = math.Pow(10, 5*draw.Float64()-3), 1, true, 1
+			s.Load, s.Reported, s.Heard, s.risingFrom = math.Pow(10, 5*draw.Float64()-3), 1, true, 1
 			s.out = draw.IntN(3)
 		}
 		worked(t, "w over five orders", p, now, 40000)
@@ -125,14 +125,14 @@
 	p.ListLearned(now, listOf(4096), true)
 	draw := rand.New(rand.NewPCG(1, 9))
 	for _, s := range p.servers {
-		s.Zone, s.load, s.heard, s.risingFrom = 0, float64(int(1)<<draw.IntN(3)), true, 1
+		s.Zone, s.Load, s.Heard, s.risingFrom = 0, float64(int(1)<<draw.IntN(3)), true, 1
 	}
 	task, got, have := anyTask(p, now), map[float64]float64{}, map[float64]float64{}
 	for _, s := range p.servers {
-		have[s.load]++
+		have[s.Load]++
 	}
 	for range 60000 {
-		got[p.draw(now, task).load]++
+		got[p.draw(now, task).Load]++
 	}
 	for _, w := range []float64{2, 4} {
 		if ratio := got[1] / have[1] / (got[w] / have[w]); math.Abs(ratio/w-1) > 0.06 {
--- a/policy/move_test.go
+++ b/policy/move_test.go
@@ -250,7 +250,7 @@
 	b := fleet(t, 4, func(s *Settings) { s.Utilised = true })
 	b.serve(40, prompt)
 	for range 40 { // slow all the time, but nothing is turned away
-		b.Policy.fleet.A, b.Policy.fleet.N = 400, 40
+		b.Policy.Fleet.A, b.Policy.Fleet.N = 400, 40
 		b.now += recalculate
 		if b.tick(); b.restTo > 0 {
 			t.Fatal("a rest though nothing was turned away")
@@ -258,7 +258,7 @@
 	}
 	rests := 0
 	for second := range 40 {
-		b.Policy.fleet.A, b.Policy.fleet.N, b.of[0].fares = 400, 40, 0.4
+		b.Policy.Fleet.A, b.Policy.Fleet.N, b.of[0].Fares = 400, 40, 0.4
 		b.now += recalculate
 		b.tick()
 		if b.restTo > b.now {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"fawnglade/internal/fading"
+	"fawnglade/internal/learned"
 	"fawnglade/internal/rank"
 	"fawnglade/internal/shares"
 )
@@ -79,29 +80,19 @@
 
 type server struct {
 	Listed
-	rank               uint64
-	near, known, heard bool // near: this node draws from it
-	standing           []standing
-	usedAt, suspect    int64 // last use of a connection to it, 0: none; how long a silent one had been idle
+	rank            uint64
+	near            bool // this node draws from it
+	standing        []standing
+	usedAt, suspect int64 // last use of a connection to it, 0: none; how long a silent one had been idle
 
-	load, reported, drift   float64      // w before the exceptions; its last report; what each send since adds
+	learned.Figures
 	recalculate, risingFrom int64        // recalculate: when next, if no report comes before
 	sends, out, turned      int          // since the last report; out now; turned away in a row
-	own                     fading.Pair  // answer times for each unit of work; what was out when they set off
 	pod                     *fading.Pair // the same of its pod, as one server is heard of once in many seconds
-	high, credit            float64      // quantile of answer time for each unit of expected work
+	credit                  float64      // hand-offs that it has earned while cold
 	silentFrom, fullTill    int64
 }
 
-// categoryState is what an instance learns of one category.
-type categoryState struct {
-	typical          float64 // a low quantile of answer times, to compare tasks that bring no hint
-	spread           float64 // a high quantile of answer times over their prediction
-	fares, asked     float64 // part of the tasks of late that were satisfied; fading count of them
-	due              float64 // part of its time that it keeps while tasks are turned away
-	taken, away, met int     // since the last tick: answers, tasks given up; answers ever
-}
-
 // Policy is one instance of the decisions.
 type Policy struct {
 	set            Settings
@@ -111,38 +102,55 @@
 	started        bool
 	askWait, until int64 // until: by when the task being drawn for is to be answered
 
-	tasks                map[TaskID]*task
-	waking               map[uint64]*task
-	of                   []categoryState
-	shares               shares.Shares
-	meanOf, copies, rate float64 // mean cost of a task; second copies that may still go out; tasks a second
-	arrived, asks        int     // tasks since the last tick, and ever
-
-	servers             []*server // by rank
-	byID                map[ServerID]*server
-	pods                map[int]*fading.Pair
-	fleet               fading.Pair
-	failing, high       float64         // of all servers: running part of failures; mean of the high quantiles
-	way                 map[int]float64 // by zone: what an answer takes however little the work
-	idle, deadGap       int64           // connections idle for longer are not trusted; one died after so long
-	deaths              float64         // fading count of signs that they die idle
-	seen, jammed        int             // own signs in a row; seconds for which all have been late
-	toldIdle, restTo    int64           // when that was told; until when this node gives the fleet a rest
-	breadth             int             // how many servers to draw from
-	near, chilly, drawn []*server       // those; of these the cold ones; who takes part in the draw
+	tasks         map[TaskID]*task
+	waking        map[uint64]*task
+	of            []learned.Category
+	shares        shares.Shares
+	copies, rate  float64 // second copies that may still go out; tasks a second
+	arrived, asks int     // tasks since the last tick, and ever
+
+	servers []*server // by rank
+	byID    map[ServerID]*server
+	learned.Common
+	failing, deaths     float64   // of all servers: part of failures; signs that connections die idle
+	idle, deadGap       int64     // connections idle for longer are not trusted; one died after so long
+	seen, jammed        int       // own signs in a row; seconds for which all have been late
+	toldIdle, restTo    int64     // when that was told; until when this node gives the fleet a rest
+	breadth             int       // how many servers to draw from
+	near, chilly, drawn []*server // those; of these the cold ones; who takes part in the draw
 	weights             []float64
 }
 
 // New makes an instance that knows nothing but its settings.
 func New(settings Settings, seed uint64, host Host) *Policy {
 	p := &Policy{set: settings, host: host, draws: rand.New(rand.NewPCG(seed, 1)), cookies: firstTask,
-		tasks: map[TaskID]*task{}, waking: map[uint64]*task{}, byID: map[ServerID]*server{}, high: 2,
-		pods: map[int]*fading.Pair{}, way: map[int]float64{}, shares: shares.New(settings.Portions),
-		idle: math.MaxInt64}
-	p.of = slices.Repeat([]categoryState{{spread: 2, fares: 1, due: 1}}, len(settings.Categories))
+		tasks: map[TaskID]*task{}, waking: map[uint64]*task{}, byID: map[ServerID]*server{}, idle: math.MaxInt64,
+		shares: shares.New(settings.Portions)}
+	p.Common = learned.Common{High: 2, Pods: map[int]*fading.Pair{}, Way: map[int]float64{}}
+	p.of = slices.Repeat([]learned.Category{{Spread: 2, Fares: 1, Due: 1}}, len(settings.Categories))
 	return p
 }
 
+// Learned is what this instance has learned; it shares memory with it.
+func (p *Policy) Learned() learned.All {
+	all := learned.All{Common: p.Common, Categories: p.of, Servers: map[uint32]learned.Server{}}
+	for _, s := range p.servers {
+		all.Servers[uint32(s.Server)] = learned.Server{Figures: s.Figures, Started: s.Started}
+	}
+	return all
+}
+
+// Inherit begins, behind the list, with what the instance before learned of the same processes of servers.
+func (p *Policy) Inherit(all *learned.All) {
+	p.Common.TakeOver(&all.Common)
+	copy(p.of, all.Categories)
+	for _, s := range p.servers {
+		if l, had := all.Servers[uint32(s.Server)]; had && l.Started == s.Started {
+			s.Figures = l.Figures
+		}
+	}
+}
+
 // ListLearned takes the server list, or what changed in it.
 func (p *Policy) ListLearned(now int64, list []Listed, whole bool) {
 	if !p.started {
@@ -169,10 +177,10 @@
 			*s = server{out: s.out, near: s.near, credit: p.draws.Float64(), standing: make([]standing, len(p.of)),
 				rank: rank.Of(rank.Spread(p.set.Position), uint32(l.Server))}
 		}
-		if p.pods[l.Pod] == nil {
-			p.pods[l.Pod] = &fading.Pair{}
+		if p.Pods[l.Pod] == nil {
+			p.Pods[l.Pod] = &fading.Pair{}
 		}
-		s.Listed, s.pod = l, p.pods[l.Pod]
+		s.Listed, s.pod = l, p.Pods[l.Pod]
 	}
 	slices.SortFunc(p.servers, func(a, b *server) int { return cmp.Compare(b.rank, a.rank) })
 	p.choose(now)
@@ -208,9 +216,9 @@
 
 func (p *Policy) cost(t *task) float64 {
 	if t.Cost > 0 {
-		return max(float64(t.Cost), smallest*p.meanOf) // guards against answers to tasks with hardly any work
+		return max(float64(t.Cost), smallest*p.MeanOf) // guards against answers to tasks with hardly any work
 	}
-	return cmp.Or(p.of[t.Task.Category].typical, p.meanOf)
+	return cmp.Or(p.of[t.Task.Category].Typical, p.MeanOf)
 }
 
 // send hands the task to a drawn server, or gives it up.
@@ -236,11 +244,11 @@
 		crowd: float64(s.out), predicted: float64(p.predict(s, cost))})
 	t.open++
 	if now >= s.recalculate { // no report came for the design's longest time
-		s.drift, s.sends, s.recalculate = 0, 0, now+recalculate
+		s.Drift, s.sends, s.recalculate = 0, 0, now+recalculate
 	}
 	s.out += t.crowds
 	s.sends++
-	s.load += s.drift
+	s.Load += s.Drift
 	s.credit -= max(p.relative(cost), 1)
 	p.host.HandOff(t.ID, s.Server, t.limit-now)
 	if after := p.patience(s, cost); cost > 0 && t.open == 1 && !t.Flows && now+after < t.limit-after/2 {
@@ -278,9 +286,9 @@
 
 func (p *Policy) fare(t *task, satisfied float64) {
 	c := &p.of[t.Task.Category]
-	c.asked = min(c.asked+1, 64)
-	c.fares = max(c.fares+(satisfied-c.fares)/(c.asked+1), 0.01)
-	c.away += 1 - int(satisfied)
+	c.Asked = min(c.Asked+1, 64)
+	c.Fares = max(c.Fares+(satisfied-c.Fares)/(c.Asked+1), 0.01)
+	c.Away += 1 - int(satisfied)
 }
 
 // end recalls what is still out for a task that has its answer, and forgets it once nothing is.
@@ -414,7 +422,7 @@
 }
 
 func (p *Policy) relative(cost float64) float64 {
-	return cmp.Or(cost, p.meanOf, 1) / cmp.Or(p.meanOf, cost, 1)
+	return cmp.Or(cost, p.MeanOf, 1) / cmp.Or(p.MeanOf, cost, 1)
 }
 
 // earnCold keeps the books on cold servers: with each task that a warm fellow satisfies one earns what it
@@ -464,45 +472,45 @@
 		return false
 	}
 	if st := &s.standing[t.Task.Category]; st.unfit {
-		return s.out == 0 && (nobody && s.own.N*learn >= 1 || now >= st.retryAt && t.category.Repeat == Rerunnable)
+		return s.out == 0 && (nobody && s.Own.N*learn >= 1 || now >= st.retryAt && t.category.Repeat == Rerunnable)
 	}
 	cost := p.cost(t)
-	if s.out > 0 && s.known && now-s.silentFrom > p.patience(s, max(cost, p.meanOf)) {
+	if s.out > 0 && s.Known && now-s.silentFrom > p.patience(s, max(cost, p.MeanOf)) {
 		return false // guards against servers that take tasks and answer nothing, and so report no load
 	}
 	// A miss counts only for itself: a high quantile goes in as far as tasks are turned away.
-	spread := p.of[t.Task.Category].spread
+	spread := p.of[t.Task.Category].Spread
 	return p.predict(s, cost*min(spread, 1+(spread-1)*(1-p.worst()))) <= p.allowance(now, t)
 }
 
 // predict counts own hand-offs out double: what draws this node to a server draws its fellows too, unseen.
 func (p *Policy) predict(s *server, cost float64) int64 {
 	unit, crowd := p.expect(s)
-	return int64(p.way[s.Zone] + unit*cost*(1+2*float64(s.out))/(1+2*crowd))
+	return int64(p.Way[s.Zone] + unit*cost*(1+2*float64(s.out))/(1+2*crowd))
 }
 
 // expect is the answer time for a unit of work: the fleet's, times what pod and server were over it of late.
 func (p *Policy) expect(s *server) (unit, crowd float64) {
-	unit, crowd = p.fleet.Over(1, 0)
+	unit, crowd = p.Fleet.Over(1, 0)
 	pod, crowd := s.pod.Over(1, crowd)
-	own, crowd := s.own.Over(1, crowd)
+	own, crowd := s.Own.Over(1, crowd)
 	return unit * pod * own, crowd
 }
 
 // patience is how long an answer may take, by the high quantile of the server or of its fit fellows.
 func (p *Policy) patience(s *server, cost float64) int64 {
-	high := p.high
-	if s.known && !s.shunned(s.silentFrom) {
-		high = min(2*high, s.high)
+	high := p.High
+	if s.Known && !s.shunned(s.silentFrom) {
+		high = min(2*high, s.High)
 	}
 	_, crowd := p.expect(s)
 	cost *= high * (1 + float64(s.out)) / (1 + min(crowd, float64(s.out)))
-	return max(grain*p.set.Tick, int64(2*(p.way[s.Zone]+cost)))
+	return max(grain*p.set.Tick, int64(2*(p.Way[s.Zone]+cost)))
 }
 
 // worst is the satisfied part of the category that fares worst.
 func (p *Policy) worst() float64 {
-	return slices.MinFunc(p.of, func(a, b categoryState) int { return cmp.Compare(a.fares, b.fares) }).fares
+	return slices.MinFunc(p.of, func(a, b learned.Category) int { return cmp.Compare(a.Fares, b.Fares) }).Fares
 }
 
 // dues works out which part of its time each category keeps in need, by what its work earns and by the goal.
@@ -510,20 +518,20 @@
 	most, favour := math.SmallestNonzeroFloat64, max(0, 1-p.set.WorstCategory/evenAt)
 	for i := range p.of {
 		c := &p.of[i]
-		if c.due = p.set.Categories[i].Earnings; !p.set.EarnsByWork {
-			c.due /= max(c.typical, p.meanOf*smallest, 1)
+		if c.Due = p.set.Categories[i].Earnings; !p.set.EarnsByWork {
+			c.Due /= max(c.Typical, p.MeanOf*smallest, 1)
 		}
-		most = max(most, c.due)
+		most = max(most, c.Due)
 	}
 	for i := range p.of {
-		p.of[i].due = math.Pow(max(p.of[i].due/most, 0.01), favour)
+		p.of[i].Due = math.Pow(max(p.of[i].Due/most, 0.01), favour)
 	}
 }
 
 // allowance is the time a prediction may take. What fares better or earns less for its work gives up some.
 func (p *Policy) allowance(now int64, t *task) int64 {
 	c, worst := &p.of[t.Task.Category], p.worst()
-	part := worst / c.fares * (1 - (1-c.due)*(1-worst))
+	part := worst / c.Fares * (1 - (1-c.Due)*(1-worst))
 	if t.beyond {
 		part *= max(worst*worst, p.set.OverShare)
 	}
@@ -582,19 +590,19 @@
 func (p *Policy) weigh(now int64, from []*server) {
 	mean, heard := 0.0, 0.0
 	for _, s := range from {
-		if s.heard {
-			mean, heard = mean+s.load, heard+1
+		if s.Heard {
+			mean, heard = mean+s.Load, heard+1
 		}
 	}
 	mean = cmp.Or(mean/max(heard, 1), 1)
 	p.weights = p.weights[:0]
 	for _, s := range p.drawn {
-		w := max(s.load, mean/floorPart)
-		if !s.heard || s.risingFrom == 0 || now-s.risingFrom < settling*recalculate {
+		w := max(s.Load, mean/floorPart)
+		if !s.Heard || s.risingFrom == 0 || now-s.risingFrom < settling*recalculate {
 			w = max(w, mean)
 		}
 		// Reports do not tell a slow server from a quick one; the square, as one that gets its part still is late.
-		unit := s.pod.Level() * s.own.Level()
+		unit := s.pod.Level() * s.Own.Level()
 		w *= max(unit*unit, 1.0/floorPart)
 		if p.set.SizeWeights && s.Weight > 0 {
 			w /= s.Weight
@@ -612,14 +620,14 @@
 
 // hear takes a load report: the rise since the last one, over the sends between, is what each send adds.
 func (s *server) hear(now int64, load float64) {
-	rise := load - s.reported
-	if s.drift = 0; s.heard && rise > 0 && s.sends > 0 && now < s.recalculate {
-		s.drift = rise / float64(s.sends)
+	rise := load - s.Reported
+	if s.Drift = 0; s.Heard && rise > 0 && s.sends > 0 && now < s.recalculate {
+		s.Drift = rise / float64(s.sends)
 	}
-	if rise > 0 && s.heard && s.risingFrom == 0 {
+	if rise > 0 && s.Heard && s.risingFrom == 0 {
 		s.risingFrom = now
 	}
-	s.load, s.reported, s.heard, s.sends, s.recalculate = load, load, true, 0, now+recalculate
+	s.Load, s.Reported, s.Heard, s.sends, s.recalculate = load, load, true, 0, now+recalculate
 }
 
 // report picks which reported value is the load; all else that depends on it asks the server.
@@ -632,7 +640,7 @@
 	} else if r.Queue < 0 {
 		return
 	}
-	if !s.heard || load != s.reported {
+	if !s.Heard || load != s.Reported {
 		s.hear(now, load)
 	}
 }
@@ -670,9 +678,9 @@
 	case Full, Unreached:
 		// Guards against one that turns away at once using up all hand-offs: it is left alone, ever longer.
 		s.turned = min(s.turned+1, 6)
-		wait := max(int64(p.meanOf), int64(float64(recalculate)/(2*s.own.N+1)))
+		wait := max(int64(p.MeanOf), int64(float64(recalculate)/(2*s.Own.N+1)))
 		s.fullTill = now + wait<<(s.turned-1)
-		if a.Outcome == Full && (a.Report.Queue != 0 || s.own.N*learn < 1) {
+		if a.Outcome == Full && (a.Report.Queue != 0 || s.Own.N*learn < 1) {
 			// Guards against a storm of resends in a jam: the full would be late, one with an empty queue not.
 			p.timed(h, float64(t.limit-h.sentAt)*overrun)
 		}
@@ -686,7 +694,7 @@
 		}
 	case TimedOut:
 		// Guards against learning from the quick alone: what never answered took longer still.
-		if s.silentFrom > h.sentAt || odd*p.fleet.Level()*h.cost > took {
+		if s.silentFrom > h.sentAt || odd*p.Fleet.Level()*h.cost > took {
 			// Guards against a silent server raising the bound for all, and its fellows' tasks being declined.
 			p.calibrate(t, h, took*overrun)
 		}
@@ -715,14 +723,14 @@
 		took = p.lessWay(h, took)
 	}
 	// Guards against a lock-out: by the mean a jam makes idle servers look late, so does one small first answer.
-	if c.met++; c.met <= firstMet {
-		c.typical += (took - c.typical) / float64(c.met)
+	if c.Met++; c.Met <= firstMet {
+		c.Typical += (took - c.Typical) / float64(c.Met)
 	} else {
-		c.typical *= 1 + step(took > c.typical, learn/2, lowest)
+		c.Typical *= 1 + learned.Step(took > c.Typical, learn/2, lowest)
 	}
 	h.cost = cmp.Or(h.cost, took)
-	p.meanOf = cmp.Or(p.meanOf, h.cost) // guards against other categories being set against next to nothing
-	p.meanOf += (h.cost - p.meanOf) / 32
+	p.MeanOf = cmp.Or(p.MeanOf, h.cost) // guards against other categories being set against next to nothing
+	p.MeanOf += (h.cost - p.MeanOf) / 32
 	p.timed(h, took)
 	p.earnCold(now, s, h.cost)
 }
@@ -763,32 +771,24 @@
 	}
 }
 
-// step moves a running quantile by a part of what by says, up or down.
-func step(up bool, by, quantile float64) float64 {
-	if up {
-		return by * quantile
-	}
-	return by * (quantile - 1)
-}
-
 // lessWay takes off what answers from a zone take however little the work, or small tasks lock the zone out.
 func (p *Policy) lessWay(h *handOff, took float64) float64 {
-	way, met := p.way[h.server.Zone]
+	way, met := p.Way[h.server.Zone]
 	if !met {
 		way = took - h.cost
 	}
-	way = max(0, way+step(took-h.cost >= way, p.meanOf*learn, nearest))
-	p.way[h.server.Zone] = way
+	way = max(0, way+learned.Step(took-h.cost >= way, p.MeanOf*learn, nearest))
+	p.Way[h.server.Zone] = way
 	return max(took-way, h.cost/4)
 }
 
 // calibrate learns how far above its prediction an answer may come.
 func (p *Policy) calibrate(t *task, h *handOff, took float64) {
 	c := &p.of[t.Task.Category]
-	if c.taken++; h.predicted > 0 {
+	if c.Taken++; h.predicted > 0 {
 		// At most, against heavy tasks that nobody told of: late on any server, they say nothing of waiting.
-		c.spread *= 1 + step(took > h.predicted*c.spread, learn, single)
-		c.spread = min(max(c.spread, 0.5), mostSpread)
+		c.Spread *= 1 + learned.Step(took > h.predicted*c.Spread, learn, single)
+		c.Spread = min(max(c.Spread, 0.5), mostSpread)
 	}
 }
 
@@ -799,43 +799,43 @@
 	}
 	s, unit, crowd := h.server, took/h.cost, h.crowd
 	// Guards against a few odd servers making the whole fleet look late.
-	fleet, pod := p.fleet.Level(), s.pod.Level()
-	p.fleet.Add(min(unit, odd*fleet), crowd, 64)
+	fleet, pod := p.Fleet.Level(), s.pod.Level()
+	p.Fleet.Add(min(unit, odd*fleet), crowd, 64)
 	s.pod.Add(min(unit/fleet, odd*pod), crowd, 2/learn)
-	s.own.Add(unit/fleet/pod, crowd, 2/learn)
-	if !s.known {
-		s.known, s.high = true, 2*unit
+	s.Own.Add(unit/fleet/pod, crowd, 2/learn)
+	if !s.Known {
+		s.Known, s.High = true, 2*unit
 	}
 	mean, _ := p.expect(s)
-	s.high = max(mean, s.high+step(unit > s.high, mean*learn, highest))
+	s.High = max(mean, s.High+learned.Step(unit > s.High, mean*learn, highest))
 }
 
 // age lets what was learned of a server that is no longer heard drift to what its fellows show.
 func (p *Policy) age(now int64) {
 	high, n := 0.0, 0.0
 	for _, s := range p.servers {
-		if s.State == Active && s.known && !s.shunned(now) {
-			high, n = high+s.high, n+1
+		if s.State == Active && s.Known && !s.shunned(now) {
+			high, n = high+s.High, n+1
 		}
 	}
-	p.high = cmp.Or(high/max(n, 1), p.high)
+	p.High = cmp.Or(high/max(n, 1), p.High)
 	for _, s := range p.servers {
-		s.high += (p.high - s.high) * learn * (1 - min(1, s.own.N*learn))
-		s.own.Fade(1 - learn)
+		s.High += (p.High - s.High) * learn * (1 - min(1, s.Own.N*learn))
+		s.Own.Fade(1 - learn)
 		for i := range s.standing {
 			s.standing[i].n *= 1 - learn
 			s.standing[i].told *= forget
 		}
 	}
-	for _, pod := range p.pods {
+	for _, pod := range p.Pods {
 		pod.Fade(1 - learn)
 	}
-	if p.fleet.Level() < jam || p.worst() > inNeed || !p.set.Utilised { // only where they tell how busy they are
+	if p.Fleet.Level() < jam || p.worst() > inNeed || !p.set.Utilised { // only where they tell how busy they are
 		p.jammed = 0
 	} else if p.jammed++; p.jammed == longJam { // what all depend on may recover only while it rests
 		p.restTo = now + restFor
 	}
-	p.fleet.Fade(forget)
+	p.Fleet.Fade(forget)
 	p.rate += (float64(p.arrived) - p.rate) / 8
 	p.arrived, p.deaths = 0, p.deaths*forget
 	p.idle += min(p.idle/32, math.MaxInt64-p.idle)
@@ -843,13 +843,13 @@
 	p.choose(now)
 	for i := range p.of {
 		c := &p.of[i]
-		if c.taken <= c.away {
+		if c.Taken <= c.Away {
 			// Guards against a lock-out: a bound so high that next to nothing is taken would not be measured again.
-			c.spread = max(1, c.spread*(1-learn))
+			c.Spread = max(1, c.Spread*(1-learn))
 		}
-		c.asked *= askedFade
-		c.fares += (1 - c.fares) * (1 - askedFade) / (c.asked + 1) // what is no longer asked for holds back nobody
-		c.taken, c.away = 0, 0
+		c.Asked *= askedFade
+		c.Fares += (1 - c.Fares) * (1 - askedFade) / (c.Asked + 1) // what is no longer asked for holds back nobody
+		c.Taken, c.Away = 0, 0
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,12 +1,14 @@
 package policy
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
 
 	"fawnglade/internal/fading"
+	"fawnglade/internal/learned"
 )
 
 const ms = int64(1e6)
@@ -131,15 +133,15 @@
 	s.hear(0, 0.2)
 	s.sends = 4
 	s.hear(1, 0.6)
-	if math.Abs(s.drift-0.1) > 1e-9 {
-		t.Errorf("a rise of 0.4 over 4 hand-offs gives a drift of %g", s.drift)
+	if math.Abs(s.Drift-0.1) > 1e-9 {
+		t.Errorf("a rise of 0.4 over 4 hand-offs gives a drift of %g", s.Drift)
 	}
 	s.sends = 4
-	if s.hear(2, 0.5); s.drift != 0 {
-		t.Errorf("a falling load gives a drift of %g", s.drift)
+	if s.hear(2, 0.5); s.Drift != 0 {
+		t.Errorf("a falling load gives a drift of %g", s.Drift)
 	}
-	if s.hear(3, 0.9); s.drift != 0 {
-		t.Errorf("a rise over no hand-offs gives a drift of %g", s.drift)
+	if s.hear(3, 0.9); s.Drift != 0 {
+		t.Errorf("a rise over no hand-offs gives a drift of %g", s.Drift)
 	}
 }
 
@@ -242,7 +244,7 @@
 
 func TestLateCategoryGivesUpTimeForTheStarved(t *testing.T) {
 	b := fleet(t, 2, nil)
-	b.of[0].fares, b.of[1].fares = 0.2, 0.8
+	b.of[0].Fares, b.of[1].Fares = 0.2, 0.8
 	starved, other := &task{limit: b.now + 400*ms}, &task{Task: Task{Category: 1}, limit: b.now + 400*ms}
 	if got := b.allow(starved); got != 400*ms {
 		t.Errorf("the starved category may take %d", got)
@@ -254,7 +256,7 @@
 
 func TestCategoryNoLongerAskedForHoldsNobodyBack(t *testing.T) {
 	b := fleet(t, 2, nil)
-	b.of[0].fares = 0.01
+	b.of[0].Fares = 0.01
 	for range 40 {
 		b.now += recalculate
 		b.tick()
@@ -280,24 +282,24 @@
 
 func TestIdleNodeRelaxesItsBound(t *testing.T) {
 	b := fleet(t, 2, nil)
-	b.of[0].spread = 5
+	b.of[0].Spread = 5
 	for range 10 {
 		b.serve(1, prompt) // a task now and then must not keep the bound up while most are turned away
-		b.of[0].away = 2
+		b.of[0].Away = 2
 		b.now += recalculate
 		b.tick()
 	}
-	if b.of[0].spread > 2.5 {
-		t.Errorf("the bound of an idle node is still %.1f of 5", b.of[0].spread)
+	if b.of[0].Spread > 2.5 {
+		t.Errorf("the bound of an idle node is still %.1f of 5", b.of[0].Spread)
 	}
-	b.of[0].spread = 3
+	b.of[0].Spread = 3
 	for range 10 {
 		b.serve(1, prompt)
 		b.now += recalculate
 		b.tick()
 	}
-	if b.of[0].spread < 2.5 {
-		t.Errorf("the bound of a node that mostly has nothing out fell to %.1f of 3", b.of[0].spread)
+	if b.of[0].Spread < 2.5 {
+		t.Errorf("the bound of a node that mostly has nothing out fell to %.1f of 3", b.of[0].Spread)
 	}
 }
 
@@ -322,14 +324,14 @@
 func TestSilentServerDoesNotRaiseTheBoundForAll(t *testing.T) {
 	b := fleet(t, 3, nil)
 	b.serve(60, prompt)
-	before := b.of[2].spread
+	before := b.of[2].Spread
 	for range 5 {
 		id := b.arrive(2)
 		b.now += 480 * ms
 		b.end(id, 0, TimedOut, 480*ms)
 	}
-	if b.of[2].spread > before {
-		t.Errorf("the bound rose from %.2f to %.2f", before, b.of[2].spread)
+	if b.of[2].Spread > before {
+		t.Errorf("the bound rose from %.2f to %.2f", before, b.of[2].Spread)
 	}
 }
 
@@ -376,7 +378,7 @@
 	if beyond[0] > 20 || beyond[1] < 150 {
 		t.Errorf("beyond their shares: %d of the one below it, %d of the one above", beyond[0], beyond[1])
 	}
-	b.of[0].fares = 0.5
+	b.of[0].Fares = 0.5
 	within, over := &task{limit: b.now + 400*ms}, &task{limit: b.now + 400*ms, beyond: true}
 	if w, o := b.allow(within), b.allow(over); w != 400*ms || o != 100*ms {
 		t.Errorf("with half turned away a task within may take %d, one beyond %d", w, o)
@@ -392,7 +394,7 @@
 		}
 		return Satisfied, 40 * ms
 	})
-	if unit, _ := b.fleet.Over(1, 0); unit > 3 {
+	if unit, _ := b.Fleet.Over(1, 0); unit > 3 {
 		t.Errorf("one server in five times out and the whole fleet is expected at %.1f", unit)
 	}
 	b.serve(60, func(ServerID) (Outcome, int64) { return TimedOut, 450 * ms })
@@ -424,7 +426,7 @@
 	b.serve(20, prompt)
 	id := b.arrive(2)
 	s := b.byID[b.last()]
-	s.own, s.standing[2] = fading.Pair{}, standing{}
+	s.Own, s.standing[2] = fading.Pair{}, standing{}
 	if b.end(id, 0, Error, ms); !s.standing[2].unfit {
 		t.Errorf("its failing part is taken for %.2f", s.standing[2].failing)
 	}
@@ -482,8 +484,8 @@
 		if got := b.predict(s, float64(20*ms)); got < 25*ms || got > 50*ms {
 			t.Errorf("20 ms of work 15 ms away are expected to take %d ms", got/ms)
 		}
-		if s.high > 4 {
-			t.Errorf("its high quantile is %.1f times the work", s.high)
+		if s.High > 4 {
+			t.Errorf("its high quantile is %.1f times the work", s.High)
 		}
 	}
 }
@@ -511,7 +513,7 @@
 		t.Errorf("with a fit server a task went to %v", b.sent)
 	}
 	for _, s := range b.servers {
-		s.out, s.own.N = 0, 1
+		s.out, s.Own.N = 0, 1
 	}
 	b.byID[1].State, b.sent = Draining, nil
 	if b.arrive(2); len(b.sent) != 0 {
@@ -578,7 +580,7 @@
 			t.Errorf("with nothing turned away it may take %d of 400 ms", got/ms)
 		}
 		for i := range b.of {
-			b.of[i].fares = 0.5
+			b.of[i].Fares = 0.5
 		}
 		if got := b.allow(&task{limit: b.now + 400*ms}); got/ms != kept {
 			t.Errorf("where the worst weighs %g it may take %d ms, want %d", worst, got/ms, kept)
@@ -611,3 +613,26 @@
 		}
 	}
 }
+
+// A new instance predicts as the one before did, and does not take a restarted server for the old one.
+func TestInheritance(t *testing.T) {
+	b := fleet(t, 4, nil)
+	b.serve(200, func(s ServerID) (Outcome, int64) { return Satisfied, int64(s) * 20 * ms })
+	text, err := json.Marshal(b.Learned())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all learned.All
+	if err := json.Unmarshal(text, &all); err != nil || !all.Sound(3) {
+		t.Fatalf("%v, sound %t", err, all.Sound(3))
+	}
+	next := fleet(t, 4, nil)
+	next.ListLearned(next.now, []Listed{{Server: 4, Pod: 1, Weight: 1, Started: 1}}, false)
+	next.Inherit(&all)
+	for id := ServerID(1); id <= 4; id++ {
+		was, is := b.predict(b.byID[id], 1e8), next.predict(next.byID[id], 1e8)
+		if (was == is) != (id != 4) {
+			t.Errorf("server %d: predicted %d by the one before, %d by the next", id, was, is)
+		}
+	}
+}
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -19,15 +19,15 @@
 	for name, spoil := range map[string]func(s *server, i int, now int64){
 		"just turned away": func(s *server, i int, now int64) { s.fullTill = now + ms },
 		"unfit":            func(s *server, i int, now int64) { s.standing[0], s.out = standing{unfit: true, retryAt: now + ms}, 1 },
-		"too late":         func(s *server, i int, now int64) { s.own.A, s.own.N = 1e6, 20 },
+		"too late":         func(s *server, i int, now int64) { s.Own.A, s.Own.N = 1e6, 20 },
 		"cold":             func(s *server, i int, now int64) { s.Started, s.credit = now, 0 },
-		"silent":           func(s *server, i int, now int64) { s.out, s.known, s.silentFrom = 1, true, now-1e9 },
+		"silent":           func(s *server, i int, now int64) { s.out, s.Known, s.silentFrom = 1, true, now-1e9 },
 	} {
 		for _, fit := range []int{0, 1} {
 			p := New(benchSettings, 1, &quiet{})
 			now := int64(1e12)
 			p.ListLearned(now, listOf(4096), true)
-			p.meanOf, p.high = 5e6, 2
+			p.MeanOf, p.High = 5e6, 2
 			for i, s := range p.servers {
 				if i >= fit {
 					spoil(s, i, now)
--- a/policy/types.go
+++ b/policy/types.go
@@ -37,7 +37,7 @@
 	Portions                    []float64 // of each customer
 	OverShare                   float64   // earnings of a task beyond its customer's share
 	WorstCategory               float64   // what the worst category weighs in the goal, 0 to 1
-	Nines, TopNines             float64   // the weight of the nines in it, how many are all; nothing goes by them yet
+	Nines, TopNines             float64   // the weight of the nines in it, and how many are all; not used
 	Position, Nodes             int       // of this instance, and how many there are
 	Streams                     int       // tasks that a connection carries at once
 	Zone, MaxHandOffs           int
