Cold servers earn by what their answers show, up to twice the sure part

Cause: earnCold in policy.go gives a cold server its sure part of what a warm fellow satisfies; where the warm ones are the slow ones that is next to nothing. Change: one line; evidence counts a twelfth for each answer, and the raise ends at twice the sure part, under what pushes a server over. Other harm ruled out: a server whose answers are slow, or that has one answer, earns what it did (test).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -435,7 +435,7 @@
 	warm = cmp.Or(warm, len(p.near))
 	for _, s := range p.chilly {
 		if part := p.cold(now, s); part < 1 && s.credit < 1 {
-			part *= coldSafety + (1-coldSafety)*part
+			part = max(part*(coldSafety+(1-coldSafety)*part), min(2*part, s.Own.N*learn, 1/s.Own.Level()))
 			s.credit = min(1, s.credit+part*min(p.relative(cost), 1)/float64(warm))
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -636,3 +636,32 @@
 		}
 	}
 }
+
+// Guards against a fleet that is mostly cold being used no further than its servers surely can: one whose answers show more
+// earns more, up to twice; one that shows nothing, or that it is slow, earns what it did.
+func TestColdServerEarnsByWhatItsAnswersShow(t *testing.T) {
+	bound := 0.0
+	earned := func(own fading.Pair) float64 {
+		b := fleet(t, 4, nil)
+		b.ListLearned(b.now, []Listed{{Server: 4, Pod: 1, Weight: 1, Started: b.now}}, false)
+		b.now += 5e9
+		b.ListLearned(b.now, nil, false)
+		b.serve(1, prompt) // so that the cost of a task is known
+		s := b.byID[4]
+		s.credit, s.Own = 0, own
+		b.earnCold(b.now, b.byID[1], b.MeanOf)
+		bound = 2 * b.cold(b.now, s) / 3 // of the even part of three warm ones
+		return s.credit
+	}
+	sure := earned(fading.Pair{})
+	quick := earned(fading.Pair{A: 12, B: 0, N: 24})
+	if slow := earned(fading.Pair{A: 240, B: 0, N: 24}); sure <= 0 || slow != sure {
+		t.Errorf("earns %g where nothing is known, %g where its answers are slow", sure, slow)
+	}
+	if quick <= 1.5*sure || quick > bound+1e-9 {
+		t.Errorf("earns %g where its answers are quick, %g where nothing is known, bound %g", quick, sure, bound)
+	}
+	if few := earned(fading.Pair{A: 0.5, B: 0, N: 1}); few != sure {
+		t.Errorf("earns %g by a single answer, %g without", few, sure)
+	}
+}
