--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -209,8 +209,8 @@
 	if !u.whole.Load() {
 		c.SetWriteDeadline(time.Unix(1, 0))
 		x.source.giveUp()
-		<-u.done
 	}
+	<-u.done // or its last deadline would be set on a connection that somebody else has by then
 	return u.whole.Load()
 }
 
--- a/internal/node/body_test.go
+++ b/internal/node/body_test.go
@@ -427,3 +427,24 @@
 		t.Errorf("the second task was answered %.40q", body)
 	}
 }
+
+// Guards against an early answer being thrown away by a reset while its client still sends its body, slowly.
+func TestEarlyAnswerReachesASlowSender(t *testing.T) {
+	server := listen(t, func(c net.Conn) {
+		http.ReadRequest(bufio.NewReader(c))
+		io.WriteString(c, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(50 * time.Millisecond)
+	})
+	n := nodeWith(t, unhurried, server)
+	c, in := dial(t, n)
+	fmt.Fprintf(c, "POST /batch HTTP/1.1\r\nHost: h\r\nX-Txn: t1\r\nContent-Length: 9000000\r\n\r\n%s", noise(2*alwaysHeld))
+	for range 5 {
+		time.Sleep(4 * lingers)
+		if _, err := c.Write(noise(6500)); err != nil {
+			t.Fatalf("closed on while sending: %v", err)
+		}
+	}
+	if status, _, _ := answerOn(in); status != 503 {
+		t.Errorf("got %d", status)
+	}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -56,9 +56,10 @@
 
 	mu      sync.Mutex
 	busy    int
-	closed  bool // takes no more tasks
-	leaving bool // is to close once nothing has come
-	used    bool // has brought a task
+	closed  bool          // takes no more tasks
+	leaving bool          // is to close once nothing has come
+	used    bool          // has brought a task
+	gap     time.Duration // of silence after the last answer, until the connection is closed
 	opened  time.Time
 	lastUse time.Time
 	began   time.Time // when the message that is being read began; zero between messages
@@ -273,7 +274,10 @@
 	if c.busy > 1 || !x.last && !x.half() && !c.leaving && !c.side.node.leaving() {
 		return false
 	}
-	c.closed = true
+	c.closed, c.gap = true, lingers
+	if x.half() {
+		c.gap = stall // against closing on a client that still sends its body slowly, which would throw its answer away
+	}
 	return true
 }
 
@@ -441,7 +445,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.leaving && c.busy == 0 {
-		d = lingers
+		d = max(c.gap, lingers)
 	}
 	c.conn.SetReadDeadline(time.Now().Add(d))
 }
@@ -456,7 +460,10 @@
 			return
 		}
 		if until := c.goodbye.Load(); until > 0 { // it has its answer, and may be sending on for a while
-			c.conn.SetReadDeadline(time.Unix(0, min(until, time.Now().Add(lingers).UnixNano())))
+			c.readFor(0)
+			if time.Now().UnixNano() > until {
+				return
+			}
 		}
 	}
 }
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -179,24 +179,12 @@
 
 // answerAt is a process of nobody's that says the same to all.
 func answerAt(t *testing.T, path, text string) {
-	l, err := net.Listen("unix", path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if text == "close" {
-				c.Close()
-				continue
-			}
-			go io.WriteString(c, text)
+	listenAt(t, "unix", path, func(c net.Conn) {
+		if text != "close" {
+			io.WriteString(c, text)
+			io.Copy(io.Discard, c)
 		}
-	}()
+	})
 }
 
 func TestAddressesOfOperatorsAreChecked(t *testing.T) {
--- a/internal/node/helper_test.go
+++ b/internal/node/helper_test.go
@@ -47,7 +47,12 @@
 // listen serves raw connections on an address of its own until the test ends.
 func listen(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", address())
+	return listenAt(t, "tcp", address(), serve)
+}
+
+func listenAt(t *testing.T, network, at string, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen(network, at)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -243,7 +243,8 @@
 		if next == nil {
 			return
 		}
-		// What a damaged file does not say any more is no order to put a server back.
+		// What a damaged file does not say any more is no order to put a server back, nor the end of a drain.
+		next.drained = next.drained || o.now.Load().drained
 		for name, was := range o.now.Load().servers {
 			if _, has := next.servers[name]; !has {
 				next.servers[name] = was
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -332,7 +332,7 @@
 // why tells who is to blame for a body that did not go out whole.
 func (u *upload) why(x *exchange, reading error) error {
 	switch {
-	case x.source.failed != nil && !errors.Is(x.source.failed, errGivenUp):
+	case x.source.failure() != nil && !errors.Is(x.source.failure(), errGivenUp):
 		return errNotHeld // the client's side; the server has done nothing
 	case u.err != nil && !errors.Is(u.err, errGivenUp) && !errors.Is(u.err, os.ErrDeadlineExceeded):
 		return u.err
