Real processes: console in a crowd with 96 descriptors, upgrade while out and drained

Now a process with ulimit -n 96 answers orders and /ready among 1,000 clients and 1,200 callers that say nothing or half a call; a fourth process knows the drain and the server that is out, and ends both. They held at once: nothing in the node had to change. Also a test for the drain that a damaged file must not end.

--- a/cmd/fawnglade/upgrade_test.go
+++ b/cmd/fawnglade/upgrade_test.go
@@ -65,7 +65,7 @@
 	dir := t.TempDir()
 	text := strings.NewReplacer(`"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q`, door.Addr()),
 		`"dial":"127.0.0.1:1"`, fmt.Sprintf(`"dial":%q`, server.Addr())).Replace(config)
-	start := func() (*exec.Cmd, string) {
+	start := func(want int) (*exec.Cmd, string) {
 		free, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -79,10 +79,10 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { c.Process.Kill() })
-		until(t, "ready", func() bool { return call(console, "GET /ready") == 200 })
+		until(t, "ready", func() bool { return call(console, "GET /ready") == want })
 		return c, console
 	}
-	old, console := start()
+	old, console := start(200)
 	if status := call(console, "PUT /servers/disable?target=s-9"); status != 404 {
 		t.Errorf("a server never listed was taken out: %d", status)
 	}
@@ -123,7 +123,7 @@
 	}
 	for range 2 {
 		time.Sleep(200 * time.Millisecond)
-		fresh, at := start()
+		fresh, at := start(200)
 		old.Process.Signal(syscall.SIGTERM)
 		if err := old.Wait(); err != nil {
 			t.Errorf("the old process ended with %v", err)
@@ -139,4 +139,72 @@
 	if call(console, "PUT /servers/disable?target=s-1") != 200 {
 		t.Error("the third process does not know the server")
 	}
+	// An upgrade while the one server is out and the node is drained: the fourth process knows both, and ends both.
+	call(console, "PUT /drain")
+	_, at := start(503)
+	old.Process.Signal(syscall.SIGTERM)
+	old.Wait()
+	task := func(id string) int {
+		return call(door.Addr().String(), "GET /view HTTP/1.1\r\nX-Txn: "+id+"\r\nX-Rest:")
+	}
+	if status := task("out"); status != 503 {
+		t.Errorf("with its server out a task got %d", status)
+	}
+	if call(at, "PUT /undrain") != 200 || call(at, "GET /ready") != 200 {
+		t.Error("not ready after the end of a drain that another process began")
+	}
+	if call(at, "PUT /servers/enable?target=s-1") != 200 {
+		t.Error("not put back")
+	}
+	until(t, "the server put back is in use", func() bool { return task(fmt.Sprint("back", time.Now().UnixNano())) == 200 })
+}
+
+// The console answers while clients hold all their descriptors and a thousand callers say nothing or half a call; the machine
+// gives the process no more descriptors than its configuration says.
+func TestConsoleAnswersInACrowd(t *testing.T) {
+	var addresses [2]string
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses[i] = l.Addr().String()
+		l.Close()
+	}
+	text := strings.NewReplacer(`"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":%q,"console":%q`, addresses[0], addresses[1]),
+		`"sockets":1024`, `"sockets":96`).Replace(config)
+	node := program(t, text, "serve")
+	c := exec.Command("/bin/sh", append([]string{"-c", `ulimit -n 96; exec "$@"`, "sh"}, node.Args...)...)
+	c.Env = append(node.Env, "TMPDIR="+t.TempDir())
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Process.Kill()
+	until(t, "ready", func() bool { return call(addresses[1], "GET /ready") == 200 })
+	for i := range 1200 {
+		held, err := net.Dial("tcp", addresses[i%6/5]) // a thousand clients, two hundred callers, then the others
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer held.Close()
+		if i%2 == 0 {
+			io.WriteString(held, "PUT /drain HT")
+		}
+	}
+	for i := range 2000 {
+		if i%2 == 0 {
+			held, err := net.Dial("tcp", addresses[1])
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer held.Close()
+		}
+		if i%200 == 0 {
+			for _, one := range []string{"PUT /servers/disable?target=s-1", "PUT /servers/enable?target=s-1", "GET /ready"} {
+				if status := call(addresses[1], one); status != 200 {
+					t.Errorf("%s in a crowd, after %d callers: %d", one, i/2, status)
+				}
+			}
+		}
+	}
 }
--- a/internal/node/daily_test.go
+++ b/internal/node/daily_test.go
@@ -241,6 +241,12 @@
 			t.Errorf("%.80q: %d servers out, want %d; counted %d times", text, got, kept, again.count(ordersPassedOver))
 		}
 	}
+	running := newNode(t, func(c *Config) { c.dir, c.Listen = n.config.dir, n.config.Listen })
+	running.orders.set(&standingOrders{drained: true, servers: map[string]out{"s-7": {since: 1}}})
+	os.WriteFile(n.orders.path, []byte(good+"server \"s-0\" 1"), 0o600)
+	if running.orders.look(); !running.orders.drained() || !running.orders.isOut(serverID("s-7")) {
+		t.Error("a file that was damaged meanwhile ends a drain, or puts a server back")
+	}
 	os.Remove(n.orders.path)
 	os.Mkdir(n.orders.path, 0o700)
 	if again := newNode(t, func(c *Config) { c.dir, c.Listen = n.config.dir, n.config.Listen }); again.count(ordersPassedOver) != 1 {
