Which nodes are there: the members' core, ways between nodes, fleets in virtual time

The program does not use any of it yet. Found by the cases: a wait for 'all up' holds at once after a quick restart, so it waits for the start.

--- /dev/null
+++ b/internal/lab/fleet/cases.go
@@ -0,0 +1,302 @@
+package fleet
+
+// This file owns the hard cases of who is there: each is played in virtual time and with processes by the same words. A case must
+// never look at a clock; what it allows is told in rounds.
+
+import (
+	"fmt"
+
+	"fawnglade/internal/lab/links"
+	"fawnglade/internal/members"
+)
+
+// Case is one hard case.
+type Case struct {
+	Name  string
+	Nodes int
+	Play  func(f Fleet) error
+}
+
+const (
+	meet   = 40  // rounds in which nodes that start together all know one another
+	notice = 60  // in which all know of a death
+	rejoin = 80  // in which two halves are one again
+	calm   = 25  // over which something is watched to stay
+	rough  = 160 // where a third of all is lost
+)
+
+// first runs the steps of a case up to the first that fails.
+func first(steps ...func() error) error {
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func startAll(f Fleet) func() error {
+	return func() error {
+		for i := range f.Len() {
+			if err := f.Start(i); err != nil {
+				return err
+			}
+		}
+		_, err := Until(f, meet, "all know one another", Agree(Numbers(0, f.Len()), Each("up")))
+		return err
+	}
+}
+
+func until(f Fleet, rounds int64, what string, holds func([]*members.View) bool) func() error {
+	return func() error { _, err := Until(f, rounds, what, holds); return err }
+}
+
+func hold(f Fleet, rounds int64, what string, holds func([]*members.View) bool) func() error {
+	return func() error { return Hold(f, rounds, what, holds) }
+}
+
+func do(what func()) func() error { return func() error { what(); return nil } }
+
+func cut(a, b []int, oneWay bool) links.Fault {
+	return links.Fault{Trouble: links.Cut, From: Ends(a), To: Ends(b), OneWay: oneWay}
+}
+
+func drop(nodes int, share float64, burst int) links.Fault {
+	all := Ends(Numbers(0, nodes))
+	return links.Fault{Trouble: links.Drop, From: all, To: all, Share: share, Burst: burst, Seed: 7}
+}
+
+// neverSilent tells that nobody of some is taken for silent or gone by any of some.
+func neverSilent(by, of []int) func([]*members.View) bool {
+	return func(views []*members.View) bool {
+		for _, i := range by {
+			if views[i] == nil {
+				continue
+			}
+			for _, k := range of {
+				if s := views[i].Members[k].State; s == "silent" || s == "left" {
+					return false
+				}
+			}
+		}
+		return true
+	}
+}
+
+func sides(a []int) func(int) string {
+	in := map[int]bool{}
+	for _, i := range a {
+		in[i] = true
+	}
+	return func(k int) string {
+		if in[k] {
+			return "up"
+		}
+		return "silent"
+	}
+}
+
+func without(gone ...int) func(int) string {
+	return func(k int) string {
+		for _, g := range gone {
+			if k == g {
+				return "silent"
+			}
+		}
+		return "up"
+	}
+}
+
+// startedAfter tells whether everybody believes a node up that started after a moment of its own clock.
+func startedAfter(views []*members.View, node int, start uint64) bool {
+	for _, v := range views {
+		if v == nil || v.Members[node].Start <= start || v.Members[node].State != "up" {
+			return false
+		}
+	}
+	return true
+}
+
+// Cases are all of them.
+var Cases = []Case{
+	{"half of twelve cut off and back: two views, then one", 12, func(f Fleet) error {
+		a, b := Numbers(0, 6), Numbers(6, 12)
+		return first(startAll(f),
+			do(func() { f.Break(cut(a, b, false)) }),
+			until(f, notice, "the first half sees itself alone", Agree(a, sides(a))),
+			until(f, notice, "the second half sees itself alone", Agree(b, sides(b))),
+			do(f.Mend),
+			until(f, rejoin, "one view again", Agree(Numbers(0, 12), Each("up"))),
+			hold(f, calm, "nobody is lost afterwards", neverSilent(Numbers(0, 12), Numbers(0, 12))))
+	}},
+	{"one of twelve cut off and back: the others take nothing back", 12, func(f Fleet) error {
+		rest := Numbers(1, 12)
+		var before [12]uint64
+		return first(startAll(f),
+			do(func() {
+				for i, v := range f.Views() {
+					before[i] = v.Incarnation
+				}
+				f.Break(cut([]int{0}, rest, false))
+			}),
+			until(f, notice, "the others know", Agree(rest, without(0))),
+			until(f, notice, "it knows that it hears nobody, and says that nothing is known", func(views []*members.View) bool {
+				v := views[0]
+				return v != nil && !v.Figure.Known && v.Figure.Why == "this node hears nobody" && v.Figure.Silent == 11
+			}),
+			do(f.Mend),
+			until(f, rejoin, "one view again", Agree(Numbers(0, 12), Each("up"))),
+			func() error {
+				for i, v := range f.Views() {
+					if i > 0 && v != nil && v.Incarnation > before[i]+1 {
+						return fmt.Errorf("n%d had to take back what the one that was cut off held of it: incarnation %d, before %d", i, v.Incarnation, before[i])
+					}
+				}
+				return nil
+			})
+	}},
+	{"one-way loss: others vouch for who is heard one way only", 6, func(f Fleet) error {
+		all := Numbers(0, 6)
+		return first(startAll(f),
+			do(func() { f.Break(cut([]int{0}, []int{1}, true)) }),
+			hold(f, 2*calm, "nobody is taken for silent", neverSilent(all, all)),
+			do(f.Mend),
+			until(f, rejoin, "one view", Agree(all, Each("up"))))
+	}},
+	{"a node that is heard by nobody, and hears all", 6, func(f Fleet) error {
+		rest := Numbers(1, 6)
+		return first(startAll(f),
+			do(func() { f.Break(cut([]int{0}, rest, true)) }),
+			until(f, notice, "the others take it for silent", Agree(rest, without(0))),
+			do(f.Mend),
+			until(f, rejoin, "one view", Agree(Numbers(0, 6), Each("up"))))
+	}},
+	{"three in ten datagrams lost, in bursts", 12, func(f Fleet) error {
+		all := Numbers(0, 12)
+		return first(startAll(f),
+			do(func() { f.Break(drop(12, 0.3, 4)) }),
+			hold(f, 2*calm, "nobody is taken for silent", neverSilent(all, all)),
+			do(func() { f.Kill(11) }),
+			until(f, rough, "a death is known all the same", Agree(Numbers(0, 11), without(11))),
+			do(f.Mend),
+			until(f, rejoin, "one view", Agree(Numbers(0, 11), without(11))))
+	}},
+	{"a node frozen among well ones sows no doubt when it wakes", 8, func(f Fleet) error {
+		rest, doubts := Numbers(1, 8), int64(0)
+		return first(startAll(f),
+			do(func() { f.Freeze(0) }),
+			until(f, notice, "the others know", Agree(rest, without(0))),
+			do(func() {
+				f.Thaw(0)
+				for _, i := range rest {
+					if v := f.Views()[i]; v != nil {
+						doubts += v.Counts.Refuted
+					}
+				}
+			}),
+			until(f, rejoin, "it is back", Agree(Numbers(0, 8), Each("up"))),
+			hold(f, calm, "nobody is doubted", neverSilent(Numbers(0, 8), rest)),
+			func() error {
+				after := int64(0)
+				for _, i := range rest {
+					if v := f.Views()[i]; v != nil {
+						after += v.Counts.Refuted
+					}
+				}
+				if after > doubts {
+					return fmt.Errorf("the others had to take back %d doubts after it woke", after-doubts)
+				}
+				return nil
+			})
+	}},
+	{"a restart that is faster than anybody notices", 6, func(f Fleet) error {
+		var start uint64
+		return first(startAll(f),
+			do(func() { start = f.Views()[3].Start; f.Kill(3); f.Step() }),
+			func() error { return f.Start(3) },
+			until(f, meet, "all know the new start", func(views []*members.View) bool { return startedAfter(views, 3, start) }),
+			until(f, meet, "the new one knows all", Agree([]int{3}, Each("up"))))
+	}},
+	{"a node that ends in order has left, and is back under a new start", 6, func(f Fleet) error {
+		left := func(k int) string {
+			if k == 2 {
+				return "left"
+			}
+			return "up"
+		}
+		return first(startAll(f),
+			do(func() { f.Stop(2) }),
+			until(f, meet, "the others know that it left", Agree([]int{0, 1, 3, 4, 5}, left)),
+			func() error { return f.Start(2) },
+			until(f, meet, "it is back", Agree(Numbers(0, 6), Each("up"))))
+	}},
+	{"an old copy of a message comes again", 6, func(f Fleet) error {
+		var old []byte
+		var start uint64
+		return first(startAll(f),
+			until(f, meet, "a message to be copied", func([]*members.View) bool { old = f.Copied(2, 1); return old != nil }),
+			do(func() { start = f.Views()[2].Start; f.Kill(2); f.Step() }),
+			func() error { return f.Start(2) },
+			until(f, meet, "all know the new start", func(views []*members.View) bool { return startedAfter(views, 2, start) }),
+			do(func() { f.Throw(1, old) }),
+			hold(f, calm, "the old message changes nothing", Agree([]int{0, 1, 3, 4, 5}, func(k int) string {
+				if k == 2 {
+					return "up"
+				}
+				return ""
+			})),
+			func() error {
+				if v := f.Views()[1]; v == nil || v.Counts.Old == 0 {
+					return fmt.Errorf("the old message was not told from a new one")
+				}
+				return nil
+			})
+	}},
+	{"all started within a moment", 40, func(f Fleet) error {
+		return startAll(f)()
+	}},
+	{"all killed but one", 12, func(f Fleet) error {
+		return first(startAll(f),
+			do(func() {
+				for i := 1; i < 12; i++ {
+					f.Kill(i)
+				}
+			}),
+			until(f, 2*notice, "it holds all others for silent, and the figure for unknown", func(views []*members.View) bool {
+				v := views[0]
+				return v != nil && v.Figure.Silent == 11 && !v.Figure.Known
+			}),
+			func() error {
+				for i := 1; i < 12; i++ {
+					if err := f.Start(i); err != nil {
+						return err
+					}
+				}
+				return nil
+			},
+			until(f, rejoin, "all are back", Agree(Numbers(0, 12), Each("up"))))
+	}},
+	{"messages late, doubled, overtaken and spoilt at once", 8, func(f Fleet) error {
+		all := Ends(Numbers(0, 8))
+		way := func(t links.Trouble, share float64, wait int64) links.Fault {
+			return links.Fault{Trouble: t, From: all, To: all, Share: share, Wait: wait, Seed: 3}
+		}
+		return first(startAll(f),
+			do(func() {
+				f.Break(way(links.Twice, 0.3, 2e9), way(links.Reorder, 0.2, 60e6), way(links.Spoil, 0.1, 0), way(links.Delay, 0, 10e6))
+			}),
+			hold(f, 2*calm, "nobody is taken for silent", neverSilent(Numbers(0, 8), Numbers(0, 8))),
+			func() error {
+				bad := int64(0)
+				for _, v := range f.Views() {
+					if v != nil {
+						bad += v.Counts.Bad + v.Counts.Versions
+					}
+				}
+				if bad == 0 {
+					return fmt.Errorf("no spoilt message was seen")
+				}
+				return nil
+			})
+	}},
+}
