--- a/cmd/fawnglade/main.go
+++ b/cmd/fawnglade/main.go
@@ -22,7 +22,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serve(), check(), version(), migrate(), storeCommands())
+	root.AddCommand(serve(), check(), version(), migrate(), storeCommands(), fleetCommands())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "fawnglade:", err)
 		os.Exit(1)
@@ -33,18 +33,26 @@
 	return c.Flags().String("config", os.Getenv("NODE_CONFIG"), "configuration file; by default the one that NODE_CONFIG names")
 }
 
-func read(path string) (*node.Config, error) {
+func featuresFlag(c *cobra.Command) *string {
+	return c.Flags().String("features", os.Getenv("NODE_FEATURES"), "file of what the node does beyond the platform's protocol, as deploy/features.toml; by default the one that NODE_FEATURES names, if any")
+}
+
+func read(path, features string) (*node.Config, error) {
 	if path == "" {
 		return nil, fmt.Errorf("no configuration: give --config or set NODE_CONFIG")
 	}
-	return node.ReadConfig(path)
+	config, err := node.ReadConfig(path)
+	if err == nil && features != "" {
+		err = config.Features(features)
+	}
+	return config, err
 }
 
 func serve() *cobra.Command {
 	c := &cobra.Command{Use: "serve", Short: "Run one node in the foreground", Args: cobra.NoArgs}
-	path := configFlag(c)
+	path, features := configFlag(c), featuresFlag(c)
 	c.RunE = func(*cobra.Command, []string) error {
-		config, err := read(*path)
+		config, err := read(*path, *features)
 		if err != nil {
 			return err
 		}
@@ -67,9 +75,9 @@
 
 func check() *cobra.Command {
 	c := &cobra.Command{Use: "check", Short: "Check a configuration without starting", Args: cobra.NoArgs}
-	path := configFlag(c)
+	path, features := configFlag(c), featuresFlag(c)
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		config, err := read(*path)
+		config, err := read(*path, *features)
 		if err == nil {
 			fmt.Fprintf(c.OutOrStdout(), "%s: a node named %s on %s\n", *path, config.Name, config.Listen)
 		}
--- /dev/null
+++ b/internal/features/features_test.go
@@ -0,0 +1,59 @@
+package features
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+func TestTheFileThatShips(t *testing.T) {
+	f, err := Read("../../deploy/features.toml", "n0")
+	if err != nil || f.Members == nil || len(f.Members.At) != 3 || f.Members.RoundNs != 500e6 {
+		t.Fatalf("%+v, %v", f, err)
+	}
+}
+
+func TestAllComplaintsAtOnce(t *testing.T) {
+	_, err := Parse("f.toml", "n9", []byte(`
+[members]
+listen = "nowhere"
+round = "1h"
+key = "abc"
+colour = "red"
+[[members.node]]
+name = "n0"
+address = "127.0.0.1:1"
+[[members.node]]
+name = "n0"
+address = "127.0.0.1:1"
+[[members.node]]
+name = ""
+address = "x"
+`))
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{"members.colour", "members.listen", "members.round", "members.key", "members.node.1.name", "members.node.1.address",
+		"members.node.2.name", "members.node.2.address", `"n9", among them`} {
+		if !strings.Contains(err.Error(), "f.toml: "+want) && !strings.Contains(err.Error(), want) {
+			t.Errorf("no word of %s in:\n%v", want, err)
+		}
+	}
+	for _, line := range strings.Split(err.Error(), "\n") {
+		if !strings.Contains(line, "expected") || !strings.Contains(line, "found") {
+			t.Errorf("%q", line)
+		}
+	}
+}
+
+func TestNoToml(t *testing.T) {
+	if _, err := Parse("f.toml", "n0", []byte("[members")); err == nil || !strings.Contains(err.Error(), "line 1") {
+		t.Error(err)
+	}
+	if f, err := Parse("f.toml", "n0", nil); err != nil || f.Members != nil {
+		t.Error("an empty file turns something on", err)
+	}
+	if _, err := Read("no-such-file", "n0"); !os.IsNotExist(err) {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/processes.go
@@ -0,0 +1,327 @@
+package fleet
+
+// This file owns a fleet of real processes of the built program on loopback, with relays between them. It must leave no process
+// and no socket behind, and send to no address outside 127.0.0.0/8.
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"fawnglade/internal/lab/links"
+	"fawnglade/internal/lab/relay"
+	"fawnglade/internal/lab/rig"
+	"fawnglade/internal/members"
+)
+
+// settingsOf is a small deployment whose nodes may talk.
+const settingsOf = `{"discovery":"push","family_info":{},"goal":{"whole":0.5},"group_size":%d,"position":%d,
+"limits":{"cancelling":true,"connect_timeout_us":75000,"idle_close_us":60000000,"max_retry_after_us":1500000,"peer_messages":true,
+"may_duplicate":false,"retry_after":true,"try_limit":3},"profiles":[{"deadline_us":2000000,"name":"view","objective_us":1000000,"repeat":"safe"}],
+"quantum_us":2000,"report":{"fields":["queue"],"how":"inline"},"rules":{"ask_within_us":10000000,"cold_from":0.2,"warm_within_us":20000000},
+"weights":"off","zone":0,"zones":["a"]}`
+
+// Processes is a fleet of real processes.
+type Processes struct {
+	Program  []string      // the node's command, with serve
+	Round    time.Duration // of the members
+	Key      string
+	Settings string    // of every node, with its number of nodes and position to be filled in
+	Log      io.Writer // of all nodes
+
+	dir   string
+	board *relay.Board
+	mesh  *relay.Mesh
+	began time.Time
+	nodes []*process
+	asks  net.Listener // stands for discovery, and tells nothing
+	plain net.Listener // stands for a server, and answers at once
+}
+
+type process struct {
+	fleet  *Processes
+	index  int
+	mu     sync.Mutex
+	lives  []rig.Proc // all that run under this name, the last started last
+	starts int
+	held   bool
+}
+
+var fleets atomic.Int64
+
+// NewProcesses makes a fleet of which nobody runs yet. Close ends it.
+func NewProcesses(program []string, nodes int, round time.Duration, log io.Writer) (p *Processes, err error) {
+	p = &Processes{Program: program, Round: round, Log: log, Settings: settingsOf, began: time.Now()}
+	if p.Log == nil {
+		p.Log = io.Discard
+	}
+	defer func() {
+		if err != nil {
+			p.Close()
+		}
+	}()
+	if p.dir, err = os.MkdirTemp("", "fawnglade-fleet-"); err != nil {
+		return nil, err
+	}
+	if p.asks, err = serve(func(c net.Conn) { io.Copy(io.Discard, c) }); err != nil {
+		return nil, err
+	}
+	if p.plain, err = serve(answer); err != nil {
+		return nil, err
+	}
+	p.board = relay.NewBoard(func() int64 { return int64(time.Since(p.began)) })
+	net := (os.Getpid()*67 + int(fleets.Add(1))) % (120 * 250)
+	var listen []string
+	for i := range nodes {
+		p.nodes = append(p.nodes, &process{fleet: p, index: i})
+		listen = append(listen, fmt.Sprintf("127.%d.%d.%d:7946", 130+net/250, 1+net%250, 1+i))
+	}
+	p.mesh, err = relay.NewMesh(p.board, listen)
+	return p, err
+}
+
+func serve(one func(net.Conn)) (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); one(c) }()
+		}
+	}()
+	return l, nil
+}
+
+// answer answers every task at once.
+func answer(c net.Conn) {
+	for in := bufio.NewReader(c); ; {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Pressure: queue=0\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+			return
+		}
+	}
+}
+
+func (p *Processes) at(node, port int) string {
+	host, _, _ := net.SplitHostPort(p.mesh.Address(node, node))
+	return fmt.Sprintf("%s:%d", host, port)
+}
+
+// Listen is where a node takes tasks; Console where it answers staff.
+func (p *Processes) Listen(node int) string  { return p.at(node, 8443) }
+func (p *Processes) Console(node int) string { return p.at(node, 9443) }
+
+// Features is the text of a node's features file.
+func (p *Processes) Features(node int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[members]\nlisten = %q\nround = %q\nkey = %q\n", p.mesh.Address(node, node), p.Round, p.Key)
+	for k := range p.nodes {
+		fmt.Fprintf(&b, "[[members.node]]\nname = \"n%d\"\naddress = %q\n", k, p.mesh.Address(node, k))
+	}
+	return b.String()
+}
+
+func (p *Processes) Len() int { return len(p.nodes) }
+
+// Start begins a process. A second one of a name takes tasks at an address of its own, and shares the socket for datagrams, as
+// two processes do that were started by mistake.
+func (p *Processes) Start(node int) error {
+	n := p.nodes[node]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reap()
+	n.starts++
+	listen, console := p.Listen(node), p.Console(node)
+	if len(n.lives) > 0 {
+		listen, console = p.at(node, 8443+n.starts), p.at(node, 9443+n.starts)
+	}
+	known := fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"s0","dial":%q,"site":"a","class":"m","block":0,"health":"up","share":1.0,"born_ms":0}]}`, p.plain.Addr())
+	config := fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"console":%q,"seed":"%x","news":{"listen":"127.0.0.1:0"},"known":%s,"settings":%s}`,
+		node, listen, p.asks.Addr(), console, node+1, known, fmt.Sprintf(p.Settings, len(p.nodes), node))
+	base := filepath.Join(p.dir, fmt.Sprintf("n%d-%d", node, n.starts))
+	tmp := base + ".tmp"
+	for path, text := range map[string]string{base + ".json": config, base + ".toml": p.Features(node)} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(tmp, 0o700); err != nil {
+		return err
+	}
+	proc, err := rig.Command(p.Program)("", []string{"NODE_CONFIG=" + base + ".json", "NODE_FEATURES=" + base + ".toml", "TMPDIR=" + tmp, "NODE_CONSOLE="}, p.Log)
+	if err == nil {
+		n.lives, n.held = append(n.lives, proc), false
+	}
+	return err
+}
+
+// reap forgets processes that have ended; the lock is held.
+func (n *process) reap() {
+	kept := n.lives[:0]
+	for _, l := range n.lives {
+		select {
+		case <-l.Done():
+		default:
+			kept = append(kept, l)
+		}
+	}
+	n.lives = kept
+}
+
+func (p *Processes) signal(node int, s syscall.Signal, wait bool) {
+	n := p.nodes[node]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.lives {
+		l.Signal(s)
+		if wait {
+			<-l.Done()
+		}
+	}
+	n.reap()
+}
+
+func (p *Processes) Kill(node int) { p.signal(node, syscall.SIGKILL, true) }
+func (p *Processes) Stop(node int) { p.signal(node, syscall.SIGTERM, true) }
+
+func (p *Processes) Freeze(node int) {
+	p.signal(node, syscall.SIGSTOP, false)
+	p.nodes[node].held = true
+}
+
+func (p *Processes) Thaw(node int) {
+	p.signal(node, syscall.SIGCONT, false)
+	p.nodes[node].held = false
+}
+
+func (p *Processes) Break(faults ...links.Fault) {
+	p.board.Set(links.New(from(int64(time.Since(p.began)), faults)))
+}
+
+func (p *Processes) Mend() { p.board.Set(links.New(nil)) }
+
+func (p *Processes) Step() { time.Sleep(p.Round / 5) }
+
+func (p *Processes) Throw(to int, datagram []byte) { p.mesh.Throw((to+1)%len(p.nodes), to, datagram) }
+
+func (p *Processes) Copied(from, to int) []byte { return p.mesh.Copied(from, to) }
+
+// PID of a node's newest process; 0 without one.
+func (p *Processes) PID(node int) int {
+	n := p.nodes[node]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.lives) == 0 {
+		return 0
+	}
+	return n.lives[len(n.lives)-1].PID()
+}
+
+const askWithin = 2 * time.Second
+
+// Ask calls a node's console, or its listener, once.
+func Ask(address, method, path string) (status int, text []byte, err error) {
+	c, err := net.DialTimeout("tcp", address, askWithin)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(askWithin))
+	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n", method, path); err != nil {
+		return 0, nil, err
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer r.Body.Close()
+	text, err = io.ReadAll(r.Body)
+	return r.StatusCode, text, err
+}
+
+// Views asks all consoles at once.
+func (p *Processes) Views() []*members.View {
+	out := make([]*members.View, len(p.nodes))
+	var all sync.WaitGroup
+	for i, n := range p.nodes {
+		n.mu.Lock()
+		n.reap()
+		runs := len(n.lives) > 0 && !n.held
+		n.mu.Unlock()
+		if !runs {
+			continue
+		}
+		all.Go(func() {
+			var v members.View
+			if status, text, err := Ask(p.Console(i), "GET", "/members"); err == nil && status == 200 && json.Unmarshal(text, &v) == nil {
+				out[i] = &v
+			}
+		})
+	}
+	all.Wait()
+	return out
+}
+
+// Task has a node do one task, and tells how it was answered.
+func (p *Processes) Task(node, number int) error {
+	c, err := net.DialTimeout("tcp", p.Listen(node), askWithin)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(askWithin))
+	fmt.Fprintf(c, "GET /view HTTP/1.1\r\nHost: lab\r\nX-Txn: %016x\r\nX-Lane: view\r\nX-Remaining-Ms: 2000\r\n\r\n", number)
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return fmt.Errorf("answered %d", r.StatusCode)
+	}
+	return nil
+}
+
+// Close ends all processes and sockets.
+func (p *Processes) Close() error {
+	for i := range p.nodes {
+		p.Kill(i)
+	}
+	if p.mesh != nil {
+		p.mesh.Close()
+	}
+	if p.board != nil {
+		p.board.Close()
+	}
+	for _, l := range []net.Listener{p.asks, p.plain} {
+		if l != nil {
+			l.Close()
+		}
+	}
+	if p.dir == "" {
+		return errors.New("no fleet")
+	}
+	return os.RemoveAll(p.dir)
+}
+
+var _ Fleet = (*Processes)(nil)
--- /dev/null
+++ b/internal/lab/fleet/processes_test.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fawnglade/internal/members"
+)
+
+// program is the node, built once for all tests.
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "fawnglade-built-")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "fawnglade")
+	if out, err := exec.Command("go", "build", "-o", path, "fawnglade/cmd/fawnglade").CombinedOutput(); err != nil {
+		return string(out), err
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if path, err := program(); err == nil {
+		os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(code)
+}
+
+const round = 100 * time.Millisecond
+
+func processes(t *testing.T, nodes int) *Processes {
+	t.Helper()
+	path, err := program()
+	if err != nil {
+		t.Fatal(path, err)
+	}
+	log := &lockedLog{}
+	p, err := NewProcesses([]string{path, "serve"}, nodes, round, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		p.Close()
+		if strings.Contains(log.String(), "panic stopped") || t.Failed() {
+			t.Error("logs of the nodes: ", log.String())
+		}
+	})
+	return p
+}
+
+type lockedLog struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lockedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()[max(0, l.b.Len()-4000):]
+}
+
+func TestCasesWithProcesses(t *testing.T) {
+	for _, c := range Cases {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			if err := c.Play(processes(t, c.Nodes)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// TestTheSameNameTwice starts a second process of a node by mistake: it shows, one of the two keeps the name, and the others lose
+// nobody.
+func TestTheSameNameTwice(t *testing.T) {
+	p := processes(t, 5)
+	if err := startAll(p)(); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(2); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Until(p, 3*meet, "somebody says that a name is there twice", func(views []*members.View) bool {
+		for _, v := range views {
+			if v != nil && (v.Twice || v.Members[2].Twice) {
+				return true
+			}
+		}
+		return false
+	})
+	if err != nil {
+		t.Error(err)
+	}
+	if err := Hold(p, calm, "the others lose nobody", neverSilent([]int{0, 1, 3, 4}, []int{0, 1, 3, 4})); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestAPeerThatSendsNonsense has ten thousand datagrams a second come to one node, of all lengths and some that begin well: tasks are
+// answered as before, and nobody is taken for silent.
+func TestAPeerThatSendsNonsense(t *testing.T) {
+	p := processes(t, 4)
+	if err := startAll(p)(); err != nil {
+		t.Fatal(err)
+	}
+	begin := map[int64]int64{}
+	for i, v := range p.Views() {
+		begin[int64(i)] = v.Counts.Bad + v.Counts.Versions
+	}
+	to, err := net.Dial("udp", p.mesh.Address(0, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer to.Close()
+	over, done := make(chan struct{}), make(chan int)
+	go func() {
+		draw, sent := rand.New(rand.NewPCG(1, 1)), 0
+		buffer := make([]byte, 1400)
+		for k := range buffer {
+			buffer[k] = byte(draw.Uint32())
+		}
+		tick := time.NewTicker(time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-over:
+				done <- sent
+				return
+			case <-tick.C:
+			}
+			for range 10 {
+				buffer[0] = byte(1 + sent%4)
+				to.Write(buffer[:draw.IntN(len(buffer))])
+				sent++
+			}
+		}
+	}()
+	for n := range 200 {
+		if err := p.Task(0, n); err != nil {
+			t.Errorf("task %d: %v", n, err)
+			break
+		}
+	}
+	err = Hold(p, 2*calm, "nobody is taken for silent", neverSilent(Numbers(0, 4), Numbers(0, 4)))
+	close(over)
+	if sent := <-done; err != nil {
+		t.Error(err)
+	} else if v := p.Views()[0]; v == nil || v.Counts.Bad+v.Counts.Versions == begin[0] {
+		t.Errorf("of %d datagrams of nonsense none was counted", sent)
+	}
+}
+
+// TestOffWithoutLeave has a features file where the settings do not allow messages: nothing listens, nothing is sent, nobody can ask.
+func TestOffWithoutLeave(t *testing.T) {
+	p := processes(t, 2)
+	refused := strings.Replace(settingsOf, `"peer_messages":true`, `"peer_messages":false`, 1)
+	p.Settings = refused
+	if err := p.Start(0); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		status, _, err := Ask(p.Console(0), "GET", "/ready")
+		if err == nil && status == 200 {
+			break
+		}
+		p.Step()
+	}
+	if status, _, err := Ask(p.Console(0), "GET", "/members"); err != nil || status != 404 {
+		t.Errorf("asked for members: %d, %v", status, err)
+	}
+	l, err := net.ListenPacket("udp", p.mesh.Address(0, 0))
+	if err != nil {
+		t.Fatal("the address is taken: ", err)
+	}
+	l.Close()
+}
--- /dev/null
+++ b/internal/lab/relay/board.go
@@ -0,0 +1,63 @@
+// Package relay owns relays on loopback: what passes between two parts of a day goes through one and meets there what the schedule
+// of package links has for it. It must never send to any address but those that it was given, nor decide what befalls a message.
+package relay
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fawnglade/internal/lab/links"
+)
+
+// Board is what is wrong with the ways now, for all relays of a day.
+type Board struct {
+	now      func() int64
+	schedule atomic.Pointer[links.Schedule]
+
+	mu      sync.Mutex
+	streams []*Stream
+	over    chan struct{}
+	ended   sync.Once
+}
+
+const lookEvery = 5 * time.Millisecond
+
+// NewBoard makes a board on which nothing is wrong. now is nanoseconds of the day.
+func NewBoard(now func() int64) *Board {
+	b := &Board{now: now, over: make(chan struct{})}
+	b.schedule.Store(links.New(nil))
+	go b.look()
+	return b
+}
+
+// Set puts a schedule in force.
+func (b *Board) Set(s *links.Schedule) { b.schedule.Store(s) }
+
+// Close ends the watching of streams.
+func (b *Board) Close() { b.ended.Do(func() { close(b.over) }) }
+
+func (b *Board) add(s *Stream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.streams = append(b.streams, s)
+}
+
+// look has streams notice that a way is cut, or mended.
+func (b *Board) look() {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-b.over:
+			return
+		case <-tick.C:
+		}
+		now, s := b.now(), b.schedule.Load()
+		b.mu.Lock()
+		for _, one := range b.streams {
+			one.follow(s, now)
+		}
+		b.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/lab/relay/mesh.go
@@ -0,0 +1,162 @@
+package relay
+
+// This file owns relays of single messages between nodes: for each two nodes a socket on which the one reaches the other, from which
+// also comes what that other sends, so that each sees the other at one address. It must never keep more than mostLate messages.
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fawnglade/internal/lab/links"
+)
+
+const (
+	mostLate   = 1 << 16 // messages on their way
+	mostBehind = int64(time.Second)
+	longest    = 2048
+)
+
+// Mesh joins nodes by messages.
+type Mesh struct {
+	board   *Board
+	real    []netip.AddrPort // where nodes listen
+	sockets [][]*net.UDPConn // [i][j]: where i reaches j
+	numbers [][]atomic.Uint64
+	busy    [][]atomic.Int64 // a narrow way is taken until then
+	late    atomic.Int64
+
+	mu     sync.Mutex
+	copied map[[2]int][]byte
+}
+
+// NewMesh opens the relays between nodes that listen at some addresses.
+func NewMesh(board *Board, listen []string) (*Mesh, error) {
+	n := len(listen)
+	m := &Mesh{board: board, copied: map[[2]int][]byte{}, numbers: make([][]atomic.Uint64, n), busy: make([][]atomic.Int64, n)}
+	for i, at := range listen {
+		real, err := netip.ParseAddrPort(at)
+		if err != nil {
+			return nil, err
+		}
+		m.real = append(m.real, real)
+		m.numbers[i], m.busy[i] = make([]atomic.Uint64, n), make([]atomic.Int64, n)
+		m.sockets = append(m.sockets, make([]*net.UDPConn, n))
+	}
+	for i := range n {
+		for j := range n {
+			if i == j {
+				continue
+			}
+			s, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			if err != nil {
+				m.Close()
+				return nil, err
+			}
+			m.sockets[i][j] = s
+		}
+	}
+	for i := range n {
+		for j := range n {
+			if i != j {
+				go m.carry(i, j)
+			}
+		}
+	}
+	return m, nil
+}
+
+// Address is where one node reaches another; its own for itself.
+func (m *Mesh) Address(from, to int) string {
+	if from == to {
+		return m.real[to].String()
+	}
+	return m.sockets[from][to].LocalAddr().String()
+}
+
+// Close ends all.
+func (m *Mesh) Close() {
+	for _, row := range m.sockets {
+		for _, s := range row {
+			if s != nil {
+				s.Close()
+			}
+		}
+	}
+}
+
+func (m *Mesh) carry(from, to int) {
+	buffer := make([]byte, longest)
+	for {
+		length, _, err := m.sockets[from][to].ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		m.pass(from, to, append([]byte(nil), buffer[:length]...))
+	}
+}
+
+func (m *Mesh) pass(from, to int, datagram []byte) {
+	number := m.numbers[from][to].Add(1)
+	if number == 1 {
+		m.mu.Lock()
+		m.copied[[2]int{from, to}] = datagram
+		m.mu.Unlock()
+	}
+	now := m.board.now()
+	v := m.board.schedule.Load().Pass(now, links.End{Index: from}, links.End{Index: to}, number, len(datagram))
+	if v.Lost {
+		return
+	}
+	if v.Spoilt >= 0 {
+		datagram = append([]byte(nil), datagram...)
+		datagram[v.Spoilt] ^= 0x55
+	}
+	if v.Rate > 0 {
+		ready := max(m.busy[from][to].Load(), now) + int64(float64(len(datagram))/v.Rate*1e9)
+		if ready-now > mostBehind {
+			return // the queue before a narrow way is full
+		}
+		m.busy[from][to].Store(ready)
+		v.After += ready - now
+	}
+	m.later(v.After, func() { m.deliver(from, to, datagram) })
+	if v.Again > 0 {
+		m.later(v.After+v.Again, func() { m.deliver(from, to, datagram) })
+	}
+}
+
+func (m *Mesh) later(after int64, do func()) {
+	if after <= 0 {
+		do()
+		return
+	}
+	if m.late.Add(1) > mostLate {
+		m.late.Add(-1)
+		return
+	}
+	time.AfterFunc(time.Duration(after), func() {
+		m.late.Add(-1)
+		do()
+	})
+}
+
+func (m *Mesh) deliver(from, to int, datagram []byte) {
+	m.sockets[to][from].WriteToUDPAddrPort(datagram, m.real[to])
+}
+
+// Throw has a message come to a node, as from another if that is one.
+func (m *Mesh) Throw(from, to int, datagram []byte) { m.deliver(from, to, datagram) }
+
+// Copied is the first message that went from one node to another; nil if none did.
+func (m *Mesh) Copied(from, to int) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.copied[[2]int{from, to}]
+}
--- /dev/null
+++ b/internal/lab/relay/relay_test.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"fawnglade/internal/lab/links"
+)
+
+// echo serves connections that get back what they send.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { io.Copy(c, c); c.Close() }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+var (
+	node   = links.End{Kind: links.Node, Index: 0}
+	server = links.End{Kind: links.Server, Index: 0}
+)
+
+func fault(t links.Trouble) links.Fault {
+	return links.Fault{Trouble: t, From: []links.End{node}, To: []links.End{server}, Begin: 0, End: 1 << 62, Seed: 1}
+}
+
+func set(b *Board, s *Stream, want state, faults ...links.Fault) {
+	b.Set(links.New(faults))
+	for {
+		s.mu.Lock()
+		is := s.state
+		s.mu.Unlock()
+		if is == want {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func ask(c net.Conn, wait time.Duration) error {
+	if _, err := c.Write([]byte("hello")); err != nil {
+		return err
+	}
+	c.SetReadDeadline(time.Now().Add(wait))
+	got := make([]byte, 5)
+	_, err := io.ReadFull(c, got)
+	if err == nil && !bytes.Equal(got, []byte("hello")) {
+		return errors.New("changed on the way")
+	}
+	return err
+}
+
+func TestAStreamIsCutMendedAndRefused(t *testing.T) {
+	begin := time.Now()
+	b := NewBoard(func() int64 { return int64(time.Since(begin)) })
+	defer b.Close()
+	s, err := NewStream(b, "127.0.0.1:0", node, server, func() string { return at })
+	if at = echo(t); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ask(c, 5*time.Second); err != nil {
+		t.Fatal("whole: ", err)
+	}
+	for _, oneWay := range []bool{false, true} {
+		if c, err = net.Dial("tcp", s.Address()); err != nil {
+			t.Fatal(err)
+		}
+		ask(c, 5*time.Second)
+		f := fault(links.Cut)
+		f.OneWay = oneWay
+		set(b, s, cut, f)
+		if err := ask(c, 100*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Error("cut: expected silence, got ", err)
+		}
+		if _, err := net.DialTimeout("tcp", s.Address(), 50*time.Millisecond); err == nil {
+			t.Error("cut: a new connection came up")
+		}
+		set(b, s, whole)
+		if err := ask(c, 5*time.Second); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Error("mended: expected a reset of what was held up, got ", err)
+		}
+	}
+	f := fault(links.Cut)
+	f.How = "refused"
+	set(b, s, refusing, f)
+	if _, err := net.DialTimeout("tcp", s.Address(), time.Second); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("refused: ", err)
+	}
+}
+
+var at string
+
+// TestAStreamKeepsItsBytes has loss, delay and a narrow way at once: all comes, in order.
+func TestAStreamKeepsItsBytes(t *testing.T) {
+	begin := time.Now()
+	b := NewBoard(func() int64 { return int64(time.Since(begin)) })
+	defer b.Close()
+	to := echo(t)
+	s, err := NewStream(b, "127.0.0.1:0", node, server, func() string { return to })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	lossy, late, narrow := fault(links.Drop), fault(links.Delay), fault(links.Narrow)
+	lossy.Share, late.How, late.Wait, narrow.Rate = 0.1, "drawn", 1e6, 4e6
+	b.Set(links.New([]links.Fault{lossy, late, narrow}))
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 8<<10)
+	go func() {
+		for rest := sent; len(rest) > 0; rest = rest[min(4096, len(rest)):] {
+			c.Write(rest[:min(4096, len(rest))])
+		}
+		c.(*net.TCPConn).CloseWrite()
+	}()
+	if got, err := io.ReadAll(c); err != nil || !bytes.Equal(got, sent) {
+		t.Errorf("%d bytes of %d, %v", len(got), len(sent), err)
+	}
+}
--- /dev/null
+++ b/internal/lab/relay/stream.go
@@ -0,0 +1,306 @@
+package relay
+
+// This file owns relays of streams: connections of one part of a day to another. Where a way is cut, what is open stays open and
+// silent, nobody gets through anew, and what was held up is reset once the way is mended. A lost piece is a late one, as the
+// systems at both ends send it again. It must never change a byte or deliver pieces out of order.
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"fawnglade/internal/lab/links"
+)
+
+const (
+	sentAgain   = int64(200 * time.Millisecond) // after a loss
+	piece       = 16 << 10
+	mostPieces  = 64 // on their way in one direction of a connection
+	reachWithin = time.Second
+)
+
+// Stream is one relay: connections from one end to another.
+type Stream struct {
+	board    *Board
+	from, to links.End
+	address  string
+	target   func() string
+
+	mu       sync.Mutex
+	listener net.Listener
+	plugs    []net.Conn
+	open     map[*joint]struct{}
+	state    state
+	closed   bool
+}
+
+type state uint8
+
+const (
+	whole state = iota
+	cut
+	refusing
+)
+
+// joint is one connection through a relay.
+type joint struct {
+	here, there net.Conn
+	numbers     [2]atomic.Uint64
+}
+
+// NewStream opens a relay at an address with port 0, or a port of its own. target is asked with each connection.
+func NewStream(board *Board, address string, from, to links.End, target func() string) (*Stream, error) {
+	s := &Stream{board: board, from: from, to: to, address: address, target: target, open: map[*joint]struct{}{}}
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	board.add(s)
+	return s, nil
+}
+
+// Address is where the relay takes connections.
+func (s *Stream) Address() string { return s.address }
+
+func (s *Stream) listen() error {
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.listener, s.address = l, l.Addr().String()
+	go s.accept(l)
+	return nil
+}
+
+func (s *Stream) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go s.join(c)
+	}
+}
+
+// join opens the way on, and carries both directions until either end is gone.
+func (s *Stream) join(here net.Conn) {
+	there, err := net.DialTimeout("tcp", s.target(), reachWithin)
+	if err != nil {
+		Reset(here)
+		return
+	}
+	j := &joint{here: here, there: there}
+	s.mu.Lock()
+	if s.closed || s.state != whole {
+		s.mu.Unlock()
+		Reset(here)
+		Reset(there)
+		return
+	}
+	s.open[j] = struct{}{}
+	s.mu.Unlock()
+	var both sync.WaitGroup
+	both.Add(2)
+	go func() { defer both.Done(); s.carry(j, 0, here, there) }()
+	go func() { defer both.Done(); s.carry(j, 1, there, here) }()
+	both.Wait()
+	here.Close()
+	there.Close()
+	s.mu.Lock()
+	delete(s.open, j)
+	s.mu.Unlock()
+}
+
+type chunk struct {
+	at   int64
+	data []byte
+	err  error
+}
+
+// carry brings one direction over, each piece when it is due and in order.
+func (s *Stream) carry(j *joint, direction int, in, out net.Conn) {
+	from, to := s.from, s.to
+	if direction == 1 {
+		from, to = to, from
+	}
+	way := make(chan chunk, mostPieces)
+	var held atomic.Bool // what came can't go on
+	go func() {
+		defer close(way)
+		last := int64(0)
+		for {
+			data := make([]byte, piece)
+			n, err := in.Read(data)
+			now := s.board.now()
+			v := s.board.schedule.Load().Pass(now, from, to, j.numbers[direction].Add(1), n)
+			if v.Lost && !s.board.schedule.Load().Open(now, from, to) {
+				held.Store(true)
+				return // it is reset when the way is mended
+			}
+			if v.Lost {
+				v.After += sentAgain
+			}
+			at := max(last, now+v.After)
+			if v.Rate > 0 {
+				at = max(last, now) + v.After + int64(float64(n)/v.Rate*1e9)
+			}
+			last = at
+			select {
+			case way <- chunk{at, data[:n], err}:
+			case <-s.board.over:
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for c := range way {
+		if wait := c.at - s.board.now(); wait > 0 {
+			select {
+			case <-time.After(time.Duration(wait)):
+			case <-s.board.over:
+				return
+			}
+		}
+		if len(c.data) > 0 {
+			if _, err := out.Write(c.data); err != nil {
+				in.Close()
+				return
+			}
+		}
+		if c.err != nil {
+			if t, ok := out.(*net.TCPConn); ok && errors.Is(c.err, io.EOF) {
+				t.CloseWrite()
+			} else {
+				Reset(out)
+			}
+			return
+		}
+	}
+	// Held up: nothing more comes this way, and the other end sees nothing until the way is mended.
+	for held.Load() {
+		if s.board.schedule.Load().Open(s.board.now(), from, to) || s.ended() {
+			Reset(j.here)
+			Reset(j.there)
+			return
+		}
+		select {
+		case <-time.After(lookEvery):
+		case <-s.board.over:
+			return
+		}
+	}
+}
+
+func (s *Stream) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// follow notices what the schedule says of this way now.
+func (s *Stream) follow(schedule *links.Schedule, now int64) {
+	want := whole
+	for _, way := range [][2]links.End{{s.from, s.to}, {s.to, s.from}} {
+		if !schedule.Open(now, way[0], way[1]) {
+			want = max(want, cut)
+			if schedule.Pass(now, way[0], way[1], 0, 0).Refused {
+				want = refusing
+			}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if want == s.state || s.closed {
+		return
+	}
+	s.shut()
+	s.state = want
+	switch want {
+	case whole:
+		s.listen()
+	case cut:
+		s.listener, s.plugs, _ = ListenFull(s.address)
+	case refusing:
+		for j := range s.open {
+			Reset(j.here)
+			Reset(j.there)
+		}
+	}
+}
+
+// shut closes the door; the lock is held.
+func (s *Stream) shut() {
+	if s.listener != nil {
+		s.listener.Close()
+		s.listener = nil
+	}
+	for _, p := range s.plugs {
+		p.Close()
+	}
+	s.plugs = nil
+}
+
+// Close ends the relay and all that goes through it.
+func (s *Stream) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.shut()
+	for j := range s.open {
+		j.here.Close()
+		j.there.Close()
+	}
+}
+
+// Reset ends a connection at once, as a process that dies does.
+func Reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
+
+// ListenFull listens with a queue that is full, so that the system drops whoever knocks: an address that nobody gets through to.
+func ListenFull(address string) (net.Listener, []net.Conn, error) {
+	a, err := net.ResolveTCPAddr("tcp4", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return nil, nil, err
+	}
+	to := &syscall.SockaddrInet4{Port: a.Port}
+	copy(to.Addr[:], a.IP.To4())
+	if err := syscall.Bind(fd, to); err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", address, err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		return nil, nil, err
+	}
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, nil, err
+	}
+	var plugs []net.Conn
+	for range 8 {
+		c, err := net.DialTimeout("tcp", address, 5*time.Millisecond)
+		if err != nil {
+			break
+		}
+		plugs = append(plugs, c)
+	}
+	return l, plugs, nil
+}
--- a/internal/lab/rig/machine.go
+++ b/internal/lab/rig/machine.go
@@ -15,12 +15,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"fawnglade/internal/lab/ledger"
 	"fawnglade/internal/lab/model"
 	"fawnglade/internal/lab/plan"
+	"fawnglade/internal/lab/relay"
 	"fawnglade/internal/lab/scenario"
 )
 
@@ -305,18 +305,11 @@
 	}
 	d.cut.Store(true)
 	d.listener.Close()
-	l, err := listenFull(d.address)
+	l, plugs, err := relay.ListenFull(d.address)
 	if err != nil {
 		return fmt.Errorf("cutting off %s: %w", d.address, err)
 	}
-	d.listener = l
-	for range 8 {
-		c, err := net.DialTimeout("tcp", d.address, 5*time.Millisecond)
-		if err != nil {
-			break
-		}
-		d.plugs = append(d.plugs, c)
-	}
+	d.listener, d.plugs = l, plugs
 	return nil
 }
 
@@ -329,32 +322,6 @@
 	return d.open()
 }
 
-// listenFull listens with the shortest queue there is.
-func listenFull(address string) (net.Listener, error) {
-	a, err := net.ResolveTCPAddr("tcp4", address)
-	if err != nil {
-		return nil, err
-	}
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return nil, err
-	}
-	f := os.NewFile(uintptr(fd), "listener")
-	defer f.Close()
-	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
-		return nil, err
-	}
-	to := &syscall.SockaddrInet4{Port: a.Port}
-	copy(to.Addr[:], a.IP.To4())
-	if err := syscall.Bind(fd, to); err != nil {
-		return nil, err
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		return nil, err
-	}
-	return net.FileListener(f)
-}
-
 // serve reads hand-offs from a connection until it ends. It reads on while one is out, as that is how a node's giving
 // up shows.
 func (k *link) serve() {
--- a/internal/lab/rig/wire.go
+++ b/internal/lab/rig/wire.go
@@ -10,6 +10,8 @@
 	"net"
 	"strconv"
 	"syscall"
+
+	"fawnglade/internal/lab/relay"
 )
 
 const (
@@ -253,9 +255,4 @@
 }
 
 // reset ends a connection so that the other side sees it broken rather than closed.
-func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		t.SetLinger(0)
-	}
-	c.Close()
-}
+func reset(c net.Conn) { relay.Reset(c) }
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -226,7 +226,7 @@
 func (s *console) call(r *http.Request) callReply {
 	method, known := consoleMethods[r.URL.Path]
 	switch {
-	case !known:
+	case !known || r.URL.Path == pathMembers && s.node.members == nil:
 		return callReply{status: http.StatusNotFound, text: "no such call"}
 	case r.Method != method:
 		return callReply{status: http.StatusMethodNotAllowed, text: "expected " + method, allow: method}
@@ -237,6 +237,13 @@
 		}
 		return callReply{status: http.StatusOK, text: "ready"}
 	}
+	if r.URL.Path == pathMembers {
+		text, err := s.node.members.text()
+		if err != nil {
+			return callReply{status: http.StatusServiceUnavailable, text: err.Error()}
+		}
+		return callReply{status: http.StatusOK, text: text}
+	}
 	var change func(*standingOrders) string
 	switch r.URL.Path {
 	case pathDrain:
--- /dev/null
+++ b/internal/node/members.go
@@ -0,0 +1,183 @@
+package node
+
+// This file owns the shell of the members' view: its socket, its beats and the asking from outside. What is believed is
+// internal/members'. It must never hold up a task: it has goroutines of its own, drops what comes too fast, and costs a view, never
+// service, when it fails.
+
+import (
+	crand "crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fawnglade/internal/features"
+	"fawnglade/internal/members"
+)
+
+const (
+	mostUnheard   = 512 // datagrams that wait to be taken in
+	mostAtATime   = 2000
+	readingSpan   = 100 * time.Millisecond // no more than mostAtATime are read in it
+	longestAsking = 500 * time.Millisecond
+)
+
+var errNoView = errors.New("no view: members are off, or have ended")
+
+// membership is nil where nodes may not talk, or no file says how.
+type membership struct {
+	node   *Node
+	set    *features.Members
+	core   *members.Members // of run alone
+	socket *net.UDPConn
+	heard  chan []byte
+	asked  chan func()
+	over   chan struct{}
+	ended  sync.Once
+}
+
+// newMembership binds the socket. A file alone turns nothing on: the platform's settings must allow messages.
+func newMembership(n *Node) (*membership, error) {
+	f := n.config.features
+	if f == nil || f.Members == nil {
+		return nil, nil
+	}
+	if !n.settings.Policy.MayTell {
+		n.log.Warn("members are off, as limits.peer_messages is not true in the settings")
+		return nil, nil
+	}
+	socket, err := listenNews(f.Members.Bind.String())
+	if err != nil {
+		return nil, err
+	}
+	return &membership{node: n, set: f.Members, socket: socket, heard: make(chan []byte, mostUnheard), asked: make(chan func()), over: make(chan struct{})}, nil
+}
+
+// Send writes a datagram; what the system does not take is lost, as on the way.
+func (s *membership) Send(to int, datagram []byte) {
+	s.socket.WriteToUDPAddrPort(datagram, s.set.At[to])
+}
+
+// run holds the view until the process ends, or another has taken over from it.
+func (s *membership) run() {
+	defer s.end()
+	var drawn [12]byte
+	crand.Read(drawn[:])
+	set := members.Settings{Name: s.node.config.Name, Key: s.set.KeyBytes, Round: s.set.RoundNs, Seed: binary.LittleEndian.Uint64(drawn[:]),
+		Run: binary.LittleEndian.Uint32(drawn[8:])}
+	for _, n := range s.set.Nodes {
+		set.Peers = append(set.Peers, n.Name)
+	}
+	var err error
+	if s.core, err = members.New(set, s, s.node.clock.now()); err != nil {
+		s.node.log.Error("members are off", zap.Error(err))
+		return
+	}
+	go s.read()
+	beats := time.NewTicker(time.Duration(s.set.RoundNs / 10))
+	defer beats.Stop()
+	for {
+		select {
+		case <-s.over:
+			return
+		case <-beats.C:
+			if s.node.handover.hasYielded() {
+				return // the other process has the name now, and the address
+			}
+			s.step(func() { s.core.Beat(s.node.clock.now()) })
+		case datagram := <-s.heard:
+			s.step(func() { s.core.Heard(s.node.clock.now(), datagram) })
+		case ask := <-s.asked:
+			s.step(ask)
+		}
+	}
+}
+
+// step keeps a panic in the view from ending the process.
+func (s *membership) step(do func()) {
+	defer s.node.caught("members", func() {})
+	do()
+}
+
+// read takes datagrams from the socket, a bounded number in a time: a peer gone wild costs a part of a core, never the service.
+func (s *membership) read() {
+	buffer := make([]byte, members.Most)
+	count, since := 0, time.Now()
+	for {
+		length, _, err := s.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if count++; count >= mostAtATime {
+			if left := readingSpan - time.Since(since); left > 0 {
+				time.Sleep(left)
+			}
+			count, since = 0, time.Now()
+		}
+		if err != nil {
+			continue
+		}
+		select {
+		case s.heard <- append([]byte(nil), buffer[:length]...):
+		default: // the view has its hands full; loss is what it is made for
+		}
+	}
+}
+
+// ask has the view looked at between two of its steps.
+func (s *membership) ask(what func(m *members.Members, now int64)) error {
+	if s == nil {
+		return errNoView
+	}
+	done := make(chan struct{})
+	select {
+	case s.asked <- func() { defer close(done); what(s.core, s.node.clock.now()) }:
+		<-done
+		return nil
+	case <-s.over:
+		return errNoView
+	case <-time.After(longestAsking):
+		return errors.New("the view does not answer")
+	}
+}
+
+// figure is how many nodes there are and which part of them this one hears; not known where there is no view.
+func (s *membership) figure() members.Figure {
+	f := members.Figure{Why: errNoView.Error()}
+	if err := s.ask(func(m *members.Members, now int64) { f = m.Figure(now) }); err != nil {
+		f.Why = err.Error()
+	}
+	return f
+}
+
+// text is the whole view for who asks.
+func (s *membership) text() (string, error) {
+	var v members.View
+	if err := s.ask(func(m *members.Members, now int64) { v = m.View(now) }); err != nil {
+		return "", err
+	}
+	text, err := json.Marshal(v)
+	return string(text), err
+}
+
+// leave tells the others that this node ends, unless another process goes on in its name.
+func (s *membership) leave() {
+	if s == nil || s.node.handover.hasYielded() {
+		return
+	}
+	s.ask(func(m *members.Members, now int64) { m.Leave(now) })
+}
+
+// end closes the socket.
+func (s *membership) end() {
+	if s != nil {
+		s.ended.Do(func() {
+			close(s.over)
+			s.socket.Close()
+		})
+	}
+}
--- a/internal/node/names.go
+++ b/internal/node/names.go
@@ -34,6 +34,7 @@
 	pathEnable  = "/servers/enable"
 	pathDrain   = "/drain"
 	pathUndrain = "/undrain"
+	pathMembers = "/members"
 	queryTarget = "target"
 
 	pathList = "/v1/endpoints"
@@ -46,7 +47,7 @@
 // consoleMethods are the calls of the console.
 var consoleMethods = map[string]string{
 	pathReady: http.MethodGet, pathDisable: http.MethodPut, pathEnable: http.MethodPut, pathDrain: http.MethodPut,
-	pathUndrain: http.MethodPut,
+	pathUndrain: http.MethodPut, pathMembers: http.MethodGet,
 }
 
 // ownHeaders are written by the node itself or end at it: a connection's own, and those that tell of one hand-off.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 
 	"go.uber.org/zap"
 
+	"fawnglade/internal/features"
 	"fawnglade/internal/settings"
 )
 
@@ -62,6 +63,13 @@
 	inherited string // $NODE_INHERITED_FD
 	seed      uint64
 	decoded   settings.Settings
+	features  *features.Features // nil: nothing beyond the platform's protocol
+}
+
+// Features reads the file of what this node does beyond the platform's protocol.
+func (c *Config) Features(path string) (err error) {
+	c.features, err = features.Read(path, c.Name)
+	return err
 }
 
 // ReadConfig reads and checks a configuration.
@@ -171,7 +179,8 @@
 	console   *console
 	orders    *orders
 	handover  *handover
-	heritage  *heritage // what the process before has told; nil at a plain start
+	members   *membership // nil: off
+	heritage  *heritage   // what the process before has told; nil at a plain start
 }
 
 // New makes a node that listens; nothing runs before Run.
@@ -193,6 +202,12 @@
 		listener.Close()
 		return nil, err
 	}
+	if n.members, err = newMembership(n); err != nil {
+		n.peers.close()
+		n.console.close()
+		listener.Close()
+		return nil, fmt.Errorf("members.listen: %w", err)
+	}
 	n.clients = newClients(n, listener)
 	n.handover = newHandover(n)
 	n.heritage = n.handover.find()
@@ -326,6 +341,9 @@
 	go n.clients.accept()
 	n.serving.Store(true)
 	n.handover.served()
+	if n.members != nil {
+		go n.members.run()
+	}
 	n.log.Info("serving", zap.String("name", n.config.Name), zap.String("listen", n.config.Listen))
 }
 
@@ -348,7 +366,9 @@
 			case syscall.SIGHUP:
 				n.reread()
 			default:
+				n.members.leave()
 				n.stop()
+				n.members.end()
 				n.peers.close()
 				n.console.close()
 				n.handover.end()
