The lab troubles ways between nodes, servers, discovery and clients, on sockets and in virtual time

Now seven faults of ways by name, zone or range, one way or both, from one schedule; power, clock (virtual time alone, as processes share the system's) and state (sockets alone); members and news on sockets; run and report name who could reach whom and what nodes believed. Complaints of a file come all at once.

--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -43,6 +43,7 @@
 	MayDuplicate                        bool
 	Slack                               int64                // that every time limit is longer on sockets
 	Late                                func(at int64) int64 // how late the rig itself ran round a moment
+	OnWay                               func(at int64) int64 // by how much the day held up what nodes, servers and discovery say to one another
 }
 
 // Try is one task as it went over the wire to a node.
--- /dev/null
+++ b/internal/lab/links/links_test.go
@@ -0,0 +1,109 @@
+package links
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"testing"
+)
+
+var site = Site{Zones: []string{"a", "b"}, NodeZones: []string{"a", "b", "a", "b"}, ServerNames: []string{"s-0", "s-1"}, ServerZones: []string{"a", "b"}}
+
+func ends(t *testing.T, names ...string) []End {
+	t.Helper()
+	list, err := site.Ends(names)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+func TestNames(t *testing.T) {
+	for name, want := range map[string]string{"n1": "n1", "n1..n3": "n1 n2 n3", "nodes:a": "n0 n2", "servers:b": "s1", "s-0": "s0", "discovery": "discovery 0", "clients": "clients 0 clients 1"} {
+		var got []string
+		for _, e := range ends(t, name) {
+			got = append(got, e.String())
+		}
+		if strings.Join(got, " ") != want {
+			t.Errorf("%s: %v, want %s", name, got, want)
+		}
+	}
+	for _, name := range []string{"n4", "n2..n1", "m0", "nodes:c", "n-1", "n0..s-1", ""} {
+		if _, err := site.Ends([]string{name}); err == nil {
+			t.Errorf("%q names somebody", name)
+		}
+	}
+}
+
+// TestShares has each trouble strike its share of the messages, one way or both, and only while it lasts; the same each time.
+func TestShares(t *testing.T) {
+	a, b := End{Node, 0}, End{Node, 1}
+	for _, c := range []struct {
+		trouble Trouble
+		struck  func(Verdict) bool
+		share   float64
+	}{
+		{Cut, func(v Verdict) bool { return v.Lost }, 1},
+		{Drop, func(v Verdict) bool { return v.Lost }, 0.3},
+		{Delay, func(v Verdict) bool { return v.After >= 5e6 }, 1},
+		{Twice, func(v Verdict) bool { return v.Again > 0 }, 0.3},
+		{Reorder, func(v Verdict) bool { return v.After > 0 }, 0.3},
+		{Spoil, func(v Verdict) bool { return v.Spoilt >= 0 && v.Spoilt < 100 }, 0.3},
+		{Narrow, func(v Verdict) bool { return v.Rate == 1000 }, 1},
+	} {
+		f := Fault{Trouble: c.trouble, From: []End{a}, To: []End{b}, OneWay: true, Begin: 10, End: 20, Share: 0.3, Burst: 4, Wait: 5e6, Rate: 1000, Seed: 9}
+		s := New([]Fault{f})
+		struck, runs, last := 0, 0, false
+		for n := range uint64(20000) {
+			v := s.Pass(15, a, b, n, 100)
+			if v != s.Pass(15, a, b, n, 100) {
+				t.Fatal(c.trouble, ": not the same twice")
+			}
+			is := c.struck(v)
+			if is {
+				struck++
+			}
+			if is != last {
+				runs++
+			}
+			last = is
+			for _, other := range []Verdict{s.Pass(9, a, b, n, 100), s.Pass(20, a, b, n, 100), s.Pass(15, b, a, n, 100)} {
+				if other != (Verdict{Spoilt: -1}) {
+					t.Fatalf("%s: strikes before, after, or the other way: %+v", c.trouble, other)
+				}
+			}
+		}
+		if part := float64(struck) / 20000; math.Abs(part-c.share) > 0.02 {
+			t.Errorf("%s: %.3f struck, want %.2f", c.trouble, part, c.share)
+		}
+		if c.share < 1 && runs > 20000/4 {
+			t.Errorf("%s: %d runs, so not in bursts of 4", c.trouble, runs)
+		}
+	}
+}
+
+func TestReach(t *testing.T) {
+	s := New([]Fault{{Trouble: Cut, From: ends(t, "n0", "n1"), To: ends(t, "n2", "n3"), Begin: 0, End: 10},
+		{Trouble: Cut, From: ends(t, "n0"), To: ends(t, "n1"), OneWay: true, Begin: 5, End: 10}})
+	if r := s.ReachAt(3, 4); !slices.Equal(r.Parts, []string{"n0..n1", "n2..n3"}) || len(r.OneWay) > 0 {
+		t.Errorf("%+v", r)
+	}
+	if r := s.ReachAt(7, 4); len(r.Parts) != 3 || len(r.OneWay) != 1 || r.OneWay[0] != "link-cut n0 -> n1" {
+		t.Errorf("%+v", r)
+	}
+	if r := s.ReachAt(10, 4); len(r.Parts) != 1 || r.Parts[0] != "n0..n3" {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestAllowanceIsOfTheWaysAskedFor(t *testing.T) {
+	s := New([]Fault{{Trouble: Delay, From: ends(t, "n0"), To: ends(t, "s-0"), Begin: 10, End: 20, Wait: 5}, {Trouble: Cut, From: ends(t, "n0"), To: ends(t, "n1"), Begin: 0, End: 100}})
+	for at, want := range map[int64]int64{9: 0, 10: 5, 24: 5, 25: 0} {
+		if got := s.Allowance(at, Node, Server); got != want {
+			t.Errorf("at %d: %d, want %d", at, got, want)
+		}
+	}
+	if s.Allowance(15, Client, Node) != 0 {
+		t.Error("clients' ways are not touched")
+	}
+}
--- a/internal/lab/links/reach.go
+++ b/internal/lab/links/reach.go
@@ -95,3 +95,39 @@
 	}
 	return strings.Join(out, " ")
 }
+
+// Allowance is by how much what two kinds of ends say to one another may come later than it was sent, at a moment: what each time
+// limit that is judged at the far end is longer by. Nothing of a node's own doing is in it.
+func (s *Schedule) Allowance(at int64, a, b Kind) int64 {
+	worst := int64(0)
+	for i := range s.faults {
+		f := &s.faults[i]
+		one := &Schedule{faults: s.faults[i : i+1]}
+		if !one.Touches(a, b) {
+			continue
+		}
+		late := f.Wait
+		switch f.Trouble {
+		case Cut: // what was held up ends when the way is mended
+			late = f.End - f.Begin
+		case Drop:
+			late = allowedLosses * sentAgain
+		case Narrow:
+			late = int64(second)
+		case Delay:
+			if f.How == "drawn" {
+				late *= 10
+			}
+		}
+		if f.Begin <= at && at < f.End+late {
+			worst += late
+		}
+	}
+	return worst
+}
+
+const (
+	sentAgain     = int64(200e6) // a stream's piece that was lost
+	allowedLosses = 5            // in a row
+	second        = 1e9
+)
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"fawnglade/internal/lab/links"
 	"fawnglade/internal/lab/scenario"
 )
 
@@ -50,6 +51,11 @@
 	Seed    uint64
 }
 
+// Back is when one of those that a power loss took is back: after a time, and up to Each more, drawn for each.
+func (f *Fault) Back(after scenario.Duration, seed uint64, n int) int64 {
+	return int64(after) + int64(source(seed+uint64(n)*7919, "back").Float64()*float64(f.Each))
+}
+
 // BadClient is one client that does not keep to the protocol.
 type BadClient struct {
 	Due  int64
@@ -209,6 +215,9 @@
 			f.Targets = p.targets(draw, &f.Fault)
 		case "nodes":
 			f.Targets = p.nodes(s, draw, &f.Fault)
+		case "power":
+			f.Targets = p.targets(draw, &f.Fault)
+			f.Nodes = p.nodes(s, draw, &f.Fault)
 		}
 		p.Faults = append(p.Faults, f)
 		if f.Kind == "bad-clients" {
@@ -269,6 +278,18 @@
 	return some(draw, fit, f)
 }
 
+// Ways is the schedule of what is wrong with ways, with its times as the plan's stand now.
+func (p *Plan) Ways(s *scenario.Scenario) *links.Schedule {
+	var all []links.Fault
+	for i := range p.Faults {
+		if way, ok := s.Way(&p.Faults[i].Fault); ok {
+			way.Seed = p.Faults[i].Seed
+			all = append(all, way)
+		}
+	}
+	return links.New(all)
+}
+
 func (p *Plan) drawBad(s *scenario.Scenario, f *Fault) {
 	draw := source(f.Seed, "bad clients")
 	until := int64(f.At + f.For)
--- a/internal/lab/result/page.go
+++ b/internal/lab/result/page.go
@@ -226,6 +226,16 @@
 			all("connections", func(t *record.Together) int { return t.Connections }), all("calls for the list", func(t *record.Together) int { return t.Calls }),
 			all("probes", func(t *record.Together) int { return t.Probes }), all("messages", func(t *record.Together) int { return t.News })}})
 	}
+	if v := r.Views; v != nil {
+		by := func(name string, of []int) line {
+			l := line{name: name}
+			for i, n := range of {
+				l.x, l.y = append(l.x, float64(r.Runs[i].At)/1e9), append(l.y, float64(n))
+			}
+			return l
+		}
+		wanted = append(wanted, plotted{"What nodes believe of one another", "in the sample", []line{by("wrong beliefs", v.Wrong), by("views that say unknown", v.Unknown)}})
+	}
 	var plots []template.HTML
 	for _, one := range wanted {
 		svg, err := r.figure(one.title, one.unit, one.lines)
@@ -243,7 +253,7 @@
 		rows = append(rows, row{name, r.Categories[name]})
 	}
 	rows = append(rows, row{"all", &r.Tally})
-	return page.Execute(w, map[string]any{"R": r, "Rows": rows, "Plots": plots})
+	return page.Execute(w, map[string]any{"R": r, "Rows": rows, "Plots": plots, "Reach": reachLines(r.Reach)})
 }
 
 var besidePage = template.Must(template.New("beside").Parse(`<!DOCTYPE html>
@@ -271,6 +281,7 @@
 {{range .Rows}}<tr><td>{{.Name}}</td><td>{{.Tasks}}</td><td>{{.Satisfied}}</td><td>{{.Declined}}</td><td>{{.BrokenOff}}</td><td>{{.Lost}}</td><td>{{.Left}}</td><td>{{printf "%.4f" .Part}}</td><td>{{printf "%.1f" .P50}}</td><td>{{printf "%.1f" .P99}}</td><td>{{printf "%.1f" .P999}}</td></tr>
 {{end}}</table>
 {{range .Plots}}{{.}}{{end}}
+{{if .Reach}}<h2>Who could reach whom</h2><ul>{{range .Reach}}<li>{{.}}</li>{{end}}</ul>{{end}}
 <h2>Rules broken: {{.R.RulesBroken}}</h2><ul>{{range .R.Breaks}}<li class="bad">{{.}}</li>{{end}}</ul>
 <h2>Hand-offs</h2><p>{{with .R.HandOffs}}{{.Sent}} sent: {{.Satisfied}} satisfied, {{.TurnedAway}} turned away, {{.Errors}} errors, {{.Unanswered}} unanswered; double effects {{.Twice}}{{end}}</p>
 <h2>Nodes</h2><table><tr><th>node</th><th>CPU s</th><th>MB at most</th><th>descriptors at most</th><th>starts</th><th>crashes</th></tr>
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"fawnglade/internal/lab/ledger"
+	"fawnglade/internal/lab/links"
 	"fawnglade/internal/lab/record"
 	"fawnglade/internal/lab/scenario"
 )
@@ -51,6 +52,10 @@
 	Loads      []record.LoadSample  `json:"loads,omitempty"`
 	Virtual    bool                 `json:"virtual,omitempty"`
 	Together   []record.Together    `json:"together_by_1s,omitempty"` // what all nodes do together
+	Reach      []links.Reach        `json:"reach_by_1s,omitempty"`    // who could reach whom
+	Views      *Views               `json:"views,omitempty"`
+	Beliefs    []record.Belief      `json:"beliefs,omitempty"`
+	Runs       []record.Runs        `json:"runs,omitempty"`
 }
 
 // Drawn is the same for the same scenario and seed.
@@ -144,7 +149,8 @@
 func Of(s *scenario.Scenario, r *record.Record) *Result {
 	out := &Result{Scenario: s.Name, About: s.About, LengthS: time.Duration(s.Length).Seconds(), LateMs: float64(r.Late) / 1e6,
 		Drawn: Drawn{r.Plan.Seed, r.Hash, len(r.Plan.Tasks)}, Categories: map[string]*Tally{}, Customers: map[string]*Tally{},
-		RulesBroken: len(r.Breaks), Breaks: r.Breaks, Nodes: r.Nodes, BadClients: r.Bad, Odd: r.Odd, Servers: r.Servers, Loads: r.Loads, Virtual: r.Virtual, Together: r.Together}
+		RulesBroken: len(r.Breaks), Breaks: r.Breaks, Nodes: r.Nodes, BadClients: r.Bad, Odd: r.Odd, Servers: r.Servers, Loads: r.Loads, Virtual: r.Virtual, Together: r.Together,
+		Reach: r.Reach, Views: viewsOf(r.Beliefs, r.Runs), Beliefs: r.Beliefs, Runs: r.Runs}
 	all := newTally()
 	spans, seconds := tallies(s.Length, longSpan), tallies(s.Length, int64(time.Second))
 	for i := range r.Plan.Tasks {
@@ -175,7 +181,11 @@
 	for i := range r.Plan.Faults {
 		f := &r.Plan.Faults[i]
 		from := float64(int64(f.At)-r.Base) / 1e9
-		out.Faults = append(out.Faults, Band{f.Kind, from, from + time.Duration(f.For).Seconds(), len(f.Targets)})
+		whom := len(f.Targets)
+		if way, ok := s.Way(&f.Fault); ok {
+			whom = len(way.From) * len(way.To)
+		}
+		out.Faults = append(out.Faults, Band{f.Kind, from, from + time.Duration(f.For).Seconds(), whom})
 	}
 	out.judge(s, r)
 	return out
@@ -263,6 +273,7 @@
 	for _, n := range r.Nodes {
 		miss(n.Crashes == 0, "node %d ended by itself %d times", n.Node, n.Crashes)
 	}
+	miss(!e.Agree || r.Views != nil && r.Views.AgreeFromS >= 0, "at the end nodes believe wrongly which of them run, expected that all know")
 	switch {
 	case played.Void:
 		r.Verdict = Void
--- a/internal/lab/result/text.go
+++ b/internal/lab/result/text.go
@@ -36,7 +36,7 @@
 		var sum, most record.Together
 		for _, t := range r.Together {
 			sum.Connections, sum.Calls, sum.Probes = sum.Connections+t.Connections, sum.Calls+t.Calls, sum.Probes+t.Probes
-			sum.Resends, sum.Copies, sum.News = sum.Resends+t.Resends, sum.Copies+t.Copies, sum.News+t.News
+			sum.Resends, sum.Copies, sum.News = sum.Resends+t.Resends, sum.Copies+t.Copies, sum.News+t.News+t.Members
 			most.Connections, most.Calls = max(most.Connections, t.Connections), max(most.Calls, t.Calls)
 		}
 		fmt.Fprintf(w, "all nodes together: %d connections (%d in the worst second), %d calls for the list (%d), %d resends, %d copies, %d probes, %d messages\n",
@@ -51,6 +51,7 @@
 	for _, what := range slices.Sorted(maps.Keys(r.Odd)) {
 		fmt.Fprintf(w, "seen: %s, %d times\n", what, r.Odd[what])
 	}
+	r.printWays(w)
 	fmt.Fprintf(w, "rules broken: %d\n", r.RulesBroken)
 	for i, b := range r.Breaks {
 		if i == 10 {
--- a/internal/lab/rig/client.go
+++ b/internal/lab/rig/client.go
@@ -5,6 +5,7 @@
 // It must never wait for an answer before it sends what is due next.
 
 import (
+	"cmp"
 	"container/heap"
 	"errors"
 	"fmt"
@@ -16,6 +17,7 @@
 	"time"
 
 	"fawnglade/internal/lab/ledger"
+	"fawnglade/internal/lab/links"
 	"fawnglade/internal/lab/plan"
 	"fawnglade/internal/lab/record"
 )
@@ -69,6 +71,7 @@
 type pool struct {
 	side *clients
 	node *node
+	way  string // where the clients reach the node, if not at its own address
 
 	mu     sync.Mutex
 	idle   []*rider
@@ -88,11 +91,19 @@
 	text []byte
 }
 
-func newClients(d *Day) *clients {
+func newClients(d *Day) (*clients, error) {
 	c := &clients{day: d, outcomes: make([]record.Outcome, len(d.plan.Tasks)), wake: make(chan struct{}, 1),
 		left: len(d.plan.Tasks), byZone: make([][]*pool, len(d.scenario.Network.Zones)), turn: make([]int, len(d.scenario.Network.Zones))}
 	for _, n := range d.nodes {
-		c.pools = append(c.pools, &pool{side: c, node: n, all: map[*rider]struct{}{}})
+		p := &pool{side: c, node: n, all: map[*rider]struct{}{}}
+		var err error
+		if p.way, err = d.between.stream(links.End{Kind: links.Client, Index: n.zone}, links.End{Kind: links.Node, Index: n.index}, func() string { return n.address }); err != nil {
+			return nil, err
+		}
+		if p.way == n.address {
+			p.way = "" // as it may change until the day begins
+		}
+		c.pools = append(c.pools, p)
 	}
 	for zone := range c.byZone {
 		for _, p := range c.pools {
@@ -104,7 +115,7 @@
 			c.byZone[zone] = c.pools
 		}
 	}
-	return c
+	return c, nil
 }
 
 // run sends out what is due.
@@ -283,7 +294,7 @@
 		reused = false
 	}
 	if r.conn == nil {
-		c, err := net.DialTimeout("tcp", r.pool.node.address, connect)
+		c, err := net.DialTimeout("tcp", cmp.Or(r.pool.way, r.pool.node.address), connect)
 		if err != nil {
 			r.pool.side.after(t, record.Lost, true, 0)
 			return false, nil
--- a/internal/lab/rig/discovery.go
+++ b/internal/lab/rig/discovery.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fawnglade/internal/lab/ledger"
+	"fawnglade/internal/lab/links"
 	"fawnglade/internal/lab/model"
 )
 
@@ -40,6 +41,7 @@
 type place struct {
 	node     int
 	address  string
+	shown    string // where the node is told that it is
 	listener net.Listener
 	conns    map[net.Conn]struct{}
 }
@@ -74,6 +76,11 @@
 		return nil, err
 	}
 	p := &place{node: node, address: l.Addr().String(), listener: l, conns: map[net.Conn]struct{}{}}
+	p.shown, err = s.day.between.stream(links.End{Kind: links.Node, Index: node}, links.End{Kind: links.Discovery}, func() string { return p.address })
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
 	s.day.group.Go(func() error { s.accept(p, l); return nil })
 	return p, nil
 }
@@ -222,7 +229,7 @@
 	listed := map[int]bool{}
 	for _, e := range entries {
 		m := s.day.machineAt(e.Server)
-		lines = append(lines, entryText(nil, m.spec.Name, m.doors[node].address, m.spec.Zone, m.spec.Pod, e.Health, e.Started))
+		lines = append(lines, entryText(nil, m.spec.Name, m.doors[node].shown, m.spec.Zone, m.spec.Pod, e.Health, e.Started))
 		told = append(told, ledger.Told{Node: node, Life: life, Server: e.Server, Health: e.Health, Started: e.Started})
 		listed[e.Server] = true
 	}
@@ -401,5 +408,5 @@
 func (s *discovery) addressFor(node int) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.places[node].address
+	return s.places[node].shown
 }
--- a/internal/lab/rig/machine.go
+++ b/internal/lab/rig/machine.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"fawnglade/internal/lab/ledger"
+	"fawnglade/internal/lab/links"
 	"fawnglade/internal/lab/model"
 	"fawnglade/internal/lab/plan"
 	"fawnglade/internal/lab/relay"
@@ -65,6 +66,7 @@
 	m       *machine
 	node    int
 	address string
+	shown   string // where the list says that it is
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -113,6 +115,15 @@
 		m.stop()
 		return nil, err
 	}
+	for _, one := range m.doors {
+		var err error
+		one.shown, err = d.between.stream(links.End{Kind: links.Node, Index: one.node}, links.End{Kind: links.Server, Index: spec.Index},
+			func() string { return one.address })
+		if err != nil {
+			m.stop()
+			return nil, err
+		}
+	}
 	d.group.Go(func() error { m.run(); return nil })
 	return m, nil
 }
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -34,6 +34,60 @@
 }
 
 // What is wrong is told with its line and with what was expected.
+// TestMistakesOfWays has five in one file: each is told with its line, all at once.
+func TestMistakesOfWays(t *testing.T) {
+	_, err := Parse("f", []byte(sound+`
+[[fault]]
+kind = "link-cut"
+at = "1s"
+from = ["n7"]
+to = ["servers"]
+[[fault]]
+kind = "link-delay"
+at = "1s"
+from = ["servers"]
+to = ["discovery"]
+wait = "5ms"
+[[fault]]
+kind = "link-twice"
+at = "1s"
+from = ["nodes"]
+to = ["servers"]
+[[fault]]
+kind = "link-delay"
+at = "1s"
+for = "2s"
+from = ["nodes"]
+to = ["servers"]
+wait = "5ms"
+[[fault]]
+kind = "link-delay"
+at = "2s"
+from = ["n0"]
+to = ["s-1"]
+wait = "9ms"
+how = "backwards"
+[[fault]]
+kind = "link-crumple"
+at = "1s"
+`))
+	if err == nil {
+		t.Fatal("taken")
+	}
+	lines := strings.Split(err.Error(), "\n")
+	for _, want := range []string{"f:20: fault.1.from: expected n0 to n0", "f:26: fault.2.to: expected ends that nodes have ways to",
+		"f:29: fault.3.kind: expected link-cut, link-drop, link-delay or link-narrow", "f:46: fault.5.how: expected one of fixed, drawn, growing",
+		"f:41: fault.5.kind: expected no other link-delay of one of its ways at one time, got one in fault.4", "f:48: fault.6.kind: expected one of"} {
+		found := false
+		for _, line := range lines {
+			found = found || strings.HasPrefix(line, want)
+		}
+		if !found {
+			t.Errorf("no line begins with %q in:\n%v", want, err)
+		}
+	}
+}
+
 func TestMistakes(t *testing.T) {
 	for name, c := range map[string]struct{ from, to, want string }{
 		"unknown key":        {"count = 4", "count = 4\nspede = 2", "f:5: unknown key fleet.spede"},
--- a/internal/lab/world/client.go
+++ b/internal/lab/world/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fawnglade/internal/lab/ledger"
+	"fawnglade/internal/lab/links"
 	"fawnglade/internal/lab/plan"
 	"fawnglade/internal/lab/record"
 )
@@ -92,8 +93,27 @@
 		return
 	}
 	rec := &ledger.Try{ID: t.id, Task: t.task.N, Node: n.index, Life: n.life.Life, Category: t.task.Category, Whole: d.now, Hard: t.hard}
+	front, place := n.front(), links.End{Index: n.index}
+	if barred, refused := d.barred(front, place); refused {
+		c.after(t, record.Lost, true, 0)
+		return
+	} else if barred && !d.ways.Open(d.now, front, place) {
+		// The node never sees it, so the ledger does not either.
+		d.at(t.hard+int64(d.scenario.Rules.AnswerGrace)+listenOn, func() { c.after(t, record.BrokenOff, false, 0) })
+		return
+	}
 	d.ledger.Sent(rec)
-	n.arrived(t, rec)
+	if late := d.held(front, place); late > 0 {
+		rec.Whole += late
+		t.x = &exchange{node: n, life: n.life.Life, try: t, rec: rec}
+		d.in(late, func() {
+			if n.alive && n.life.Life == rec.Life && !t.over {
+				n.arrived(t, rec)
+			}
+		})
+	} else {
+		n.arrived(t, rec)
+	}
 	until := t.hard + int64(d.scenario.Rules.AnswerGrace) + listenOn
 	leaves := int64(ledger.Never)
 	if t.task.Leaves > 0 {
--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fawnglade/internal/lab/ledger"
+	"fawnglade/internal/lab/links"
 	"fawnglade/internal/lab/model"
 	"fawnglade/internal/lab/record"
 	"fawnglade/policy"
@@ -40,6 +41,7 @@
 	phase   int64
 	due     bool // a delivery has been asked for
 	over    bool
+	held    bool // something was to come over a way that is cut
 }
 
 func newDiscovery(d *Day) *discovery {
@@ -112,6 +114,15 @@
 	w := &watch{node: n, life: life, version: n.version}
 	n.watch = w
 	d.count(func(t *record.Together) { t.Calls++ })
+	place := links.End{Index: n.index}
+	if barred, refused := d.barred(place, discoveryEnd); barred {
+		after := int64(listConnect)
+		if refused {
+			after = int64(time.Millisecond)
+		}
+		d.in(after, func() { w.failed() })
+		return
+	}
 	came := d.now
 	if s.waiting >= mostCalls {
 		d.in(int64(time.Millisecond), func() { w.failed() })
@@ -130,7 +141,7 @@
 		cost = 0 // it fails when its turn has come
 	}
 	s.busy = begin + cost
-	d.at(s.busy, func() {
+	d.at(s.busy+d.held(place, discoveryEnd)+d.held(discoveryEnd, place), func() {
 		s.waiting--
 		if w.over || n.life != life || !n.alive {
 			return
@@ -219,6 +230,10 @@
 	if w.due = false; w.over {
 		return
 	}
+	if !w.node.day.ways.Open(w.node.day.now, discoveryEnd, links.End{Index: w.node.index}) {
+		w.held = true // what is new comes with the next watch
+		return
+	}
 	n, s := w.node, w.node.day.discovery
 	entries, whole := s.roster.After(w.version)
 	first := w.version == 0
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -10,6 +10,7 @@
 	"fawnglade/internal/lab/ledger"
 	"fawnglade/internal/lab/model"
 	"fawnglade/internal/lab/plan"
+	"fawnglade/internal/lab/scenario"
 )
 
 const (
@@ -26,7 +27,13 @@
 		}
 	}
 	s := d.discovery
+	if scenario.Kinds[f.Kind] == "ways" {
+		return // each message goes by the schedule
+	}
 	switch f.Kind {
+	case "power":
+		d.power(f)
+	case "state": // there are no disks here
 	case "discovery-down":
 		s.setDown(true)
 		ends(func() { s.setDown(false) })
@@ -43,7 +50,7 @@
 		d.holds[key] = int64(f.Wait)
 		ends(func() { delete(d.holds, key) })
 	case "bad-clients":
-	case "kill", "stop", "freeze", "cut-node":
+	case "kill", "stop", "freeze", "cut-node", "clock":
 		for i, target := range f.Targets {
 			d.in(int64(f.Each)*int64(i), func() { d.hitNode(f, d.nodes[target]) })
 		}
@@ -77,6 +84,13 @@
 }
 
 func (d *Day) hitNode(f *plan.Fault, n *node) {
+	if f.Kind == "clock" {
+		n.turnClock(int64(f.Wait), f.Factor)
+		if long := int64(f.For); long > 0 {
+			d.in(long, func() { n.turnClock(0, 1) })
+		}
+		return
+	}
 	if !n.alive {
 		return
 	}
@@ -98,6 +112,9 @@
 		back(d.now)
 	case "stop":
 		n.stopping = true
+		if n.view != nil {
+			n.view.Leave(n.clock())
+		}
 		d.in(frontLeaves, func() {
 			if n.life == life {
 				n.in = false
@@ -137,6 +154,42 @@
 	}
 }
 
+// power takes nodes, servers and discovery away at one moment; each is back after a time of its own.
+func (d *Day) power(f *plan.Fault) {
+	notice := int64(d.scenario.Discovery.Notice)
+	if f.Zone == "" && len(f.Fault.Nodes) == len(d.nodes) {
+		d.discovery.setDown(true)
+		if f.DiscoveryBack > 0 {
+			d.in(int64(f.DiscoveryBack), func() { d.discovery.setDown(false) })
+		}
+	}
+	for i, target := range f.Fault.Nodes {
+		n := d.nodes[target]
+		if !n.alive {
+			continue
+		}
+		life := n.life
+		d.ledger.Excuse(life, ledger.Span{From: d.now, To: ledger.Never})
+		n.end()
+		if f.NodesBack > 0 {
+			d.in(f.Back(f.NodesBack, f.Seed, i), func() {
+				if n.life == life && !n.alive {
+					n.start()
+					d.in(startsIn, func() { n.in = n.alive })
+				}
+			})
+		}
+	}
+	for i, target := range f.Targets {
+		m := d.machines[target]
+		m.stop()
+		d.discovery.set(m, model.Removed, notice)
+		if f.ServersBack > 0 {
+			d.in(f.Back(f.ServersBack, f.Seed+1, i), func() { d.revive(m, notice) })
+		}
+	}
+}
+
 func (d *Day) hitServer(f *plan.Fault, m *machine) {
 	long, notice, life := int64(f.For), int64(d.scenario.Discovery.Notice), m.life
 	// change sets a trouble, and takes it away again in time, unless a new life has done so.
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -89,16 +89,21 @@
 // Rounds that this node has been through.
 func (m *Members) Rounds() int64 { return m.beat / beatsARound }
 
-// State of a node by its place in the settings' list; Up for this node itself.
-func (m *Members) State(place int) State {
+// States of all nodes by their place in the settings' list; Up for this node itself.
+func (m *Members) States() []State {
+	out := make([]State, len(m.set.Peers))
+	for i := range out {
+		out[i] = Up
+	}
 	for i := range m.peers {
-		if int(m.peers[i].place) == place {
-			return m.peers[i].state
-		}
+		out[m.peers[i].place] = m.peers[i].state
 	}
-	return Up
+	return out
 }
 
+// Strain is 0 to 8: how far this node takes its own trouble for the cause of what it sees.
+func (m *Members) Strain() int64 { return m.strain }
+
 // Counts since the start.
 func (m *Members) Counts() Counts { return m.counts }
 
