--- a/internal/lab/fleet/processes_test.go
+++ b/internal/lab/fleet/processes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -166,6 +167,32 @@
 	}
 }
 
+// TestTheCommandShowsAView asks a node as staff do.
+func TestTheCommandShowsAView(t *testing.T) {
+	p := processes(t, 3)
+	p.Key = strings.Repeat("5a", 16)
+	if err := first(startAll(p), do(func() { p.Kill(2) }), until(p, notice, "the others know", Agree([]int{0, 1}, without(2)))); err != nil {
+		t.Fatal(err)
+	}
+	show := func(args ...string) string {
+		out, err := exec.Command(p.Program[0], append([]string{"fleet", "view"}, args...)...).CombinedOutput()
+		if err != nil && !strings.Contains(strings.Join(args, " "), p.Console(2)) {
+			t.Error(err)
+		}
+		return string(out)
+	}
+	if out := show("--console", p.Console(0), "--console", p.Console(1)); !strings.Contains(out, "2 of 3 nodes up, 0 doubted, 1 silent") || strings.Count(out, "itself") != 2 {
+		t.Error(out)
+	}
+	var v members.View
+	if out := show("--console", p.Console(1), "--json"); json.Unmarshal([]byte(out), &v) != nil || v.Name != "n1" || len(v.Members) != 3 {
+		t.Error(out)
+	}
+	if out := show("--console", p.Console(2)); !strings.Contains(out, "refused") {
+		t.Error("a node that is gone: ", out)
+	}
+}
+
 // TestOffWithoutLeave has a features file where the settings do not allow messages: nothing listens, nothing is sent, nobody can ask.
 func TestOffWithoutLeave(t *testing.T) {
 	p := processes(t, 2)
--- a/internal/lab/fleet/virtual.go
+++ b/internal/lab/fleet/virtual.go
@@ -12,6 +12,9 @@
 	"fawnglade/internal/members"
 )
 
+// mostCopied nodes at most have a message of each way kept: in a large fleet these would be most of the memory.
+const mostCopied = 64
+
 type happening struct {
 	at  int64
 	seq uint64
@@ -144,7 +147,7 @@
 	if v.Skip != nil {
 		datagram = v.Skip(to, datagram)
 	}
-	if v.copied[way] == nil {
+	if len(v.nodes) <= mostCopied && v.copied[way] == nil {
 		v.copied[way] = datagram
 	}
 	p := v.faults.Pass(v.now, links.End{Index: s.index}, links.End{Index: to}, v.numbers[way], len(datagram))
