--- a/cmd/fawnglade-lab/members.go
+++ b/cmd/fawnglade-lab/members.go
@@ -3,8 +3,10 @@
 // This file owns the measuring of who is there, over sizes and losses. It must never mix processes' figures with virtual time's.
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
 	"slices"
 	"time"
 
@@ -13,6 +15,21 @@
 	"fawnglade/internal/lab/fleet"
 )
 
+func readFigures(paths []string) (all []*fleet.Figures, err error) {
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		var some []*fleet.Figures
+		if err := json.Unmarshal(text, &some); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		all = append(all, some...)
+	}
+	return all, nil
+}
+
 func measureMembers() *cobra.Command {
 	c := &cobra.Command{
 		Use:   "members",
@@ -34,7 +51,21 @@
 	real := c.Flags().Bool("processes", false, "with processes on loopback, 64 at most")
 	node := c.Flags().String("node", "", "the node's command; by default the program beside this one")
 	asJSON := c.Flags().Bool("json", false, "print a list of JSON objects")
+	picture := c.Flags().String("plot", "", "leave a picture, as PNG or SVG; with --from of figures that were kept")
+	from := c.Flags().StringSlice("from", nil, "measure nothing: files of --json, in virtual time")
+	fromReal := c.Flags().StringSlice("from-processes", nil, "and with processes")
 	c.RunE = func(c *cobra.Command, _ []string) error {
+		if len(*from)+len(*fromReal) > 0 {
+			virtual, err := readFigures(*from)
+			measured, err2 := readFigures(*fromReal)
+			if err = errors.Join(err, err2); err == nil && *picture == "" {
+				err = errors.New("--from: expected --plot beside it")
+			}
+			if err != nil {
+				return err
+			}
+			return fleet.Plot(*picture, virtual, measured)
+		}
 		for _, n := range *nodes {
 			if n < 3 || n > 4096 || *real && n > 64 {
 				return fmt.Errorf("--nodes: expected 3 to 4,096, 64 at most with --processes, got %d", n)
@@ -83,6 +114,15 @@
 				}
 			}
 		}
+		if *picture != "" {
+			virtual, measured := all, []*fleet.Figures(nil)
+			if *real {
+				virtual, measured = nil, all
+			}
+			if err := fleet.Plot(*picture, virtual, measured); err != nil {
+				return err
+			}
+		}
 		if *asJSON {
 			return printJSON(c.OutOrStdout(), all)
 		}
--- /dev/null
+++ b/internal/lab/fleet/plot.go
@@ -0,0 +1,70 @@
+package fleet
+
+// This file owns the picture of measurements. It must never leave a figure out.
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Plot draws how long a death takes to be known by all, by the fleet's size, a line for each loss and, dashed, for processes.
+func Plot(path string, virtual, processes []*Figures) error {
+	p := plot.New()
+	p.Title.Text = "A death is known by all (median; bars to the worst)"
+	p.X.Label.Text, p.Y.Label.Text = "nodes", "seconds"
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{}
+	p.Y.Min = 0
+	colour := map[float64]int{}
+	for n, set := range [][]*Figures{virtual, processes} {
+		by := map[float64][]*Figures{}
+		var losses []float64
+		for _, f := range set {
+			if by[f.Loss] == nil {
+				losses = append(losses, f.Loss)
+			}
+			by[f.Loss] = append(by[f.Loss], f)
+		}
+		for _, loss := range losses {
+			if _, known := colour[loss]; !known {
+				colour[loss] = len(colour)
+			}
+			var pts struct {
+				plotter.XYs
+				plotter.YErrors
+			}
+			slices.SortFunc(by[loss], func(a, b *Figures) int { return cmp.Compare(a.Nodes, b.Nodes) })
+			for _, f := range by[loss] {
+				known := slices.Sorted(slices.Values(f.DeathKnown))
+				if len(known) == 0 {
+					continue
+				}
+				middle := known[len(known)/2]
+				pts.XYs = append(pts.XYs, plotter.XY{X: float64(f.Nodes), Y: middle})
+				pts.YErrors = append(pts.YErrors, struct{ Low, High float64 }{0, known[len(known)-1] - middle})
+			}
+			line, dots, err := plotter.NewLinePoints(pts.XYs)
+			if err != nil {
+				return err
+			}
+			bars, err := plotter.NewYErrorBars(pts)
+			if err != nil {
+				return err
+			}
+			name := fmt.Sprintf("%.0f%% lost", 100*loss)
+			if line.Color, dots.Color, bars.Color = plotutil.Color(colour[loss]), plotutil.Color(colour[loss]), plotutil.Color(colour[loss]); n == 1 {
+				line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+				name += ", processes"
+			}
+			p.Add(line, dots, bars)
+			p.Legend.Add(name, line)
+		}
+	}
+	p.Legend.Top, p.Legend.Left = true, true
+	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, path)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,6 +37,7 @@
 	least       = 4                    // servers that a node draws from at least, and a further one
 	carries     = 8.0                  // for so many tasks a second
 	sharers     = 16                   // nodes that draw from a server at least
+	chill       = 4                    // times its breadth a node has of cold servers, or each send opens a connection
 	evenAt      = 0.4                  // where the worst category weighs so much, what work earns favours none
 	probeEach   = 32                   // tasks for which a server is probed
 	shortIdle   = recalculate * 3 / 10 // a connection used so lately is not dead
@@ -48,7 +49,6 @@
 	longJam     = 9                    // seconds of it after which a node gives up all tasks for a while, once
 	restFor     = recalculate * 5
 	window      = 32 // servers of which one is drawn at most, so that no fleet costs more
-
 	listCookie, tickCookie, firstTask = 0, 1, 2
 )
 
@@ -431,14 +431,14 @@
 	p.near, p.chilly = p.near[:0], p.chilly[:0]
 	left, extra := p.breadth, p.breadth/2+1
 	for _, s := range p.servers {
-		was := s.near
-		if s.near = s.State == Active && left > 0; !s.near {
+		was, cold := s.near, p.cold(now, s) < 1
+		if s.near = s.State == Active && left > 0 && !(cold && len(p.chilly) >= chill*p.breadth); !s.near {
 			if was && s.usedAt > 0 && s.out == 0 && p.set.Streams > 1 { // else a key's home is closed each time
 				p.release(s)
 			}
 			continue
 		}
-		if p.near = append(p.near, s); p.cold(now, s) < 1 {
+		if p.near = append(p.near, s); cold {
 			p.chilly = append(p.chilly, s)
 		} else if left--; s.shunned(now) && extra > 0 {
 			left, extra = left+1, extra-1
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -150,3 +150,27 @@
 		t.Errorf("%d held after all have their end", len(p.tasks))
 	}
 }
+
+// TestAColdFleetIsDividedToo has hundreds of nodes before a fleet that is cold as a whole: each draws from a part of it, so that its
+// connections are used again.
+func TestAColdFleetIsDividedToo(t *testing.T) {
+	set := benchSettings
+	set.Nodes = 300
+	p := New(set, 1, &quiet{})
+	now := int64(1e12)
+	list := listOf(120)
+	for i := range list {
+		list[i].Started = now
+	}
+	p.ListLearned(now, list, true)
+	if got := len(p.near); got != chill*p.breadth || got > 40 {
+		t.Errorf("one of 300 nodes draws from %d of 120 cold servers, want %d times %d", got, chill, p.breadth)
+	}
+	for i := range list[:60] { // half of them were up long before
+		list[i].Started = 0
+	}
+	p.ListLearned(now, list, true)
+	if warm := len(p.near) - len(p.chilly); warm < p.breadth {
+		t.Errorf("draws from %d warm ones, want %d", warm, p.breadth)
+	}
+}
