Power lost twice, halves that can't hear each other, and the memory's log cut at every byte

Six processes come back in two halves while a server drains, lose power again in the middle of it, and join: no drain broken, no task twice, one view. A node's log cut at each byte gives what one of its batches left, never a mix of two.

--- a/internal/lab/fleet/power_test.go
+++ b/internal/lab/fleet/power_test.go
@@ -260,3 +260,52 @@
 	p.asks.Down(false)
 	p.serving(t)
 }
+
+// TestTheFleetComesBackInHalves has all killed while a server drains, come back in two halves that can't hear each other, lose power
+// again in the middle of that, and join: no drain is broken, no task runs twice, and in the end there is one view.
+func TestTheFleetComesBackInHalves(t *testing.T) {
+	p := remembering(t, 6)
+	a, b := Numbers(0, 3), Numbers(3, 6)
+	for p.asks.Watches() < 6 {
+		time.Sleep(2 * time.Millisecond)
+	}
+	end := p.busy()
+	defer end()
+	p.lists(2, 1)
+	told := time.Now()
+	time.Sleep(150 * time.Millisecond)
+	p.asks.Down(true)
+	p.Break(cut(a, b, false))
+	for range 2 { // the second time while they are coming back
+		p.killAll()
+		p.startAll(t)
+	}
+	p.serving(t)
+	if _, err := Until(p, notice, "two views", func(views []*members.View) bool {
+		for _, half := range [][]int{a, b} {
+			for _, i := range half {
+				for _, k := range half {
+					if views[i] == nil || views[i].Members[k].State != "up" {
+						return false
+					}
+				}
+			}
+		}
+		return true
+	}); err != nil {
+		t.Error(err)
+	}
+	p.Mend()
+	if _, err := Until(p, rejoin, "one view", Agree(Numbers(0, 6), Each("up"))); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(time.Until(told.Add(grace)))
+	for _, at := range p.plain[1].Came() {
+		if at.After(told.Add(grace)) {
+			t.Fatal("a task came to a draining server after the grace")
+		}
+	}
+	if twice := p.doubles(); len(twice) > 0 {
+		t.Errorf("%d tasks ran twice", len(twice))
+	}
+}
--- /dev/null
+++ b/internal/memory/disk_test.go
@@ -0,0 +1,84 @@
+package memory
+
+import (
+	"maps"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"fawnglade/internal/store"
+)
+
+// TestCutAtEveryByte cuts the log of a node's store at every byte: what is then remembered is what one of the batches left, and the
+// drains of the last whole one hold.
+func TestCutAtEveryByte(t *testing.T) {
+	dir := t.TempDir()
+	at, _, err := store.Open(dir, store.Options{NoSelfCompact: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	plain, m := disk{}, disk{}.read()
+	var after []map[string]State // by batch
+	note := func() {
+		var batch store.Batch
+		for _, c := range m.Changes() {
+			batch.Put(c.Key, c.Value)
+			plain[c.Key] = c.Value
+		}
+		if err := at.Apply(&batch); err != nil {
+			t.Fatal(err)
+		}
+		states := map[string]State{}
+		for name, s := range plain.read().servers {
+			states[name] = s.State
+		}
+		after = append(after, states)
+	}
+	m.Begin(now)
+	note()
+	for i, s := range []State{Up, Draining, Up, Draining, Removed} {
+		m.Listed(now+int64(i), []Server{server("a", s, 5), server("b", State(i%2), int64(i))}, int64(i+1), false)
+		note()
+	}
+	if err := at.Close(); err != nil {
+		t.Fatal(err)
+	}
+	logs, err := filepath.Glob(filepath.Join(dir, "seg-*.log"))
+	if err != nil || len(logs) != 1 {
+		t.Fatal(logs, err)
+	}
+	whole, err := os.ReadFile(logs[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := 0
+	for cut := 64; cut <= len(whole); cut++ {
+		torn := t.TempDir()
+		if err := os.WriteFile(filepath.Join(torn, filepath.Base(logs[0])), whole[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, _, err := store.Open(torn, store.Options{})
+		if err != nil {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+		snap := s.Snapshot()
+		found := Read(func(each func(string, []byte)) {
+			snap.Each("", func(k string, v []byte) bool { each(k, v); return true })
+		})
+		snap.Release()
+		s.Close()
+		states := map[string]State{}
+		for name, one := range found.servers {
+			states[name] = one.State
+		}
+		for last+1 < len(after) && maps.Equal(states, after[last+1]) {
+			last++
+		}
+		if !maps.Equal(states, after[last]) && !(last == 0 && len(states) == 0) {
+			t.Fatalf("cut at %d: %v, want what batch %d left, %v", cut, states, last, after[last])
+		}
+	}
+	if last != len(after)-1 {
+		t.Errorf("the whole log gives batch %d of %d", last, len(after)-1)
+	}
+}
