Every guard of who is there is seen to be missed: tests for four that none was held by

Each has a test now, seen to fail without it. The first was also too short: a probe begun at waking can end after two rounds under strain, so it is three.

--- a/internal/lab/fleet/virtual_test.go
+++ b/internal/lab/fleet/virtual_test.go
@@ -75,3 +75,18 @@
 		t.Error("two plays of one fleet differ")
 	}
 }
+
+// TestOthersVouch has one node hear another no more, though all others do: nobody doubts anybody, as the others are asked first.
+func TestOthersVouch(t *testing.T) {
+	f := NewVirtual(6, 1)
+	if err := startAll(f)(); err != nil {
+		t.Fatal(err)
+	}
+	f.Break(cut([]int{0}, []int{1}, true))
+	f.Run(60 * f.Round)
+	for i, c := range f.Counts() {
+		if c.Doubts != 0 {
+			t.Errorf("n%d raised %d doubts", i, c.Doubts)
+		}
+	}
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -206,7 +206,7 @@
 	if now-m.last > m.set.Round/2 {
 		m.counts.Standstills++
 		m.strain = min(m.strain+2, mostStrain)
-		m.stood = m.beat + 2*beatsARound
+		m.stood = m.beat + 3*beatsARound
 		m.probes, m.asks = nil, nil
 		for _, i := range m.doubts { // what came meanwhile is still to be read
 			m.peers[i].ends = max(m.peers[i].ends, m.stood)
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -236,3 +236,82 @@
 		m.Beat(begin)
 	})
 }
+
+// upTo lets a view take beats, as if all went well with its clock.
+func upTo(m *Members, now int64, beats int) int64 {
+	for range beats {
+		now += m.beatNs()
+		m.Beat(now)
+	}
+	return now
+}
+
+func allUp(m *Members) {
+	for i := range m.peers {
+		m.told(begin, rumour{ID: m.peers[i].id, State: Up, Start: 5, Run: 1}, true)
+	}
+}
+
+// TestAStandstillCastsNoDoubt has a node stand still while it probes: whatever is not answered then and in the first probe after, is
+// its own doing first.
+func TestAStandstillCastsNoDoubt(t *testing.T) {
+	for phase := range beatsARound {
+		m := one(t, "n0", 6, &nowhere{})
+		allUp(m)
+		now := upTo(m, begin, beatsARound+phase)
+		if now = upTo(m, now+3e9, 3*beatsARound-1); m.counts.Doubts != 0 || m.counts.Standstills != 1 {
+			t.Errorf("phase %d: %d doubts, %d standstills", phase, m.counts.Doubts, m.counts.Standstills)
+		}
+		if upTo(m, now, 4*beatsARound); m.counts.Doubts == 0 {
+			t.Error("it never doubts again")
+		}
+	}
+}
+
+// TestWhatWasMissedIsFoundByDigests has a node that is told nothing any more know what another does, after one ping and its answer in
+// each part.
+func TestWhatWasMissedIsFoundByDigests(t *testing.T) {
+	wayA, wayB := &nowhere{}, &nowhere{}
+	a, b := one(t, "n0", 50, wayA), one(t, "n1", 50, wayB)
+	allUp(a)
+	a.fresh = nil
+	for i := range a.peers {
+		a.peers[i].left, a.peers[i].queued = 0, false
+	}
+	b.told(begin, a.own(), true)
+	a.told(begin, b.own(), true)
+	for range 2 * b.parts() {
+		wayA.sent, wayB.sent = nil, nil
+		a.answers, b.answers = 0, 0
+		b.send(b.find(a.id), b.withDigest(&message{Kind: ping, Sequence: 1}))
+		a.fresh = nil
+		a.Heard(begin, wayB.sent[0])
+		for _, d := range wayA.sent {
+			b.Heard(begin, d)
+		}
+	}
+	if f := b.Figure(begin); f.Up != 50 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// TestALifeBeforeIsNotAnswered has a message of an earlier life of a node come: it is told what it is taken for, and nothing else.
+func TestALifeBeforeIsNotAnswered(t *testing.T) {
+	way := &nowhere{}
+	m := one(t, "n0", 4, way)
+	old := one(t, "n1", 4, &nowhere{}).own()
+	next := old
+	next.Start, next.Run = old.Start+1000, 8
+	m.Heard(begin, from(m, "n1", message{Kind: tell, Self: next}))
+	way.sent = nil
+	m.Heard(begin+1e9, from(m, "n1", message{Kind: ping, Sequence: 4, Self: old}))
+	if len(way.sent) != 1 || m.peers[m.find(old.ID)].heard != begin || m.counts.Old != 1 {
+		t.Fatalf("%d sent, %+v", len(way.sent), m.counts)
+	}
+	if msg, err := decode(nil, way.sent[0]); err != nil || msg.Kind != tell || len(msg.Told) == 0 || msg.Told[0].Start != next.Start {
+		t.Errorf("%+v, %v", msg, err)
+	}
+	if m.told(begin, old, false); m.peers[m.find(old.ID)].start != next.Start {
+		t.Error("an old word is taken")
+	}
+}
