The lab plays probes in virtual time: reports.probed has an effect

It was checked and read nowhere: settings always said that probes are off (internal/lab/record/settings.go), and answers brought reports all the same. Now probes alone bring them.

--- a/internal/lab/world/machine.go
+++ b/internal/lab/world/machine.go
@@ -318,7 +318,10 @@
 	}
 	h.done = true
 	h.rec.Answered, h.rec.Status = h.m.day.now, status
-	report := h.m.report()
+	report := noReport.Report
+	if !h.m.day.scenario.Reports.Probed {
+		report = h.m.report()
+	}
 	h.x.node.handOffEnds(h, o, report, true)
 }
 
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -210,3 +210,20 @@
 type silent struct{ policy.Host }
 
 func (s *silent) HandOff(policy.TaskID, policy.ServerID, int64) {}
+
+// TestNewsProbesAndMembersArePlayed has what nodes may say to one another, and ask of servers, be sent and heard.
+func TestNewsProbesAndMembersArePlayed(t *testing.T) {
+	s := read(t, "fail-fast", 12)
+	s.Nodes.Members, s.Reports.Probed = true, true
+	var all record.Together
+	r := played(t, s, Module)
+	for _, one := range r.Together {
+		all.Probes, all.News, all.Members = all.Probes+one.Probes, all.News+one.News, all.Members+one.Members
+	}
+	if all.Probes == 0 || all.News == 0 || all.Members == 0 || len(r.Beliefs) == 0 {
+		t.Errorf("%d probes, %d news, %d datagrams of members, %d beliefs", all.Probes, all.News, all.Members, len(r.Beliefs))
+	}
+	if again := played(t, s, Module); text(t, again) != text(t, r) {
+		t.Error("not the same twice")
+	}
+}
