The memory's writing begins once all parts of the node are in place

Read again: openState started the goroutine that writes, and that asks the loop and the view of the others five seconds later, while New still set both (internal/node/state.go, openState; node.go, New). Nothing was seen to go wrong, but nothing ordered the two. It starts in Node.start now, beside the loop. Tests of disks, memory and power losses pass, those of the node under the race detector too.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -351,6 +351,7 @@
 		n.state.inherit()
 	}
 	go n.loop.run()
+	n.state.run()
 	go n.orders.watch()
 	go n.console.run()
 	go n.clients.empty()
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -39,6 +39,7 @@
 	mu     sync.Mutex
 	memory *memory.Memory
 	start  memory.Trusted
+	found  *store.Store // as it was opened; nil: it was not. Of run alone
 	kick   chan struct{}
 	over   chan struct{}
 	done   chan struct{}
@@ -85,10 +86,17 @@
 	s.memory.Begin(now)
 	n.log.Info("memory", zap.Uint64("epoch", s.memory.Epoch()), zap.Int("servers", len(s.start.Servers)), zap.Int("unreadable", s.memory.Bad()),
 		zap.Float64("learned counts", s.start.Part), zap.Strings("not trusted", s.start.Notes))
-	go s.write(o.store)
+	s.found = o.store
 	return s
 }
 
+// run begins the writing. It asks the loop and the view of the others, so it comes once all parts are in place.
+func (s *state) run() {
+	if s != nil {
+		go s.write(s.found)
+	}
+}
+
 func (s *state) open() (*store.Store, *memory.Memory, error) {
 	files, err := s.node.config.files(s.dir, true)
 	if err != nil {
