Nodes ask one another for the list while discovery does not tell it

Cause: after a power loss 300 nodes wait for a slow discovery, which works through their calls in turn, for up to six seconds, though the first of them has the list after a moment; and a node whose watch is cut goes on with a list that all others know to be old. Nothing carried it between them: members tell who is there alone.

Change: internal/hearsay, a pure core (whom to ask, how often, which of several answers holds, what to answer; the order between lists in its head), loads of up to 1,000 bytes carried by members' datagrams, a thin shell in the node and the same core in virtual time (nodes.list in a scenario). `list = true` in the features file; off without one, so off in `run`. The ledger takes a server for usable again where discovery itself has listed it as up since (Rules.ByOthers).

--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -25,6 +25,7 @@
 	Listen string `toml:"listen"` // address and port for datagrams
 	Round  string `toml:"round"`  // such as 500ms
 	Key    string `toml:"key"`    // hexadecimal, the same at all nodes; empty: datagrams have a checksum alone
+	List   bool   `toml:"list"`   // while discovery does not tell this node the list, it asks others; and answers them
 	Nodes  []Node `toml:"node"`
 
 	RoundNs  int64            `toml:"-"`
--- /dev/null
+++ b/internal/lab/fleet/hearsay_test.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	"fawnglade/internal/hearsay"
+	"fawnglade/internal/members"
+)
+
+// listening is a fleet whose nodes ask one another for the list, and know of each other.
+func listening(t *testing.T, nodes int, state bool) *Processes {
+	t.Helper()
+	p := processes(t, nodes)
+	p.State, p.List = state, true
+	p.startAll(t)
+	p.serving(t)
+	if _, err := Until(p, meet, "all know one another", Agree(Numbers(0, nodes), Each("up"))); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// heard is what the nodes say of the list that they go by; nil for one that does not say.
+func (p *Processes) heard(t *testing.T) []*hearsay.View {
+	out := make([]*hearsay.View, len(p.nodes))
+	for i := range p.nodes {
+		var v struct{ List *hearsay.View }
+		if status, text, err := Ask(p.Console(i), "GET", "/members"); err == nil && status == 200 && json.Unmarshal(text, &v) == nil {
+			out[i] = v.List
+		}
+	}
+	return out
+}
+
+// until waits for a statement about the lists.
+func (p *Processes) until(t *testing.T, what string, holds func(*hearsay.View) bool) {
+	t.Helper()
+	if _, err := Until(p, notice, what, func([]*members.View) bool {
+		for _, v := range p.heard(t) {
+			if v == nil || !holds(v) {
+				return false
+			}
+		}
+		return true
+	}); err != nil {
+		t.Fatalf("%v\n%+v", err, p.heard(t))
+	}
+}
+
+// lateAt tells how many tasks come to a server while all nodes are busy, from the grace after a moment on.
+func (p *Processes) lateAt(server int, told time.Time) (late int) {
+	time.Sleep(time.Until(told.Add(grace)) + 300*time.Millisecond)
+	for _, at := range p.plain[server].Came() {
+		if at.After(told.Add(grace)) {
+			late++
+		}
+	}
+	return late
+}
+
+// TestADrainReachesThoseWithoutAWatch leaves one node alone with a watch, with a third of all datagrams lost: the others stop sending
+// to a server that drains, and send to it again once it is up.
+func TestADrainReachesThoseWithoutAWatch(t *testing.T) {
+	p := listening(t, 6, false)
+	p.asks.Down(true)
+	p.asks.Most(1)
+	p.asks.Down(false)
+	p.Break(drop(6, 0.3, 1))
+	end := p.busy()
+	defer end()
+	p.lists(2, 1)
+	p.until(t, "all go by the list of the one", func(v *hearsay.View) bool { return v.Version == 2 })
+	if late := p.lateAt(1, time.Now()); late > 0 {
+		t.Errorf("%d tasks came to a server that drains after all knew it", late)
+	}
+	stand := 0
+	for _, v := range p.heard(t) {
+		if v.Stands {
+			stand++
+		}
+	}
+	if stand > 1 {
+		t.Errorf("%d watches stand", stand)
+	}
+	before := len(p.plain[1].Came())
+	p.lists(3, -1)
+	p.until(t, "all know that it is up", func(v *hearsay.View) bool { return v.Version == 3 })
+	for tries := 0; len(p.plain[1].Came()) == before; tries++ {
+		if tries > 3000 {
+			t.Fatal("it gets nothing")
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	p.Mend()
+	p.asks.Most(0)
+	p.until(t, "all watches stand", func(v *hearsay.View) bool { return v.Stands })
+}
+
+// TestThoseWithoutADiskServeByTheOthersMemory takes the power from all while a server drains, and half of the disks with it. Discovery
+// does not come back: all serve, and none sends to the server that drained.
+func TestThoseWithoutADiskServeByTheOthersMemory(t *testing.T) {
+	p := listening(t, 6, true)
+	p.lists(2, 1)
+	p.until(t, "all are told", func(v *hearsay.View) bool { return v.Version == 2 })
+	told := time.Now()
+	time.Sleep(200 * time.Millisecond) // until it is on the disks
+	p.asks.Down(true)
+	p.killAll()
+	for i := range 3 {
+		if err := os.RemoveAll(p.StateDir(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.startAll(t)
+	end := p.busy()
+	defer end()
+	p.until(t, "all have the list that some remember", func(v *hearsay.View) bool { return v.Version == 2 && v.Recalled })
+	p.serving(t)
+	if late := p.lateAt(1, told); late > 0 {
+		t.Errorf("%d tasks came to a server that drained before the power went", late)
+	}
+	p.asks.Down(false)
+	p.until(t, "all watches stand", func(v *hearsay.View) bool { return v.Stands })
+}
+
+// TestOneNodesListBansNobody has one node alone hear from a discovery that takes nearly all servers away; the others go on.
+func TestOneNodesListBansNobody(t *testing.T) {
+	p := listening(t, 4, false)
+	p.asks.Down(true)
+	p.asks.Most(1)
+	p.asks.Tell(9, Listing{Server: p.plain[0], Health: "up"}, Listing{Server: p.plain[1], Health: "draining"},
+		Listing{Server: p.plain[2], Health: "draining"}, Listing{Server: p.plain[3], Health: "draining"})
+	p.asks.Down(false)
+	doubted := func(views []*members.View) bool {
+		with, doubt := 0, 0
+		for _, v := range p.heard(t) {
+			if v != nil && v.Stands && v.Version == 9 {
+				with++
+			}
+			if v != nil && v.Counts.Doubted > 0 && v.Version == 1 {
+				doubt++
+			}
+		}
+		return with == 1 && doubt == 3
+	}
+	if _, err := Until(p, notice, "three doubt what one says", doubted); err != nil {
+		t.Fatalf("%v\n%+v", err, p.heard(t))
+	}
+	p.asks.Most(2)
+	p.until(t, "two watches are believed", func(v *hearsay.View) bool { return v.Version == 9 })
+}
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -40,6 +40,7 @@
 	Key      string
 	Settings string    // of every node, with its number of nodes and position to be filled in
 	State    bool      // nodes remember through a crash
+	List     bool      // nodes ask one another for the list
 	Log      io.Writer // of all nodes
 
 	dir   string
@@ -131,7 +132,7 @@
 // Features is the text of a node's features file.
 func (p *Processes) Features(node int) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[members]\nlisten = %q\nround = %q\nkey = %q\n", p.mesh.Address(node, node), p.Round, p.Key)
+	fmt.Fprintf(&b, "[members]\nlisten = %q\nround = %q\nkey = %q\nlist = %v\n", p.mesh.Address(node, node), p.Round, p.Key, p.List)
 	for k := range p.nodes {
 		fmt.Fprintf(&b, "[[members.node]]\nname = \"n%d\"\naddress = %q\n", k, p.mesh.Address(node, k))
 	}
@@ -325,8 +326,7 @@
 		p.board.Close()
 	}
 	if p.asks != nil {
-		p.asks.Down(true)
-		p.asks.l.Close()
+		p.asks.Close()
 	}
 	for _, s := range p.plain {
 		s.l.Close()
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -41,6 +41,7 @@
 type Rules struct {
 	StopSending, AskWithin, AnswerGrace int64
 	MayDuplicate                        bool
+	ByOthers                            bool                 // nodes may hear the list from one another
 	Slack                               int64                // that every time limit is longer on sockets
 	Late                                func(at int64) int64 // how late the rig itself ran round a moment
 	OnWay                               func(at int64) int64 // by how much the day held up what nodes, servers and discovery say to one another
--- a/internal/lab/rig/ways.go
+++ b/internal/lab/rig/ways.go
@@ -119,7 +119,8 @@
 		return "", nil
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "[members]\nlisten = %q\nround = %q\n", m.Address(n.index, n.index), n.day.scenario.Nodes.Round.Std())
+	set := n.day.scenario.Nodes
+	fmt.Fprintf(&b, "[members]\nlisten = %q\nround = %q\nlist = %v\n", m.Address(n.index, n.index), set.Round.Std(), set.List)
 	for k := range n.day.scenario.Nodes.Count {
 		fmt.Fprintf(&b, "[[members.node]]\nname = \"n%d\"\naddress = %q\n", k, m.Address(n.index, k))
 	}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -70,6 +70,7 @@
 	State    bool     `toml:"state"`     // nodes remember through a crash; on sockets alone
 	Members  bool     `toml:"members"`   // nodes know of one another, which they can only where they may tell
 	Round    Duration `toml:"round"`     // of the members
+	List     bool     `toml:"list"`      // members ask one another for the list while discovery does not tell it
 }
 
 // Fleet is a number of servers of one kind, spread over its zones in turn.
--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -243,6 +243,9 @@
 	w.version = s.roster.Version()
 	n.version = w.version
 	s.tell(n, entries, whole)
+	if n.hearing.listed(n, w.version, entries, whole) {
+		return
+	}
 	list := s.entries(entries)
 	n.enter(func() {
 		n.decider.ListLearned(n.clock(), list, whole)
--- /dev/null
+++ b/internal/lab/world/hearsay.go
@@ -0,0 +1,98 @@
+package world
+
+// This file owns the list by others' word in virtual time: the same core as in the node, its loads carried by the members' view. It
+// must never tell a node what no load has brought.
+
+import (
+	"fmt"
+
+	"fawnglade/internal/hearsay"
+	"fawnglade/internal/lab/links"
+	"fawnglade/internal/lab/model"
+	"fawnglade/policy"
+)
+
+// hearing is one life's part in it.
+type hearing struct {
+	core *hearsay.Hearsay
+	word int64 // when the watch last could say something
+}
+
+func (n *node) listen(seed uint64, list []model.Listed) {
+	n.hearing = nil
+	if !n.day.scenario.Nodes.List {
+		return
+	}
+	lines, _ := n.day.lines(list)
+	n.hearing = &hearing{core: hearsay.New(seed, n.view, n.clock(), n.day.discovery.roster.Version(), lines, false)}
+}
+
+func (d *Day) lines(list []model.Listed) (lines []hearsay.Line, gone []string) {
+	for _, l := range list {
+		m := d.machines[l.Server]
+		name := fmt.Sprint(l.Server)
+		if l.Health == model.Removed {
+			gone = append(gone, name)
+			continue
+		}
+		lines = append(lines, hearsay.Line{Name: name, Zone: m.spec.Zone, Pod: m.spec.Pod, Weight: 1, Draining: l.Health == model.Draining, Started: l.Started})
+	}
+	return lines, gone
+}
+
+// goBy takes lines of others, or the node's own list again, to the decisions.
+func (n *node) goBy(lines []hearsay.Line, whole bool) {
+	if lines == nil {
+		return
+	}
+	list := make([]policy.Listed, 0, len(lines))
+	for _, l := range lines {
+		var server int
+		fmt.Sscan(l.Name, &server)
+		health := model.Up
+		if l.Draining {
+			health = model.Draining
+		}
+		list = append(list, n.day.discovery.entries([]model.Listed{{Server: server, Health: health, Started: l.Started}})...)
+	}
+	n.enter(func() {
+		n.decider.ListLearned(n.clock(), list, whole)
+		for _, l := range list {
+			if l.State != policy.Active && !n.set.Policy.GoneMayServe {
+				n.Release(l.Server)
+			}
+		}
+	})
+}
+
+// beat lets the core ask; a watch says something at every moment at which its way is sound.
+func (h *hearing) beat(n *node) {
+	if h == nil {
+		return
+	}
+	word := int64(0)
+	if w := n.watch; w != nil && w.rec != nil {
+		if n.day.ways.Open(n.day.now, discoveryEnd, links.End{Index: n.index}) {
+			h.word = n.clock()
+		}
+		word = h.word
+	}
+	n.goBy(h.core.Beat(n.clock(), word), true)
+}
+
+func (h *hearing) take(n *node, from int, load []byte) {
+	if h != nil {
+		n.goBy(h.core.Heard(n.clock(), from, load), false)
+	}
+}
+
+// listed takes what the watch tells, and tells whether the node goes by all of the list anew.
+func (h *hearing) listed(n *node, version int64, entries []model.Listed, whole bool) bool {
+	if h == nil {
+		return false
+	}
+	lines, gone := n.day.lines(entries)
+	all := h.core.Listed(n.clock(), version, lines, gone, whole)
+	n.goBy(all, true)
+	return all != nil
+}
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -65,6 +65,7 @@
 	version  int64
 	wait     int64 // until it calls for the list by itself again
 	view     *members.Members
+	hearing  *hearing
 }
 
 func newNode(d *Day, index int) (*node, error) {
@@ -139,7 +140,7 @@
 	if !n.set.Policy.MustAsk {
 		n.call()
 	}
-	n.join()
+	n.join(list)
 }
 
 // enter has something handled by the loop, in turn: each event takes the processor for a moment.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -10,7 +10,8 @@
 //
 //	2 probes · (4 pings + 6 asks) + 3 calls + 2 tells + 1 warning = 26 datagrams,
 //
-// and in answer to others at most 10 · answersABeat = 60. A datagram is shorter than Most = 1,200 bytes. Nothing is kept but
+// and in answer to others at most 10 · answersABeat = 60. A datagram is shorter than Most = 1,200 bytes. Loads that other parts
+// have carried come on top; theirs is the bound. Nothing is kept but
 // one record for each node of the list (under 200 bytes), 64 asks of others and 2 probes.
 package members
 
@@ -65,12 +66,13 @@
 // Settings of one node's view.
 type Settings struct {
 	Name  string
-	Peers []string          // names of all nodes, its own among them
-	Key   []byte            // of the keyed hash on each datagram; empty: a checksum alone
-	Round int64             // nanoseconds; Beat is to be called ten times in each
-	Seed  uint64            // of all that is drawn
-	Run   uint32            // tells this process from others of its name
-	Known map[string]uint64 // when others started, in milliseconds of their clocks, as this node knew in an earlier life; may be nil
+	Peers []string                    // names of all nodes, its own among them
+	Key   []byte                      // of the keyed hash on each datagram; empty: a checksum alone
+	Round int64                       // nanoseconds; Beat is to be called ten times in each
+	Seed  uint64                      // of all that is drawn
+	Run   uint32                      // tells this process from others of its name
+	Known map[string]uint64           // when others started, in milliseconds of their clocks, as this node knew in an earlier life; may be nil
+	Take  func(from int, load []byte) // what another node carried here; nil: nobody wants it
 }
 
 // Way sends datagrams; it may lose them. A node is named by its place in Settings.Peers.
@@ -396,6 +398,29 @@
 	m.number = r.number() + 1
 }
 
+// Carry takes a load of another part of the node to a node, once, and may lose it. Longer than MostLoad it goes nowhere.
+func (m *Members) Carry(to int, load []byte) {
+	if m.gone || m.beat < m.yields || len(load) > MostLoad {
+		return
+	}
+	for i := range m.peers {
+		if int(m.peers[i].place) == to {
+			m.send(i, &message{Kind: carried, Load: load})
+			return
+		}
+	}
+}
+
+// Others are the places of the nodes that may hear: all that are not silent and have not left.
+func (m *Members) Others() (out []int) {
+	for i := range m.peers {
+		if p := &m.peers[i]; p.state != Silent && p.state != Left {
+			out = append(out, int(p.place))
+		}
+	}
+	return out
+}
+
 // Leave tells some others that this node ends, which they pass on. Nothing is sent or taken in after it.
 func (m *Members) Leave(now int64) {
 	if m.beat < m.yields || m.gone {
--- a/internal/members/message.go
+++ b/internal/members/message.go
@@ -15,6 +15,9 @@
 // Most is the length that no datagram reaches: it passes any way in one piece.
 const Most = 1200
 
+// MostLoad is the longest load that a datagram carries for another part of the node.
+const MostLoad = 1000
+
 const (
 	version    = 1
 	sealLength = 16
@@ -32,6 +35,7 @@
 	nack        // no answer from it yet
 	tell
 	part // what is believed of one part of the view
+	carried
 )
 
 // message is the body of a datagram. Fields that a later version adds are passed over; a field is never put to another use.
@@ -46,6 +50,7 @@
 	Digest   uint64   `cbor:"8,keyasint,omitempty"`
 	Told     []rumour `cbor:"9,keyasint,omitempty"`
 	Before   uint64   `cbor:"10,keyasint,omitempty"` // in an answer: the start of the receiver's life before this one
+	Load     []byte   `cbor:"11,keyasint,omitempty"`
 }
 
 var (
@@ -102,10 +107,14 @@
 func (m *Members) send(to int, msg *message) {
 	p := &m.peers[to]
 	msg.To, msg.Self = p.id, m.own()
-	if p.state > Up && !p.own && len(msg.Told) < mostTold {
+	room := mostTold
+	if msg.Kind == carried {
+		room = 1 // all that fits beside a load
+	}
+	if p.state > Up && !p.own && len(msg.Told) < room {
 		msg.Told = append(msg.Told, m.rumourOf(to))
 	}
-	for n := len(m.fresh); n > 0 && len(msg.Told) < mostTold; n-- {
+	for n := len(m.fresh); n > 0 && msg.Kind != carried && len(msg.Told) < room; n-- {
 		i := m.fresh[0]
 		m.fresh = m.fresh[1:]
 		x := &m.peers[i]
@@ -258,6 +267,10 @@
 		m.sequence++
 		m.asks = append(m.asks, ask{from, msg.Sequence, m.sequence, msg.About, m.beat})
 		m.send(about, &message{Kind: ping, Sequence: m.sequence})
+	case carried:
+		if m.set.Take != nil {
+			m.set.Take(int(m.peers[from].place), msg.Load)
+		}
 	case nack:
 		for _, p := range m.probes {
 			if p.sequence == msg.Sequence && m.peers[p.peer].id == msg.About {
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -207,11 +207,20 @@
 
 // Over lays what is remembered over lines of the list before they count: a drain holds against an older list.
 func (m *Memory) Over(lines []Server, version int64) []Server {
-	newer := m.older || version > m.before.Version
+	newer := m.older
 	for i := range lines {
 		newer = newer || lines[i].Started > m.before.Clock
 	}
-	if newer || m.before.Clock == 0 {
+	if newer {
+		return lines
+	}
+	return m.OverOthers(lines, version)
+}
+
+// OverOthers lays what is remembered over a list that another node has told. Its version alone makes it newer: a start in it may be
+// that node's guess.
+func (m *Memory) OverOthers(lines []Server, version int64) []Server {
+	if version > m.before.Version || m.before.Clock == 0 {
 		return lines
 	}
 	out := slices.Clone(lines)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,6 +34,7 @@
 	of      context.Context // the place that told the version
 	calls   chan struct{}
 	silence time.Duration // after which a watch is taken to be dead
+	word    atomic.Int64  // when the watch last said anything; 0: none stands
 
 	mu      sync.Mutex
 	address string
@@ -131,6 +133,7 @@
 	if r.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", r.Status)
 	}
+	defer d.word.Store(0)
 	lines := bufio.NewScanner(r.Body)
 	lines.Buffer(nil, longestLine)
 	for {
@@ -141,6 +144,7 @@
 			}
 			return errors.New("the watch ended")
 		}
+		d.word.Store(d.node.clock.now())
 		if len(lines.Bytes()) > 0 {
 			if err := d.line(lines.Bytes()); err != nil {
 				// What it told is lost, so the next call has to bring it again.
@@ -159,7 +163,12 @@
 	}
 	d.version = version
 	d.node.counters.add(listLines)
-	d.node.loop.enterList(d.node.state.listed(entries, version, whole), whole)
+	entries = d.node.state.listed(entries, version, whole)
+	if d.node.hearing == nil {
+		d.node.loop.enterList(entries, whole)
+		return nil
+	}
+	d.node.hearing.listed(entries, version, whole)
 	return nil
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -72,11 +72,15 @@
 	for _, n := range s.set.Nodes {
 		set.Peers = append(set.Peers, n.Name)
 	}
+	if s.node.hearing != nil {
+		set.Take = s.node.hearing.take
+	}
 	var err error
 	if s.core, err = members.New(set, s, s.node.clock.now()); err != nil {
 		s.node.log.Error("members are off", zap.Error(err))
 		return
 	}
+	s.node.hearing.begin(set.Seed, s.core)
 	go s.read()
 	beats := time.NewTicker(time.Duration(s.set.RoundNs / 10))
 	defer beats.Stop()
@@ -88,7 +92,10 @@
 			if s.node.handover.hasYielded() {
 				return // the other process has the name now, and the address
 			}
-			s.step(func() { s.core.Beat(s.node.clock.now()) })
+			s.step(func() {
+				s.core.Beat(s.node.clock.now())
+				s.node.hearing.beat()
+			})
 		case datagram := <-s.heard:
 			s.step(func() {
 				s.core.Heard(s.node.clock.now(), datagram)
@@ -163,7 +170,10 @@
 	if err := s.ask(func(m *members.Members, now int64) { v = m.View(now) }); err != nil {
 		return "", err
 	}
-	text, err := json.Marshal(v)
+	text, err := json.Marshal(struct {
+		members.View
+		List json.RawMessage `json:"list,omitempty"` // by others' word
+	}{v, s.node.hearing.text()})
 	return string(text), err
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,6 +192,8 @@
 	orders    *orders
 	handover  *handover
 	members   *membership // nil: off
+	hearing   *hearing    // nil: off
+	first     firstList   // of start, then of hearing
 	state     *state      // nil: no memory
 	heritage  *heritage   // what the process before has told; nil at a plain start
 }
@@ -222,6 +224,7 @@
 		listener.Close()
 		return nil, fmt.Errorf("members.listen: %w", err)
 	}
+	n.hearing = newHearing(n)
 	n.clients = newClients(n, listener)
 	n.handover = newHandover(n)
 	n.heritage = n.handover.find()
@@ -314,17 +317,17 @@
 }
 
 // known is the list that the node had last: the one of the process before, else the configuration's.
-func (n *Node) known() []entry {
+func (n *Node) known() firstList {
 	if n.heritage != nil {
 		n.orders.tell(n.heritage.Listed...)
-		if entries, _, _, err := n.listOf(n.heritage.List); err == nil {
-			return entries // without its version, so that discovery is asked for the whole list
+		if entries, version, _, err := n.listOf(n.heritage.List); err == nil {
+			return firstList{entries, version, false} // discovery is asked for the whole list
 		}
 		n.counters.add(handoversPassedOver)
 		n.log.Warn("the list of the process before passed over")
 	}
-	remembered := n.state.known()
-	n.orders.tell(names(remembered)...)
+	remembered := firstList{n.state.known(), n.state.version(), false}
+	n.orders.tell(names(remembered.entries)...)
 	if len(n.config.Known) == 0 {
 		return remembered
 	}
@@ -333,18 +336,20 @@
 		n.log.Warn("known list passed over", zap.Error(err))
 		return remembered
 	}
-	if len(remembered) > 0 && !n.state.before(version) {
-		return n.state.beside(remembered, entries, version) // without a version, so that discovery is asked for the whole list
+	if len(remembered.entries) > 0 && !n.state.before(version) {
+		remembered.entries = n.state.beside(remembered.entries, entries, version)
+		return remembered // discovery is asked for the whole list
 	}
 	n.discovery.version = version
-	return n.state.listed(entries, version, whole)
+	return firstList{n.state.listed(entries, version, whole), version, true}
 }
 
 // start sets the parts to work, beginning with the list that the node had last. Clients are taken once all else is in place:
 // beside another process they come from the first moment.
 func (n *Node) start() {
 	n.loop.now = n.clock.now()
-	n.loop.listed(n.known(), true)
+	n.first = n.known()
+	n.loop.listed(n.first.entries, true)
 	if n.heritage != nil {
 		n.loop.inherit(n.heritage.Learned)
 	} else {
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -236,6 +236,16 @@
 	return s.node.entriesOf(s.start.Servers)
 }
 
+// version is the highest of the list that is remembered; 0: none.
+func (s *state) version() int64 {
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.memory.Version()
+}
+
 // before tells whether a list is newer than all that is remembered.
 func (s *state) before(version int64) bool {
 	if s == nil {
@@ -288,6 +298,18 @@
 
 // lay lays what is remembered over lines of a list, and has something done with them as they then are.
 func (s *state) lay(entries []entry, version int64, do func([]memory.Server)) []entry {
+	return s.layBy(entries, do, func(lines []memory.Server) []memory.Server { return s.memory.Over(lines, version) })
+}
+
+// overOthers lays what is remembered over what another node has told.
+func (s *state) overOthers(entries []entry, version int64) []entry {
+	if s == nil {
+		return entries
+	}
+	return s.layBy(entries, nil, func(lines []memory.Server) []memory.Server { return s.memory.OverOthers(lines, version) })
+}
+
+func (s *state) layBy(entries []entry, do func([]memory.Server), by func([]memory.Server) []memory.Server) []entry {
 	lines := make([]memory.Server, len(entries))
 	for i, e := range entries {
 		zone := ""
@@ -298,7 +320,7 @@
 			State: [...]memory.State{policy.Active: memory.Up, policy.Draining: memory.Draining, policy.Gone: memory.Removed}[e.State]}
 	}
 	s.mu.Lock()
-	over := s.memory.Over(lines, version)
+	over := by(lines)
 	if do != nil {
 		do(over)
 	}
