A remembered drain holds in whatever order nodes hear of it

Cause: a node that had first heard a told list of version 5 passed over a remembered one of version 7 with a drain; one that heard them the other way round kept the drain. Found by taking each guard of internal/hearsay out in turn and asking which order the rule "told before remembered" stood for.

Change: a remembered list of a higher version than what was told makes the more cautious of both, whichever came first. Tests for the guards that none had caught (asks in a beat, the same watch's word twice, answers after the own word, asking back, spoilt pages), for loads in members, for what another's list may lift in the memory, and for the ledger's rule.

--- a/internal/hearsay/hearsay.go
+++ b/internal/hearsay/hearsay.go
@@ -355,7 +355,7 @@
 		now.stood, now.recalled = max(now.stood, a.stood()), now.recalled && a.Recalled // it stands, or did more lately than this node knew
 		return nil
 	}
-	if now != nil && (a.Recalled && !now.recalled || a.Recalled == now.recalled && a.Version < now.version) {
+	if now != nil && (a.Recalled || !now.recalled) && a.Version < now.version {
 		return nil
 	}
 	g := h.other
@@ -421,11 +421,14 @@
 	next := fresh
 	var absent []Line
 	if now != nil {
-		newer := fresh.version > now.version
-		if !newer {
-			next = newList(now.version, join(now.lines, lines, now.recalled && !fresh.recalled), max(stood, now.stood), now.recalled && fresh.recalled)
-		} else {
+		if fresh.version > now.version && (now.recalled || !fresh.recalled) {
 			absent = without(now.lines, lines)
+		} else {
+			a, b := now, fresh
+			if b.recalled { // who was told knows since when servers run
+				a, b = b, a
+			}
+			next = newList(max(a.version, b.version), join(a.lines, b.lines, a.recalled && !b.recalled), max(a.stood, b.stood), a.recalled && b.recalled)
 		}
 		if usableOf(next.lines)*usable < usableOf(now.lines) && len(g.vouch) < witnesses {
 			if !g.doubts {
--- a/internal/hearsay/hearsay_test.go
+++ b/internal/hearsay/hearsay_test.go
@@ -17,6 +17,7 @@
 	draw  *rand.Rand
 	loss  float64
 	late  int64
+	mute  int // one that hears and says nothing; -1: nobody
 	nodes []*node
 	due   []due
 }
@@ -42,7 +43,7 @@
 		s.t.Fatalf("a load of %d bytes", len(load))
 	}
 	n.sent++
-	if s.draw.Float64() >= s.loss {
+	if s.draw.Float64() >= s.loss && n.index != s.mute && to != s.mute {
 		s.due = append(s.due, due{s.now + s.late, int64(n.index), int64(to), load})
 	}
 }
@@ -69,7 +70,7 @@
 }
 
 func newNet(t *testing.T, nodes int, seed uint64, remembered func(i int) (int64, []Line)) *net {
-	s := &net{t: t, now: 1_700_000_000e9, draw: rand.New(rand.NewPCG(seed, 1))}
+	s := &net{t: t, mute: -1, now: 1_700_000_000e9, draw: rand.New(rand.NewPCG(seed, 1))}
 	for i := range nodes {
 		n := &node{net: s, index: i, list: map[string]Line{}}
 		var version int64
@@ -309,6 +310,97 @@
 	}
 }
 
+// TestTheSameWordAgainIsNoSecondOne has nodes that only repeat what one watch told.
+func TestTheSameWordAgainIsNoSecondOne(t *testing.T) {
+	s := newNet(t, 6, 7, func(i int) (int64, []Line) {
+		if i == 5 {
+			return 3, lines(8)
+		}
+		return 0, nil
+	})
+	s.nodes[0].tell(99, lines(8, 0, 1, 2, 3, 4, 5))
+	for s.mute = 5; s.now < 1_700_000_010e9; {
+		if s.step(); s.now == 1_700_000_005e9 {
+			s.mute = -1
+		}
+	}
+	if s.nodes[1].usable() != 2 || s.nodes[5].usable() != 8 {
+		t.Errorf("who knew nothing uses %d, who knew eight %d", s.nodes[1].usable(), s.nodes[5].usable())
+	}
+}
+
+func TestARememberedDrainHoldsAgainstWhatWasToldBefore(t *testing.T) {
+	s := newNet(t, 3, 6, func(i int) (int64, []Line) {
+		if i == 0 {
+			return 7, lines(8, 1)
+		}
+		return 0, nil
+	})
+	s.nodes[1].tell(5, lines(8))
+	for range 30 {
+		s.step()
+	}
+	if n := s.nodes[2]; !n.list["server-0001"].Draining || n.list["server-0002"].Started > lines(8)[2].Started {
+		t.Errorf("%v", n.list)
+	}
+	s.nodes[2].word, s.nodes[1].word = false, false
+	s.nodes[1].tell(7, lines(8)) // as new as what is remembered
+	for range 30 {
+		s.step()
+	}
+	if got := s.nodes[1].core.mine(); s.nodes[1].usable() != 8 || got.recalled {
+		t.Errorf("uses %d, %+v", s.nodes[1].usable(), got)
+	}
+}
+
+// TestAnswersAfterOwnWord has a watch tell while answers to what the node had asked are still on their way.
+func TestAnswersAfterOwnWord(t *testing.T) {
+	s := newNet(t, 2, 12, nil)
+	s.late = 8 * beat
+	s.nodes[0].tell(9, lines(8, 1))
+	for range 12 {
+		s.step()
+	}
+	s.nodes[1].tell(8, lines(8))
+	for range 30 {
+		s.step()
+	}
+	if got := s.nodes[1].usable(); got != 8 || s.nodes[1].core.View().Version != 8 {
+		t.Errorf("uses %d, %+v", got, s.nodes[1].core.View())
+	}
+}
+
+// TestWhoHasMoreIsAskedBack has a node with a list ask one that has none, which asks back in the next beat.
+func TestWhoHasMoreIsAskedBack(t *testing.T) {
+	s := newNet(t, 2, 12, nil)
+	n := s.nodes[1]
+	n.core.next = 1 << 60
+	n.core.Heard(s.now, 0, encode(&message{Kind: question, Version: 4, Digest: 5, Asked: s.now}))
+	n.core.Beat(s.now, 0)
+	if n.core.counts.Asked != 1 {
+		t.Errorf("asked %d times", n.core.counts.Asked)
+	}
+}
+
+// TestNonsense has one node answer what makes no sense, a thousand times in a beat.
+func TestNonsense(t *testing.T) {
+	s := newNet(t, 2, 12, nil)
+	n := s.nodes[1]
+	n.core.Beat(s.now, 0)
+	for i := range 1000 {
+		page := Line{Name: fmt.Sprint("s", i), Address: "a"}
+		if got := n.core.Heard(s.now, 0, encode(&message{Kind: reply, Version: int64(i / 2), Digest: 7, Pages: 2, Page: i % 2, Asked: s.now, Lines: []Line{page}})); got != nil {
+			t.Fatalf("taken: %v", got)
+		}
+	}
+	for i := range 1000 { // the first pages of ever better lists
+		n.core.Heard(s.now, 0, encode(&message{Kind: reply, Version: 1000 + int64(i/8), Digest: 7, Pages: 40, Page: i % 8, Asked: s.now}))
+	}
+	if n.core.counts.Asked > asksABeat || n.core.counts.Bad < 400 {
+		t.Errorf("%+v", n.core.counts)
+	}
+}
+
 func TestAServerThatIsOffTheListGetsNothing(t *testing.T) {
 	s := newNet(t, 2, 8, func(int) (int64, []Line) { return 3, lines(8) })
 	s.nodes[0].tell(4, lines(7))
@@ -398,6 +490,9 @@
 func FuzzHeard(f *testing.F) {
 	f.Add(encode(&message{Kind: reply, Version: 3, Digest: 4, Pages: 2, Page: 1, Asked: 1_700_000_000e9, Lines: lines(2)}))
 	f.Add(encode(&message{Kind: question, Version: 3, Want: []int{0, 900}}))
+	f.Add(encode(&message{Kind: question, Version: 3, Want: []int{-5}}))
+	f.Add(encode(&message{Kind: reply, Version: 3, Digest: 4, Pages: 2, Page: 5, Asked: 1_700_000_000e9}))
+	f.Add(encode(&message{Kind: reply, Version: 3, Digest: 4, Pages: 1 << 40, Asked: 1_700_000_000e9}))
 	f.Fuzz(func(t *testing.T, load []byte) {
 		s := newNet(t, 2, 1, func(int) (int64, []Line) { return 2, lines(3) })
 		n := s.nodes[1]
--- a/internal/lab/ledger/judge_test.go
+++ b/internal/lab/ledger/judge_test.go
@@ -123,6 +123,33 @@
 	}
 }
 
+// TestByOthers has a node that was told of a drain send to the server after discovery has listed it as up to others.
+func TestByOthers(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed []Listing
+		hears  bool
+		want   bool
+	}{
+		"up again":            {[]Listing{{0, model.Draining, 900 * ms}, {0, model.Up, 1200 * ms}}, true, false},
+		"and nodes don't ask": {[]Listing{{0, model.Up, 1200 * ms}}, false, true},
+		"up before alone":     {[]Listing{{0, model.Up, 900 * ms}}, true, true},
+		"up, and out again":   {[]Listing{{0, model.Up, 1200 * ms}, {0, model.Removed, 1500 * ms}}, true, true},
+		"up only later":       {[]Listing{{0, model.Up, 2001 * ms}}, true, true},
+		"another":             {[]Listing{{1, model.Up, 1200 * ms}}, true, true},
+	} {
+		l := day().hand(2000, nil).try(0, func(t *Try) { t.Whole, t.Hard = 1999*ms, 9000*ms; answered(2009, 200)(t) })
+		l.Tell(told(1000, model.Draining))
+		for _, one := range c.listed {
+			l.List(one)
+		}
+		r := rules
+		r.ByOthers = c.hears
+		if got := l.Judge(categories, r); c.want != (len(got) == 1) {
+			t.Errorf("%s: %v, want broken %v", name, got, c.want)
+		}
+	}
+}
+
 // A node that does not ask is taken to know what stood on the list so long ago.
 func TestUnasked(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -11,8 +11,8 @@
 //	2 probes · (4 pings + 6 asks) + 3 calls + 2 tells + 1 warning = 26 datagrams,
 //
 // and in answer to others at most 10 · answersABeat = 60. A datagram is shorter than Most = 1,200 bytes. Loads that other parts
-// have carried come on top; theirs is the bound. Nothing is kept but
-// one record for each node of the list (under 200 bytes), 64 asks of others and 2 probes.
+// have carried come on top; theirs is the bound. Nothing is kept but one record for each node of the list (under 200 bytes), 64
+// asks of others and 2 probes.
 package members
 
 import (
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -134,6 +134,34 @@
 	}
 }
 
+// TestLoads carries the longest load from a node that has much to tell, to one that wants it, one that does not, and a stranger.
+func TestLoads(t *testing.T) {
+	out := &nowhere{}
+	a := one(t, "n0", 300, out)
+	allUp(a)
+	a.Carry(1, make([]byte, MostLoad))
+	a.Carry(1, make([]byte, MostLoad+1))
+	a.Carry(4000, nil)
+	if len(out.sent) != 1 || len(out.sent[0]) >= Most {
+		t.Fatalf("%d datagrams", len(out.sent))
+	}
+	took := -1
+	b := one(t, "n1", 300, &nowhere{})
+	b.Heard(begin, out.sent[0])
+	b.set.Take = func(from int, load []byte) { took = from*10000 + len(load) }
+	b.Heard(begin, out.sent[0])
+	if c := b.Counts(); took != MostLoad || c.Bad > 0 {
+		t.Errorf("took %d, %+v", took, c)
+	}
+	if got := len(b.Others()); got != 299 {
+		t.Errorf("%d may hear", got)
+	}
+	b.peers[3].state, b.peers[4].state, b.peers[5].state = Silent, Left, Doubted
+	if got := len(b.Others()); got != 297 {
+		t.Errorf("%d may hear", got)
+	}
+}
+
 func TestAViewOf4096NodesIsUnderAMegabyte(t *testing.T) {
 	all := names(4096)
 	var before, after runtime.MemStats
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -95,6 +95,12 @@
 			t.Errorf("%s: %v, want %v", c.what, got, c.want)
 		}
 	}
+	others := lived().read()
+	others.Begin(now + 100)
+	guess := []Server{server("out", Up, 5), server("up", Up, now+20)}
+	if a, b := others.OverOthers(guess, 7)[0].State, others.OverOthers(guess, 8)[0].State; a != Draining || b != Up {
+		t.Errorf("by another's list as new as the memory %v, by a newer one %v", a, b)
+	}
 	m := lived().read()
 	m.Begin(now + 100)
 	m.Listed(now+200, []Server{server("up", Draining, 5)}, 3, false)
