A node is ready only once it has a list of servers, and says why not

Cause: a node that woke with nothing answered /ready with yes as soon as its parts ran, the front sent it tasks, and it declined every one of them until discovery had come to its call.

Change: not ready until a list was remembered, known, taken over, told by discovery or by another node; the console's answer names it. A known list that is empty is one.

--- a/internal/lab/fleet/hearsay_test.go
+++ b/internal/lab/fleet/hearsay_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -126,6 +127,27 @@
 	p.until(t, "all watches stand", func(v *hearsay.View) bool { return v.Stands })
 }
 
+// TestReadyOnceThereIsAList has three nodes wake with nothing: none is ready, and each says why, until one list has come to one.
+func TestReadyOnceThereIsAList(t *testing.T) {
+	p := processes(t, 3)
+	p.List = true
+	p.asks.Down(true)
+	p.startAll(t)
+	if _, err := Until(p, meet, "all know one another", Agree(Numbers(0, 3), Each("up"))); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		front, _, err := Ask(p.Listen(i), "GET", "/ready")
+		status, text, _ := Ask(p.Console(i), "GET", "/ready")
+		if err != nil || front != 503 || status != 503 || !strings.Contains(string(text), "no list of servers yet") {
+			t.Errorf("n%d without a list answers %d, and its console %d %s; %v", i, front, status, text, err)
+		}
+	}
+	p.asks.Most(1)
+	p.asks.Down(false)
+	p.serving(t)
+}
+
 // TestOneNodesListBansNobody has one node alone hear from a discovery that takes nearly all servers away; the others go on.
 func TestOneNodesListBansNobody(t *testing.T) {
 	p := listening(t, 4, false)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -166,9 +166,10 @@
 	entries = d.node.state.listed(entries, version, whole)
 	if d.node.hearing == nil {
 		d.node.loop.enterList(entries, whole)
-		return nil
+	} else {
+		d.node.hearing.listed(entries, version, whole)
 	}
-	d.node.hearing.listed(entries, version, whole)
+	d.node.listed.Store(true)
 	return nil
 }
 
--- a/internal/node/hearsay.go
+++ b/internal/node/hearsay.go
@@ -110,6 +110,7 @@
 	}
 	entries, view := s.entries(lines), s.core.View()
 	s.node.loop.enterList(s.node.state.overOthers(entries, view.Version), false)
+	s.node.listed.Store(true)
 	s.node.log.Info("the list by others' word", zap.Int("from", from), zap.Int("servers", len(entries)), zap.Any("list", view))
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,6 +194,7 @@
 	members   *membership // nil: off
 	hearing   *hearing    // nil: off
 	first     firstList   // of start, then of hearing
+	listed    atomic.Bool // some list has come, or was there
 	state     *state      // nil: no memory
 	heritage  *heritage   // what the process before has told; nil at a plain start
 }
@@ -291,6 +292,8 @@
 		return "drained"
 	case !n.serving.Load():
 		return "starting"
+	case !n.listed.Load():
+		return "no list of servers yet: none is remembered, and nobody has told one"
 	}
 	return ""
 }
@@ -349,6 +352,7 @@
 func (n *Node) start() {
 	n.loop.now = n.clock.now()
 	n.first = n.known()
+	n.listed.Store(n.first.base || len(n.first.entries) > 0 || n.heritage != nil)
 	n.loop.listed(n.first.entries, true)
 	if n.heritage != nil {
 		n.loop.inherit(n.heritage.Learned)
