The first cold servers of a lost fleet get no more than they surely can

Change: a bound by time, eight tasks at a time times the sure part, over the nodes that draw from the server; and arrivals count while less than half of the subset is warm.

--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -5,10 +5,11 @@
 import "math"
 
 const (
-	inARow = 2    // own signs that count
-	part   = 0.75 // of the time after which one was dead: what stood longer is no longer trusted
-	forget = 0.5  // part of the signs that still counts a second later
-	grows  = 32   // the trust grows back by this part of itself a second
+	inARow  = 2    // own signs that count
+	part    = 0.75 // of the time after which one was dead: what stood longer is no longer trusted
+	forget  = 0.5  // part of the signs that still counts a second later
+	signers = 25   // where nodes tell one another: one in so many has to see connections die
+	grows   = 32   // the trust grows back by this part of itself a second
 )
 
 // Trust is one node's. Begin with Whole.
@@ -39,8 +40,13 @@
 	return t.row >= inARow
 }
 
-// Believe counts a sign that is believed, an own one or what another node tells; it takes so many to act.
-func (t *Trust) Believe(gap int64, signs float64) {
+// Believe counts a sign that is believed, an own one or what another node tells. Where nodes tell one another it takes signs from a
+// part of them to act; nodes: how many there are.
+func (t *Trust) Believe(gap int64, tell bool, nodes int) {
+	signs := 1.0
+	if tell {
+		signs = float64(nodes) / signers
+	}
 	if t.said++; t.said >= signs {
 		t.For = min(t.For, int64(part*float64(gap)))
 	}
--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -17,10 +17,10 @@
 	if !trust.Died(8 * second) {
 		t.Error("two in a row are not believed")
 	}
-	if trust.Believe(8*second, 2); trust.For < 1e15 {
+	if trust.Believe(8*second, true, 2*signers); trust.For < 1e15 {
 		t.Error("one of two voices acts")
 	}
-	if trust.Believe(8*second, 2); trust.For != 6*second {
+	if trust.Believe(8*second, true, 2*signers); trust.For != 6*second {
 		t.Errorf("trusted for %d ns, expected three quarters of eight seconds", trust.For)
 	}
 	for range 100 {
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -36,6 +36,7 @@
 
 	Tally
 	RulesBroken int            `json:"rules_broken"`
+	BackS       float64        `json:"back_s,omitempty"` // from the last loss of power until service is back; -1: not by the end; 0: no loss
 	Breaks      []ledger.Break `json:"breaks,omitempty"`
 
 	Categories map[string]*Tally `json:"by_category"`
@@ -181,6 +182,9 @@
 	for i := range r.Plan.Faults {
 		f := &r.Plan.Faults[i]
 		from := float64(int64(f.At)-r.Base) / 1e9
+		if f.Kind == "power" {
+			out.BackS = out.back(from)
+		}
 		whom := len(f.Targets)
 		if way, ok := s.Way(&f.Fault); ok {
 			whom = len(way.From) * len(way.To)
@@ -206,6 +210,25 @@
 	return worst
 }
 
+// backPart of the earnings in time, in two seconds on end, is service that is back.
+const backPart = 0.95
+
+// back is how long after a moment, in seconds, service was back; -1: not by the end.
+func (r *Result) back(from float64) float64 {
+	run := 0
+	for i := int(from); i < len(r.Seconds); i++ {
+		if t := &r.Seconds[i]; t.Earnings > 0 && t.Earned >= backPart*t.Earnings {
+			run++
+		} else {
+			run = 0
+		}
+		if run == 2 {
+			return float64(i-1) - from
+		}
+	}
+	return -1
+}
+
 // WorstCategory is the earnings in time of the category that fares worst.
 func (r *Result) WorstCategory() float64 {
 	worst := 1.0
@@ -273,6 +296,9 @@
 	for _, n := range r.Nodes {
 		miss(n.Crashes == 0, "node %d ended by itself %d times", n.Node, n.Crashes)
 	}
+	if e.BackWithin > 0 {
+		miss(r.BackS >= 0 && r.BackS <= e.BackWithin.Std().Seconds(), "service back at %.2f of the earnings after %.0f s (-1: not by the end), expected %v at most", backPart, r.BackS, e.BackWithin.Std())
+	}
 	miss(!e.Agree || r.Views != nil && r.Views.AgreeFromS >= 0, "at the end nodes believe wrongly which of them run, expected that all know")
 	switch {
 	case played.Void:
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -232,6 +232,8 @@
 	c.part("expect.satisfied_min", s.Expect.Satisfied)
 	c.part("expect.declined_max", s.Expect.Declined)
 	c.part("expect.bad_unanswered_max", s.Expect.BadUnanswered)
+	lost := slices.ContainsFunc(s.Faults, func(f Fault) bool { return f.Kind == "power" })
+	c.must(s.Expect.BackWithin >= 0 && (lost || s.Expect.BackWithin == 0), "expect.back_within", "a time, where a fault is a loss of power", s.Expect.BackWithin.Std())
 	slices.SortStableFunc(c.all, func(a, b error) int { return cmp.Compare(a.(*Mistake).Line, b.(*Mistake).Line) })
 	return errors.Join(c.all...)
 }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -226,6 +226,7 @@
 	LostMost       int      `toml:"lost_max"`           // tasks lost with nodes that were killed
 	SeeingPart     float64  `toml:"seeing_part_min"`    // of what a policy keeps that sees the true state late; the gate
 	Agree          bool     `toml:"agree"`              // at the end every node knows which nodes run
+	BackWithin     Duration `toml:"back_within"`        // from the last loss of power until service is back at 0.95 of the earnings; 0: not asked
 	PlainLess      float64  `toml:"plain_less_max"`     // by how much less than random choice it may keep; the gate; 0: not asked
 }
 
--- a/internal/learned/learned.go
+++ b/internal/learned/learned.go
@@ -84,6 +84,14 @@
 	MeanOf, High float64         // mean cost of a task; mean of the high quantiles
 }
 
+// Age is called once a second: what answers showed of pods and of the fleet counts for those parts of it.
+func (c *Common) Age(pods, fleet float64) {
+	for _, pod := range c.Pods {
+		pod.Fade(pods)
+	}
+	c.Fleet.Fade(fleet)
+}
+
 // Server is one server's figures, and which start of it they are of.
 type Server struct {
 	Figures
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,7 @@
 	odd         = 3                    // an answer counts for at most this multiple of what its fellows show
 	failed      = 0.25                 // running part of failures that puts a server out of the draw
 	coldSafety  = 0.75                 // part of its fair part that a cold server gets, to err on the low side
+	surely      = 8                    // tasks that a warm server surely does at a time
 	copyPart    = 0.1                  // second copies for each task
 	least       = 4                    // servers that a node draws from at least, and a further one
 	carries     = 8.0                  // for so many tasks a second
@@ -41,7 +42,6 @@
 	evenAt      = 0.4                  // where the worst category weighs so much, what work earns favours none
 	probeEach   = 32                   // tasks for which a server is probed
 	shortIdle   = recalculate * 3 / 10 // a connection used so lately is not dead
-	signers     = 25                   // one node in so many has to see connections die
 	voices      = 3                    // that a server fails a category, within about two seconds
 	grain       = 4                    // ticks of silence that tell nothing: the node may have stood still
 	jam         = 2.5                  // answer times over the work at which the fleet is jammed
@@ -122,10 +122,11 @@
 	idle                idle.Trust
 	jammed, breadth     int       // seconds for which all have been late; how many servers to draw from
 	toldIdle, restTo    int64     // when that was told; until when this node gives the fleet a rest
+	cameAt              int64     // when a task came last
 	near, chilly, drawn []*server // those; of these the cold ones; who takes part in the draw
 	keys                keys.Tally
 	lags                *lag.Book
-	wait                float64   // for which the task being drawn waits anywhere, because of its kind
+	wait, active        float64   // for which the task being drawn waits anywhere, because of its kind; servers
 	homes               []*server // of the key of the task being drawn, the first by rank first
 	weights             []float64
 }
@@ -419,13 +420,13 @@
 // choose picks whom this node draws from: the first by rank, until enough are warm and fit. Guards against
 // many nodes each holding a connection to every server, hearing little of any, and filling their tables.
 func (p *Policy) choose(now int64) {
-	active := 0.0
+	p.active = 0
 	for _, s := range p.servers {
 		if s.State == Active {
-			active++
+			p.active++
 		}
 	}
-	want := max(least+p.rate/carries, sharers*active/float64(max(p.set.Nodes, 1)))
+	want := max(least+p.rate/carries, sharers*p.active/float64(max(p.set.Nodes, 1)))
 	if p.breadth = max(p.breadth, int(want)); want < float64(p.breadth)-1 {
 		p.breadth-- // slowly, as connections would be closed and opened again
 	}
@@ -466,17 +467,23 @@
 }
 
 // earnCold keeps the books on cold servers: with each task that a warm fellow satisfies one earns what it
-// surely can do of that even part, and pays for what it is given. Only where none is warm do arrivals count.
+// surely can do of that even part, and pays for what it is given. Where few are warm arrivals count, so as not to
+// rest all on those few; but no more than all nodes together may give, or the first servers back are pushed over.
 func (p *Policy) earnCold(now int64, by *server, cost float64) {
-	warm := len(p.near) - len(p.chilly)
-	if (by == nil) != (warm == 0) || by != nil && p.cold(now, by) < 1 {
+	all, sure := len(p.near), math.Inf(1)
+	warm := all - len(p.chilly)
+	if (by == nil) != (2*warm < all) || by != nil && p.cold(now, by) < 1 {
 		return
 	}
-	warm = cmp.Or(warm, len(p.near))
+	if by == nil {
+		mean := cmp.Or(p.MeanOf, float64(p.set.Categories[0].SoftLimit)/4)
+		sure = surely * p.active * float64(now-cmp.Or(p.cameAt, now)) / mean / float64(all*max(p.set.Nodes, 1))
+		warm, p.cameAt = all, now
+	}
 	for _, s := range p.chilly {
 		if part := p.cold(now, s); part < 1 && s.credit < 1 {
 			part = max(part*(coldSafety+(1-coldSafety)*part), min(2*part, s.Own.N*learn, 1/s.Own.Level()))
-			s.credit = min(1, s.credit+part*min(p.relative(cost), 1)/float64(warm))
+			s.credit = min(1, s.credit+part*min(min(p.relative(cost), 1)/float64(warm), sure))
 		}
 	}
 }
@@ -909,15 +916,12 @@
 			s.standing[i].told *= forget
 		}
 	}
-	for _, pod := range p.Pods {
-		pod.Fade(1 - learn)
-	}
 	if p.Fleet.Level() < jam || p.worst() > inNeed || !p.set.Utilised { // only where they tell how busy they are
 		p.jammed = 0
 	} else if p.jammed++; p.jammed == longJam { // what all depend on may recover only while it rests
 		p.restTo = now + restFor
 	}
-	p.Fleet.Fade(forget)
+	p.Common.Age(1-learn, forget)
 	p.keys.Fade()
 	p.rate += (float64(p.arrived) - p.rate) / 8
 	p.arrived = 0
@@ -945,14 +949,8 @@
 	}
 }
 
-// died counts connections that died idle: where nodes tell one another it takes signs from a part of them.
-func (p *Policy) died(gap int64) {
-	signs := 1.0
-	if p.set.MayTell {
-		signs = float64(p.set.Nodes) / signers
-	}
-	p.idle.Believe(gap, signs)
-}
+// died counts connections that died idle.
+func (p *Policy) died(gap int64) { p.idle.Believe(gap, p.set.MayTell, p.set.Nodes) }
 
 // Told takes what another instance tells.
 func (p *Policy) Told(now int64, n News) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -749,3 +749,59 @@
 		}
 	}
 }
+
+// Guards against the first servers back after a loss of power being pushed over: hundreds of nodes that find none warm share
+// their tasks out among those few, whatever these can do.
+func TestTheFirstServersBackAreNotPushedOver(t *testing.T) {
+	gained := func(nodes int) float64 {
+		b := fleet(t, 0, func(s *Settings) { s.Nodes, s.WarmWithin, s.ColdFrom = nodes, 20e9, 0.2 })
+		for id := ServerID(1); id <= 4; id++ {
+			b.ListLearned(b.now, []Listed{{Server: id, Weight: 1, Started: b.now}}, false)
+		}
+		sum := 0.0
+		for i := range 200 { // ten a second, that all get nothing
+			s := b.byID[1]
+			s.credit = 0
+			b.TaskArrived(b.now, Task{ID: TaskID(fmt.Sprint(i)), HardLimit: b.now + 1})
+			if sum += s.credit; i == 0 && s.credit > 0.25 {
+				t.Errorf("%g by one task", s.credit)
+			}
+			b.now += 100 * ms
+		}
+		return sum / 20 // a second
+	}
+	one, many := gained(1), gained(300)
+	// In the 20 s the sure part is 0.6 in the mean. A warm server does surely tasks at a time, each taken for a quarter of the soft limit.
+	const mean = 0.125 // s
+	if all := many * 300 * mean; all > surely*0.6 {
+		t.Errorf("all nodes together give a cold server %g of its time, no more than %g of what it surely does", all, surely*0.6)
+	}
+	if one < 4*many {
+		t.Errorf("a node alone gives %g a second, one of 300 %g", one, many)
+	}
+}
+
+// Guards against the first warm servers bearing all, and the cold ones starving as those fail: where few are warm arrivals count.
+func TestColdServersDoNotStarveBesideAFewWarm(t *testing.T) {
+	for _, warm := range []ServerID{1, 5} {
+		b := fleet(t, int(warm), func(s *Settings) { s.Nodes = 1 })
+		for id := warm + 1; id <= 8; id++ {
+			b.ListLearned(b.now, []Listed{{Server: id, Weight: 1, Started: b.now}}, false)
+		}
+		b.now += 5e9
+		b.ListLearned(b.now, nil, false)
+		s, arrival, answer := b.byID[8], 0.0, 0.0
+		for i := range 10 {
+			s.credit = 0
+			b.TaskArrived(b.now, Task{ID: TaskID(fmt.Sprint(i)), HardLimit: b.now + 1})
+			b.now += 50 * ms
+			arrival += s.credit
+		}
+		s.credit = 0
+		b.earnCold(b.now, b.byID[1], 1e6)
+		answer = s.credit
+		if few := warm == 1; (arrival > 0) != few || (answer > 0) == few {
+			t.Errorf("%d of 8 warm: %g by arrivals, %g by an answer", warm, arrival, answer)
+		}
+	}
+}
