A call for the list that failed is made again within an eighth of the limit

The calls by second show it: by then all nodes waited a quarter of the time within which they must ask, 2.5 s, and none called in the second in which discovery came back.

Change: the longest wait is an eighth.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -214,7 +214,7 @@
 
 // ListFailed asks again, after waits that grow but stay well within the time the rules allow.
 func (p *Policy) ListFailed(now int64) {
-	p.askWait = min(max(2*p.askWait, p.set.AskWithin/64), p.set.AskWithin/4)
+	p.askWait = min(max(2*p.askWait, p.set.AskWithin/64), p.set.AskWithin/8)
 	p.host.WakeAt(now+p.askWait, listCookie)
 }
 
