--- a/internal/lab/fleet/hearsay_test.go
+++ b/internal/lab/fleet/hearsay_test.go
@@ -174,3 +174,106 @@
 	p.asks.Most(2)
 	p.until(t, "two watches are believed", func(v *hearsay.View) bool { return v.Version == 9 })
 }
+
+// TestPowerIsBackInEveryOrder takes the power from nodes, servers and discovery while a server drains, and brings them back in each of
+// the six orders, with exclusive tasks coming all the time and a third of the datagrams lost: none runs twice, none comes to the
+// server that drained, and all serve in the end.
+func TestPowerIsBackInEveryOrder(t *testing.T) {
+	p := listening(t, 4, true)
+	p.Break(drop(4, 0.3, 2))
+	parts := map[byte]func(){
+		'n': func() { p.startAll(t) },
+		's': func() {
+			for _, s := range p.plain {
+				s.Down(false)
+			}
+		},
+		'd': func() { p.asks.Down(false) },
+	}
+	end := p.busy()
+	defer end()
+	version := int64(1)
+	for k, order := range []string{"nsd", "nds", "snd", "sdn", "dns", "dsn"} {
+		draining := k % len(p.plain)
+		version++
+		p.lists(version, draining)
+		p.until(t, order+": all are told", func(v *hearsay.View) bool { return v.Version == version })
+		told := time.Now()
+		time.Sleep(150 * time.Millisecond) // until it is on the disks
+		p.asks.Down(true)
+		for _, s := range p.plain {
+			s.Down(true)
+		}
+		p.killAll()
+		for i := range order {
+			parts[order[i]]()
+			time.Sleep(50 * time.Millisecond)
+		}
+		p.serving(t)
+		if late := p.lateAt(draining, told); late > 0 {
+			t.Errorf("%s: %d tasks came to a server that drained before the power went", order, late)
+		}
+	}
+	if twice := p.doubles(); len(twice) > 0 {
+		t.Errorf("%d tasks ran twice: %v", len(twice), twice[:min(len(twice), 5)])
+	}
+}
+
+// TestANodeAloneWhereHundredsAreExpected has one of 300 come back alone with its memory while discovery is down: it says that it knows
+// of nobody, serves what cold servers surely can, and all once discovery tells that they never went.
+func TestANodeAloneWhereHundredsAreExpected(t *testing.T) {
+	p := processes(t, 2)
+	p.State, p.List = true, true
+	p.Settings = strings.NewReplacer("\"group_size\":%d", "\"group_size\":300", "\"position\":%d", "\"position\":%[2]d").Replace(p.Settings)
+	if err := p.Start(0); err != nil {
+		t.Fatal(err)
+	}
+	done := func(tasks int) (n int) {
+		for i := range tasks {
+			if p.Task(0, 1000+i) == nil {
+				n++
+			}
+		}
+		return n
+	}
+	ready := func() {
+		for tries := 0; tries < 2000 && done(1) == 0; tries++ {
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+	ready()
+	if n := done(100); n != 100 {
+		t.Fatalf("in calm %d of 100", n)
+	}
+	p.asks.Down(true)
+	p.Kill(0)
+	if err := p.Start(0); err != nil {
+		t.Fatal(err)
+	}
+	ready()
+	cold := done(400)
+	if _, err := Until(p, meet, "it says that it hears nobody", func(views []*members.View) bool {
+		return views[0] != nil && !views[0].Figure.Known
+	}); err != nil {
+		t.Error(err)
+	}
+	if cold == 0 || cold == 400 {
+		t.Errorf("%d of 400 by servers that may be cold", cold)
+	}
+	p.asks.Down(false)
+	p.until0(t, func(v *hearsay.View) bool { return v.Stands })
+	if n := done(100); n != 100 {
+		t.Errorf("once discovery has told, %d of 100", n)
+	}
+}
+
+// until0 waits for a statement about the first node's list.
+func (p *Processes) until0(t *testing.T, holds func(*hearsay.View) bool) {
+	t.Helper()
+	if _, err := Until(p, notice, "the first node", func([]*members.View) bool {
+		v := p.heard(t)[0]
+		return v != nil && holds(v)
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/lab/fleet/outside.go
+++ b/internal/lab/fleet/outside.go
@@ -23,6 +23,31 @@
 	came  []time.Time
 	tasks map[string]int
 	open  map[net.Conn]bool
+	down  bool
+}
+
+// Down has the server close all connections, and every new one at once, or brings it back.
+func (s *Server) Down(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	for c := range s.open {
+		c.Close()
+	}
+}
+
+// begin notes a connection; false: the server is down.
+func (s *Server) begin(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = true
+	return !s.down
+}
+
+func (s *Server) end(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
 }
 
 // Came are the moments at which tasks came, in order.
@@ -40,6 +65,10 @@
 }
 
 func (s *Server) answer(c net.Conn) {
+	defer s.end(c)
+	if !s.begin(c) {
+		return
+	}
 	for in := bufio.NewReader(c); ; {
 		r, err := http.ReadRequest(in)
 		if err != nil {
