--- a/policy/policy.go
+++ b/policy/policy.go
@@ -467,7 +467,7 @@
 }
 
 // earnCold keeps the books on cold servers: with each task that a warm fellow satisfies one earns what it
-// surely can do of that even part, and pays for what it is given. Where few are warm arrivals count, so as not
+// surely can do of that even part, and pays for what it is given. Where few are warm arrivals count, not
 // to rest all on them; but no more than all nodes may give, or the first servers back are pushed over.
 func (p *Policy) earnCold(now int64, by *server, cost float64) {
 	all, sure := len(p.near), math.Inf(1)
