A list by others' word needs the members' key

Cause: found on reading the change once more: without a key datagrams have a checksum alone, so anybody who reaches the port could tell a node that asks a list with addresses of its own, and tasks would go there.

--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -113,6 +113,8 @@
 	m.KeyBytes, err = hex.DecodeString(m.Key)
 	c.must(err == nil && (m.Key == "" || len(m.KeyBytes) >= leastKey), "members.key", fmt.Sprintf("nothing, or at least %d hexadecimal digits", 2*leastKey),
 		fmt.Sprintf("%d characters", len(m.Key)))
+	// A list names addresses that tasks go to: nobody without the key may tell one.
+	c.must(!m.List || m.Key != "", "members.key", "a key, as members.list is true", "none")
 	c.must(len(m.Nodes) >= 1 && len(m.Nodes) <= mostNodes, "members.node", fmt.Sprintf("1 to %d nodes", mostNodes), len(m.Nodes))
 	names, places, self := map[string]bool{}, map[netip.AddrPort]string{}, false
 	for i, n := range m.Nodes {
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -19,6 +19,7 @@
 listen = "nowhere"
 round = "1h"
 key = "abc"
+list = true
 colour = "red"
 [[members.node]]
 name = "n0"
@@ -57,3 +58,13 @@
 		t.Error(err)
 	}
 }
+
+func TestAListNeedsAKey(t *testing.T) {
+	const text = "[members]\nlisten = \"127.0.0.1:1\"\nlist = true\n%s[[members.node]]\nname = \"n0\"\naddress = \"127.0.0.1:1\"\n"
+	if _, err := Parse("f.toml", "n0", []byte(strings.Replace(text, "%s", "", 1))); err == nil || !strings.Contains(err.Error(), "members.key: expected a key") {
+		t.Error(err)
+	}
+	if _, err := Parse("f.toml", "n0", []byte(strings.Replace(text, "%s", "key = \"00112233445566778899aabbccddeeff\"\n", 1))); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/lab/fleet/hearsay_test.go
+++ b/internal/lab/fleet/hearsay_test.go
@@ -11,11 +11,13 @@
 	"fawnglade/internal/members"
 )
 
+const listKey = "00112233445566778899aabbccddeeff"
+
 // listening is a fleet whose nodes ask one another for the list, and know of each other.
 func listening(t *testing.T, nodes int, state bool) *Processes {
 	t.Helper()
 	p := processes(t, nodes)
-	p.State, p.List = state, true
+	p.State, p.List, p.Key = state, true, listKey
 	p.startAll(t)
 	p.serving(t)
 	if _, err := Until(p, meet, "all know one another", Agree(Numbers(0, nodes), Each("up"))); err != nil {
@@ -130,7 +132,7 @@
 // TestReadyOnceThereIsAList has three nodes wake with nothing: none is ready, and each says why, until one list has come to one.
 func TestReadyOnceThereIsAList(t *testing.T) {
 	p := processes(t, 3)
-	p.List = true
+	p.List, p.Key = true, listKey
 	p.asks.Down(true)
 	p.startAll(t)
 	if _, err := Until(p, meet, "all know one another", Agree(Numbers(0, 3), Each("up"))); err != nil {
@@ -223,7 +225,7 @@
 // of nobody, serves what cold servers surely can, and all once discovery tells that they never went.
 func TestANodeAloneWhereHundredsAreExpected(t *testing.T) {
 	p := processes(t, 2)
-	p.State, p.List = true, true
+	p.State, p.List, p.Key = true, true, listKey
 	p.Settings = strings.NewReplacer("\"group_size\":%d", "\"group_size\":300", "\"position\":%d", "\"position\":%[2]d").Replace(p.Settings)
 	if err := p.Start(0); err != nil {
 		t.Fatal(err)
--- a/internal/lab/rig/ways.go
+++ b/internal/lab/rig/ways.go
@@ -120,7 +120,10 @@
 	}
 	var b strings.Builder
 	set := n.day.scenario.Nodes
-	fmt.Fprintf(&b, "[members]\nlisten = %q\nround = %q\nlist = %v\n", m.Address(n.index, n.index), set.Round.Std(), set.List)
+	fmt.Fprintf(&b, "[members]\nlisten = %q\nround = %q\n", m.Address(n.index, n.index), set.Round.Std())
+	if set.List {
+		fmt.Fprintf(&b, "list = true\nkey = %q\n", strings.Repeat("5a", 16))
+	}
 	for k := range n.day.scenario.Nodes.Count {
 		fmt.Fprintf(&b, "[[members.node]]\nname = \"n%d\"\naddress = %q\n", k, m.Address(n.index, k))
 	}
