--- a/internal/lab/fleet/hearsay_test.go
+++ b/internal/lab/fleet/hearsay_test.go
@@ -38,12 +38,12 @@
 	return out
 }
 
-// until waits for a statement about the lists.
+// until waits for a statement about the lists of all nodes that were started.
 func (p *Processes) until(t *testing.T, what string, holds func(*hearsay.View) bool) {
 	t.Helper()
 	if _, err := Until(p, notice, what, func([]*members.View) bool {
-		for _, v := range p.heard(t) {
-			if v == nil || !holds(v) {
+		for i, v := range p.heard(t) {
+			if p.nodes[i].starts > 0 && (v == nil || !holds(v)) {
 				return false
 			}
 		}
@@ -263,19 +263,8 @@
 		t.Errorf("%d of 400 by servers that may be cold", cold)
 	}
 	p.asks.Down(false)
-	p.until0(t, func(v *hearsay.View) bool { return v.Stands })
+	p.until(t, "discovery tells it", func(v *hearsay.View) bool { return v.Stands })
 	if n := done(100); n != 100 {
 		t.Errorf("once discovery has told, %d of 100", n)
 	}
 }
-
-// until0 waits for a statement about the first node's list.
-func (p *Processes) until0(t *testing.T, holds func(*hearsay.View) bool) {
-	t.Helper()
-	if _, err := Until(p, notice, "the first node", func([]*members.View) bool {
-		v := p.heard(t)[0]
-		return v != nil && holds(v)
-	}); err != nil {
-		t.Fatal(err)
-	}
-}
