--- a/cmd/fawnglade/main.go
+++ b/cmd/fawnglade/main.go
@@ -53,6 +53,7 @@
 	path, features := configFlag(c), featuresFlag(c)
 	state := c.Flags().String("state", os.Getenv("NODE_STATE"), "directory in which the node remembers through a crash; by default the one that NODE_STATE names, if any")
 	c.RunE = func(*cobra.Command, []string) error {
+		signals := node.Signals()
 		config, err := read(*path, *features)
 		if err == nil && *state != "" {
 			err = config.State(*state)
@@ -72,7 +73,7 @@
 		if err != nil {
 			return err
 		}
-		return n.Run()
+		return n.Run(signals)
 	}
 	return c
 }
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -40,6 +40,7 @@
 	waited time.Duration
 	came   int64
 	asked  time.Time
+	given  *atomic.Bool // of a body that may be given up while it is read
 }
 
 // begin sets by when the next byte has to come.
@@ -52,7 +53,11 @@
 	if first := p.start.Add(p.grace); first.After(until) {
 		until = first
 	}
-	return c.SetReadDeadline(until)
+	err := c.SetReadDeadline(until)
+	if p.given != nil && p.given.Load() {
+		return errGivenUp // its end was set just before, and has been put off by this
+	}
+	return err
 }
 
 func (p *pace) end(n int) {
@@ -77,7 +82,11 @@
 }
 
 func newSource(c *conn, m *message) *source {
-	return &source{conn: c, rest: m, length: m.length, ended: make(chan struct{})}
+	s := &source{conn: c, rest: m, length: m.length, ended: make(chan struct{})}
+	if c.pace != nil {
+		c.pace.given = &s.given
+	}
+	return s
 }
 
 var errGivenUp = errors.New("the body is not wanted any more")
@@ -145,27 +154,28 @@
 var errEarly = errors.New("an answer came before the task's last byte was written")
 
 // startUpload writes what follows the head. Once all is written the server has as long to answer as it was given.
-func startUpload(c *serverConn, x *exchange, wait time.Duration) *upload {
+func startUpload(c *serverConn, h *handOff, wait time.Duration) *upload {
 	u := &upload{done: make(chan struct{})}
 	go func() {
 		defer close(u.done)
-		if u.err = u.run(c, x); u.err != nil {
+		if u.err = u.run(c, h); u.err != nil {
 			c.SetReadDeadline(time.Unix(1, 0)) // there will be no answer
 			return
 		}
 		u.at = time.Now()
 		u.whole.Store(true)
-		c.SetReadDeadline(u.at.Add(wait))
+		h.until(c.SetReadDeadline, u.at.Add(wait))
 	}()
 	return u
 }
 
-func (u *upload) run(c *serverConn, x *exchange) error {
+func (u *upload) run(c *serverConn, h *handOff) error {
+	x := h.exchange
 	s := x.source
-	frame := func(p []byte) error { return writePaced(c, p) }
+	frame := func(p []byte) error { return writePaced(c, h, p) }
 	if s.length < 0 {
 		frame = func(p []byte) error {
-			return writePaced(c, []byte(strconv.FormatInt(int64(len(p)), 16)+"\r\n"), p, []byte("\r\n"))
+			return writePaced(c, h, []byte(strconv.FormatInt(int64(len(p)), 16)+"\r\n"), p, []byte("\r\n"))
 		}
 	}
 	if len(x.body) > 0 {
@@ -195,7 +205,7 @@
 		}
 	}
 	if s.length < 0 {
-		if err := writePaced(c, []byte("0\r\n\r\n")); err != nil {
+		if err := writePaced(c, h, []byte("0\r\n\r\n")); err != nil {
 			return err
 		}
 	}
@@ -216,12 +226,17 @@
 
 var buffers = sync.Pool{New: func() any { return new([flowBuffer]byte) }}
 
-// writePaced writes so that the peer has time for each buffer's worth of it.
-func writePaced(c net.Conn, parts ...[]byte) error {
+// writePaced writes so that the peer has time for each buffer's worth of it, unless the hand-off for which it writes, if it is
+// for one, has been stopped.
+func writePaced(c net.Conn, h *handOff, parts ...[]byte) error {
+	until := c.SetWriteDeadline
+	if h != nil {
+		until = func(end time.Time) error { return h.until(c.SetWriteDeadline, end) }
+	}
 	for _, part := range parts {
 		for len(part) > 0 {
 			n := min(len(part), flowBuffer)
-			if err := c.SetWriteDeadline(time.Now().Add(slowWrite)); err != nil {
+			if err := until(time.Now().Add(slowWrite)); err != nil {
 				return err
 			}
 			if _, err := c.Write(part[:n]); err != nil {
@@ -260,13 +275,13 @@
 // got all; where it did not the connection must be closed, so that the client can tell.
 func (c *client) flowOut(a *answer, head []byte, chunks bool) (whole bool) {
 	defer func() { a.flow.end(whole) }()
-	frame := func(p []byte) error { return writePaced(c.conn, p) }
+	frame := func(p []byte) error { return writePaced(c.conn, nil, p) }
 	if chunks {
 		frame = func(p []byte) error {
-			return writePaced(c.conn, fmt.Appendf(nil, "%x\r\n", len(p)), p, []byte("\r\n"))
+			return writePaced(c.conn, nil, fmt.Appendf(nil, "%x\r\n", len(p)), p, []byte("\r\n"))
 		}
 	}
-	if writePaced(c.conn, head) != nil || len(a.body) > 0 && frame(a.body) != nil {
+	if writePaced(c.conn, nil, head) != nil || len(a.body) > 0 && frame(a.body) != nil {
 		return false
 	}
 	buffer := buffers.Get().(*[flowBuffer]byte)
@@ -285,7 +300,7 @@
 			return false
 		}
 	}
-	return !chunks || writePaced(c.conn, []byte("0\r\n\r\n")) == nil
+	return !chunks || writePaced(c.conn, nil, []byte("0\r\n\r\n")) == nil
 }
 
 func hasBody(method string) bool { return method != http.MethodHead }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -26,6 +26,7 @@
 	longLinger = 3 * time.Second         // for a client that is still sending what nobody wants
 	pipelined  = 4                       // tasks read ahead on one connection
 	lingers    = 25 * time.Millisecond
+	lastLook   = 5 * time.Millisecond // for connections that wait to be accepted
 	// of silence within a message, while others wait for a connection
 	slowUnderFlood = time.Second
 )
@@ -34,6 +35,9 @@
 	node     *Node
 	listener net.Listener
 	again    chan struct{} // after a pause
+	paused   atomic.Bool   // another process takes what comes
+	ending   atomic.Bool   // what the machine has accepted is still taken, then the listener is closed
+	ended    chan struct{} // it is
 	used     atomic.Int64
 	atWork   atomic.Int64
 	atDoor   atomic.Int64 // accepted and waiting for room
@@ -53,6 +57,7 @@
 	turns chan *exchange
 
 	goodbye atomic.Int64 // once the last answer is written: until when what still comes is read
+	flowing atomic.Bool  // an answer is being passed on as it comes
 
 	mu      sync.Mutex
 	busy    int
@@ -66,7 +71,8 @@
 }
 
 func newClients(n *Node, listener net.Listener) *clients {
-	return &clients{node: n, listener: listener, again: make(chan struct{}, 1), open: map[*client]struct{}{}}
+	return &clients{node: n, listener: listener, again: make(chan struct{}, 1), ended: make(chan struct{}),
+		open: map[*client]struct{}{}}
 }
 
 // allot sets how many connections there may be.
@@ -83,24 +89,36 @@
 	return s.most
 }
 
-// pause leaves new connections to another process that accepts from the same socket, until resume.
-func (s *clients) pause() {
+// until sets by when the wait for a new connection ends.
+func (s *clients) until(end time.Time) {
 	if l, ok := s.listener.(*net.TCPListener); ok {
-		l.SetDeadline(time.Unix(1, 0))
+		l.SetDeadline(end)
 	}
 }
 
+// pause leaves new connections to another process that accepts from the same socket, until resume.
+func (s *clients) pause() {
+	s.paused.Store(true)
+	s.until(time.Unix(1, 0))
+}
+
 func (s *clients) resume() {
-	if l, ok := s.listener.(*net.TCPListener); ok {
-		l.SetDeadline(time.Time{})
-	}
+	s.paused.Store(false)
+	s.until(time.Time{})
 	s.wake()
 }
 
-// close ends the taking of connections.
-func (s *clients) close() {
-	s.listener.Close()
+// close ends the taking of connections, and returns once what the machine had accepted is taken, or by a time. Guards against
+// a listener that is closed over connections which nobody has got to: the machine resets them, with tasks already written.
+func (s *clients) close(by time.Time) {
+	s.ending.Store(true)
+	s.until(time.Unix(1, 0))
 	s.wake()
+	select {
+	case <-s.ended:
+	case <-time.After(time.Until(by)):
+		s.listener.Close()
+	}
 }
 
 func (s *clients) wake() {
@@ -113,13 +131,23 @@
 // accept takes connections until the listener is closed. Those it does not get to in time are lost all the same: a
 // task counts as taken once it is in the machine, whether or not anyone has accepted its connection.
 func (s *clients) accept() {
-	for {
+	defer close(s.ended)
+	defer s.listener.Close()
+	for looked := false; ; {
+		if looked = s.ending.Load() && !s.paused.Load(); looked {
+			s.until(time.Now().Add(lastLook)) // an accept whose time is over does not even look
+		}
 		raw, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			<-s.again
+			switch {
+			case looked || s.ending.Load() && s.paused.Load():
+				return
+			case !s.ending.Load():
+				<-s.again
+			}
 			continue
 		}
 		if err != nil {
@@ -210,6 +238,18 @@
 	return len(s.open) + int(s.atDoor.Load())
 }
 
+// cut ends the connections on which an answer is still flowing, so that each client can tell that its own is not whole: the end of
+// the process would end them in order, and where the end of the connection is the end of an answer that would pass for one.
+func (s *clients) cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if c.flowing.Load() {
+			c.cut()
+		}
+	}
+}
+
 const (
 	emptyAfter = time.Second // after a drain began, by when nobody connects any more
 	emptyEach  = 100 * time.Millisecond
@@ -266,12 +306,12 @@
 	return true
 }
 
-// isLast tells whether the connection is to be closed after this answer. It is not while it holds further tasks, as
-// they would be lost, and from here on it takes none.
+// isLast tells whether the connection is to be closed after this answer. It is not while it holds further tasks, or the next
+// has begun to come, as they would be lost, and from here on it takes none.
 func (c *client) isLast(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy > 1 || !x.last && !x.half() && !c.leaving && !c.side.node.leaving() {
+	if c.busy > 1 || !x.last && !x.half() && (!c.leaving && !c.side.node.leaving() || !c.began.IsZero() || c.conn.has()) {
 		return false
 	}
 	c.closed, c.gap = true, lingers
@@ -305,8 +345,11 @@
 	defer n.caught("client", func() {})
 	for {
 		x := newExchange()
+		x.left = c.hasLeft
 		r, err := c.next(x)
-		if err != nil && !bad(err) {
+		if err != nil && !bad(err) || c.hasLeft() {
+			// Guards against a client that sends much at once and goes: its tasks came one by one to servers as the ones
+			// before were answered, each to nobody.
 			c.giveBack(x)
 			return
 		}
@@ -332,6 +375,10 @@
 	}
 }
 
+// hasLeft tells whether the client has gone, also before the reader comes to the end of the connection. Anybody may ask, and
+// who is about to write its task to a server does.
+func (c *client) hasLeft() bool { return c.conn.ended() }
+
 // follow waits until a body that flows has been read by whoever carries the task, and tells whether the connection goes on.
 func (c *client) follow(x *exchange) bool {
 	<-x.source.ended
@@ -624,12 +671,14 @@
 	head, chunks := a.text(x, last)
 	var whole bool
 	if a.flow != nil {
+		c.flowing.Store(true)
 		whole = c.flowOut(a, head, chunks)
+		c.flowing.Store(false)
 	} else {
 		if hasBody(x.method) {
 			head = append(head, a.body...)
 		}
-		whole = writePaced(c.conn, head) == nil
+		whole = writePaced(c.conn, nil, head) == nil
 	}
 	if !whole {
 		c.cut()
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -297,6 +298,34 @@
 	return n > 0 && err == nil
 }
 
+// States of a connection as the machine counts them; the others are those in which the peer has ended its side.
+const (
+	tcpEstablished = 1
+	tcpFinWait1    = 4
+	tcpFinWait2    = 5
+)
+
+// ended tells whether the peer has ended its side, also where bytes that nobody has read stand before the end, which a read
+// would come to only behind them. It may be called beside reads and writes. A peer that has only ended its sending looks the
+// same: the pages have a client that closes gone, and nothing but a write would tell the two apart.
+func (c *conn) ended() (ended bool) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true // closed on this side
+	}
+	broken := control.Control(func(fd uintptr) {
+		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO) // its first byte is the state
+		var b [4]byte
+		binary.NativeEndian.PutUint32(b[:], uint32(info))
+		ended = err == nil && b[0] != tcpEstablished && b[0] != tcpFinWait1 && b[0] != tcpFinWait2
+	})
+	return ended || broken != nil
+}
+
 // peek looks at what the machine holds for the connection, taking nothing.
 func (c *conn) peek() (n int, err error) {
 	raw, ok := c.Conn.(syscall.Conn)
--- /dev/null
+++ b/internal/node/crossing_test.go
@@ -0,0 +1,879 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// This file owns the crossings of two events, each forced: whoever comes second is held until the first has happened, by what the
+// machine or the node shows, never by a time. docs/design/crossings.md lists them.
+
+// gate holds whoever comes to it until it is opened, and tells who has come.
+type gate struct {
+	come atomic.Int64
+	open chan struct{}
+	once sync.Once
+}
+
+func newGate(t *testing.T) *gate {
+	g := &gate{open: make(chan struct{})}
+	t.Cleanup(g.pass)
+	return g
+}
+
+func (g *gate) wait() { g.come.Add(1); <-g.open }
+
+func (g *gate) pass() { g.once.Do(func() { close(g.open) }) }
+
+func (g *gate) held(t *testing.T, n int64) {
+	t.Helper()
+	soon(t, fmt.Sprintf("%d at the gate", n), func() bool { return g.come.Load() >= n })
+}
+
+// holdDials has each connection to a server stand until the gate is opened, and then be made all the same.
+func (n *Node) holdDials(t *testing.T) *gate {
+	g := newGate(t)
+	n.servers.dial = func(_ context.Context, address string, limit time.Time) (net.Conn, error) {
+		g.wait()
+		return n.servers.connect(context.Background(), address, limit)
+	}
+	return g
+}
+
+// holdLoop keeps the loop between two events until the gate is opened; what is entered meanwhile stands in order.
+func (n *Node) holdLoop(t *testing.T) *gate {
+	g := newGate(t)
+	n.loop.enter(g.wait)
+	g.held(t, 1)
+	return g
+}
+
+// learn has the loop go by a line of discovery's, and returns once it has.
+func (n *Node) learn(t *testing.T, text string) {
+	t.Helper()
+	list, _, whole, err := n.listOf([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.loop.enterList(list, whole)
+	n.passed()
+}
+
+// passed returns once the loop has handled all that stood before it.
+func (n *Node) passed() {
+	done := make(chan struct{})
+	n.loop.enter(func() { close(done) })
+	<-done
+}
+
+// atClients finds the node's side of the one connection from a client.
+func (n *Node) atClients(t *testing.T) (c *client) {
+	t.Helper()
+	soon(t, "the connection", func() bool {
+		n.clients.mu.Lock()
+		defer n.clients.mu.Unlock()
+		for c = range n.clients.open {
+		}
+		return c != nil
+	})
+	return c
+}
+
+func with(settings ...string) func(*Config) {
+	return func(c *Config) {
+		c.Settings = json.RawMessage(strings.NewReplacer(settings...).Replace(settingsText))
+	}
+}
+
+// quiet gives a node a discovery that never answers, so that nothing but the test enters events.
+func quiet(t *testing.T) func(*Config) {
+	address, _ := watchOf(t)
+	return func(c *Config) { c.Discovery = address }
+}
+
+// What is told of a server, or of the task, while its connection comes up counts: nothing is written on it then.
+func TestWhatHappensDuringADial(t *testing.T) {
+	for name, c := range map[string]struct {
+		settings []string
+		category string
+		event    func(t *testing.T, n *Node, client net.Conn, server string)
+		status   int // 0: nobody is there for an answer
+	}{
+		"nothing": {nil, "pay", func(*testing.T, *Node, net.Conn, string) {}, 200},
+		"drains": {nil, "pay", func(t *testing.T, n *Node, _ net.Conn, server string) {
+			n.learn(t, listText(2, false, listEntry("s-0", server, "draining")))
+		}, 503},
+		"is gone": {nil, "pay", func(t *testing.T, n *Node, _ net.Conn, server string) {
+			n.learn(t, listText(2, false, listEntry("s-0", server, "removed")))
+		}, 503},
+		"is gone, which does not bind": {[]string{`"rules":{`, `"rules":{"removal_not_binding":true,`}, "pay",
+			func(t *testing.T, n *Node, _ net.Conn, server string) {
+				n.learn(t, listText(2, false, listEntry("s-0", server, "removed")))
+			}, 200},
+		"drains, and only that binds": {[]string{`"rules":{`, `"rules":{"removal_not_binding":true,`}, "pay",
+			func(t *testing.T, n *Node, _ net.Conn, server string) {
+				n.learn(t, listText(2, false, listEntry("s-0", server, "draining")))
+			}, 503},
+		"is on no whole list": {nil, "pay", func(t *testing.T, n *Node, _ net.Conn, server string) {
+			n.learn(t, listText(2, true))
+		}, 503},
+		"another stands at its address": {nil, "pay", func(t *testing.T, n *Node, _ net.Conn, server string) {
+			n.learn(t, listText(2, true, listEntry("young", server, "draining")))
+		}, 503},
+		"stands elsewhere": {nil, "pay", func(t *testing.T, n *Node, _ net.Conn, server string) {
+			n.learn(t, listText(2, false, listEntry("s-0", "127.0.0.1:1", "up")))
+		}, 503},
+		"is taken out by hand": {nil, "pay", func(t *testing.T, n *Node, _ net.Conn, _ string) {
+			if _, err := n.orders.change(func(o *standingOrders) string { return o.putOut("s-0", n.clock.now()) }); err != nil {
+				t.Fatal(err)
+			}
+		}, 503},
+		"the client leaves": {nil, "batch", func(t *testing.T, n *Node, client net.Conn, _ string) {
+			client.Close()
+			soon(t, "the withdrawal", func() bool { return n.count(tasksWithdrawn) == 1 })
+		}, 0},
+		"the client leaves, and nothing may be recalled": {[]string{`"cancelling":true`, `"cancelling":false`}, "batch",
+			func(t *testing.T, n *Node, client net.Conn, _ string) {
+				client.Close()
+				soon(t, "the withdrawal", func() bool { return n.count(tasksWithdrawn) == 1 })
+			}, 0},
+		"the task has its answer, and nothing may be recalled": {[]string{`"cancelling":true`, `"cancelling":false`}, "batch",
+			func(t *testing.T, n *Node, _ net.Conn, _ string) {
+				n.loop.enter(func() { n.loop.Decline("t1", 0) })
+				n.passed()
+			}, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server, tasks := serverOf(t, echo)
+			n := newNode(t, with(c.settings...), server)
+			dials := n.holdDials(t)
+			n.start()
+			client, in := dial(t, n)
+			io.WriteString(client, taskText(c.category, "t1", ""))
+			dials.held(t, 1)
+			c.event(t, n, client, server)
+			dials.pass()
+			if c.status != 0 {
+				if status, _, _ := answerOn(in); status != c.status {
+					t.Errorf("answered %d, want %d", status, c.status)
+				}
+			}
+			soon(t, "the end of the hand-off", func() bool {
+				n.passed()
+				ended := n.count(handOffsNeverSent) + n.count(handOffsSatisfied) + n.count(handOffsUnreached)
+				return ended > 0 && ended == n.count(handOffsSent)
+			})
+			if want := int64(c.status / 200 % 2); tasks.Load() != want {
+				t.Errorf("%d tasks came to the server, want %d", tasks.Load(), want)
+			}
+		})
+	}
+}
+
+// A task that may have run goes to its group again only while that remembers it, also where the way there takes long.
+func TestMemoryEndsDuringADial(t *testing.T) {
+	first, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool { return say(c, "500 Bad", "") })
+	for name, span := range map[string]int64{"ends": 150, "lasts": 700} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := newNode(t, with(`"memory_span_us":2000000`, fmt.Sprintf(`"memory_span_us":%d`, span*1000)), first, first)
+			second := newGate(t)
+			n.servers.dial = func(ctx context.Context, address string, limit time.Time) (net.Conn, error) {
+				if n.count(handOffsSent) > 1 {
+					second.wait()
+				}
+				return n.servers.connect(ctx, address, limit)
+			}
+			n.start()
+			began := n.clock.now()
+			client, in := dial(t, n)
+			io.WriteString(client, taskText("update", "t1", ""))
+			second.held(t, 1)
+			time.Sleep(time.Until(n.clock.at(began + 200*milli))) // later than the shorter memory in any case
+			second.pass()
+			status, _, _ := answerOn(in)
+			if ran := n.count(handOffsError); status != 502 || name == "ends" && ran != 1 || name == "lasts" && ran < 1 {
+				t.Errorf("answered %d, %d hand-offs have run", status, ran)
+			}
+		})
+	}
+}
+
+// A second copy that is still on its way to a server when the first is answered is not written, also where none may be recalled.
+func TestAnswerCrossesACopyThatDials(t *testing.T) {
+	answers := newGate(t)
+	first, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		answers.wait()
+		return echo(c, r, body)
+	})
+	other, tasks := serverOf(t, echo)
+	n := newNode(t, with(`"may_duplicate":false`, `"may_duplicate":true`, `"cancelling":true`, `"cancelling":false`), first)
+	dials := newGate(t)
+	n.servers.dial = func(ctx context.Context, address string, limit time.Time) (net.Conn, error) {
+		if address == other {
+			dials.wait()
+		}
+		return n.servers.connect(ctx, address, limit)
+	}
+	n.start()
+	client, in := dial(t, n)
+	io.WriteString(client, taskText("batch", "t1", ""))
+	answers.held(t, 1)
+	n.learn(t, listText(2, false, listEntry("s-1", other, "up")))
+	n.loop.enter(func() { n.loop.HandOff("t1", serverID("s-1"), 20*second) })
+	dials.held(t, 1)
+	answers.pass()
+	if status, _, _ := answerOn(in); status != 200 {
+		t.Fatalf("answered %d", status)
+	}
+	dials.pass()
+	soon(t, "the end of the copy", func() bool { return n.count(handOffsNeverSent) == 1 })
+	if tasks.Load() != 0 {
+		t.Error("a copy went out for a task that has its answer")
+	}
+}
+
+// A task whose client has left while it waited, wherever that was, is written to no server.
+func TestClientLeavesWhileItsTaskWaits(t *testing.T) {
+	many := func(n int) (text string) {
+		for i := range n {
+			text += taskText("batch", fmt.Sprint("t", i), "")
+		}
+		return text
+	}
+	reset := func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }
+	leave := func(c net.Conn) { c.Close() }
+	halve := func(c net.Conn) { c.(*net.TCPConn).CloseWrite() } // the pages know no client that does so and waits
+	for name, c := range map[string]struct {
+		text  string
+		leave func(net.Conn)
+	}{
+		"one task at the door": {many(1), leave}, "one, reset": {many(1), reset}, "one, half-closed": {many(1), halve},
+		"many at once": {many(20), leave}, "many, reset": {many(20), reset}, "more than is read at once": {many(200), leave},
+		"a long body that is half there": {strings.Replace(taskText("batch", "t", strings.Repeat("x", 900<<10)), "X-Lane: batch\r\n", "", 1)[:300<<10], leave},
+	} {
+		t.Run("before the node looks: "+name, func(t *testing.T) {
+			t.Parallel()
+			server, tasks := serverOf(t, echo)
+			n := newNode(t, nil, server)
+			client, _ := dial(t, n) // the machine takes it, nobody has yet
+			client.SetDeadline(time.Now().Add(time.Second))
+			io.WriteString(client, c.text)
+			c.leave(client)
+			n.start()
+			soon(t, "the connection's end", func() bool {
+				n.clients.mu.Lock()
+				defer n.clients.mu.Unlock()
+				return n.count(clientsTaken) == 1 && len(n.clients.open) == 0
+			})
+			n.passed()
+			if tasks.Load() != 0 || n.count(tasksTaken) != 0 {
+				t.Errorf("%d tasks were taken and %d went to the server, for nobody", n.count(tasksTaken), tasks.Load())
+			}
+		})
+	}
+	t.Run("behind tasks that are out", func(t *testing.T) {
+		t.Parallel()
+		answers := newGate(t)
+		server, tasks := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+			answers.wait()
+			return echo(c, r, body)
+		})
+		n := nodeWith(t, nil, server)
+		client, _ := dial(t, n)
+		io.WriteString(client, many(20))
+		soon(t, "as many as are read ahead", func() bool { return tasks.Load() == n.count(handOffsSent) && tasks.Load() > pipelined })
+		at := n.atClients(t)
+		client.Close()
+		soon(t, "its end", at.hasLeft)
+		before := tasks.Load()
+		answers.pass()
+		soon(t, "the connection's end", func() bool {
+			n.clients.mu.Lock()
+			defer n.clients.mu.Unlock()
+			return len(n.clients.open) == 0
+		})
+		if n.passed(); tasks.Load() != before {
+			t.Errorf("%d tasks at the server when the client left, %d in the end", before, tasks.Load())
+		}
+	})
+	t.Run("all dialling, and the reader sees nothing", func(t *testing.T) {
+		t.Parallel()
+		server, tasks := serverOf(t, echo)
+		n := newNode(t, quiet(t), server, server, server)
+		dials := n.holdDials(t)
+		n.start()
+		client, _ := dial(t, n)
+		io.WriteString(client, many(20))
+		dials.held(t, pipelined+2) // as many as stand in turn, with the writer's and the reader's
+		at := n.atClients(t)
+		client.Close()
+		soon(t, "its end", at.hasLeft)
+		dials.pass()
+		soon(t, "the withdrawals", func() bool { n.passed(); return n.count(handOffsNeverSent) == n.count(handOffsSent) })
+		if sent, taken, withdrawn := n.count(handOffsSent), n.count(tasksTaken), n.count(tasksWithdrawn); tasks.Load() != 0 || sent != taken || withdrawn != taken {
+			t.Errorf("of %d tasks %d were handed off, %d withdrawn, %d came to servers", taken, sent, withdrawn, tasks.Load())
+		}
+	})
+	t.Run("in the loop's queue, behind the answer that sends it again", func(t *testing.T) {
+		t.Parallel()
+		errs := newGate(t)
+		server, tasks := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+			errs.wait()
+			return say(c, "500 Bad", "")
+		})
+		n := nodeWith(t, quiet(t), server, server)
+		client, _ := dial(t, n)
+		io.WriteString(client, taskText("batch", "t", ""))
+		errs.held(t, 1)
+		held := n.holdLoop(t)
+		errs.pass()
+		soon(t, "the answer in the queue", func() bool { return len(n.loop.events) == 1 })
+		client.Close()
+		soon(t, "the withdrawal behind it", func() bool { return len(n.loop.events) == 2 })
+		held.pass()
+		soon(t, "the withdrawal", func() bool { return n.count(tasksWithdrawn) == 1 })
+		soon(t, "the end", func() bool {
+			n.passed()
+			return n.count(handOffsSent) == n.count(handOffsError)+n.count(handOffsNeverSent)+n.count(handOffsRecalled)
+		})
+		if tasks.Load() != 1 {
+			t.Errorf("%d hand-offs came to servers, want the one before", tasks.Load())
+		}
+	})
+	t.Run("in the loop's queue, before its arrival", func(t *testing.T) {
+		t.Parallel()
+		server, tasks := serverOf(t, echo)
+		n := nodeWith(t, quiet(t), server)
+		held := n.holdLoop(t)
+		client, _ := dial(t, n)
+		io.WriteString(client, taskText("batch", "t", ""))
+		soon(t, "the arrival in the queue", func() bool { return len(n.loop.events) == 1 })
+		client.Close()
+		soon(t, "the withdrawal behind it", func() bool { return len(n.loop.events) == 2 })
+		held.pass()
+		soon(t, "the withdrawal", func() bool { return n.count(tasksWithdrawn) == 1 })
+		soon(t, "the end", func() bool { n.passed(); return n.count(handOffsSent) == n.count(handOffsNeverSent) })
+		if tasks.Load() != 0 {
+			t.Error("it went to the server")
+		}
+	})
+}
+
+// A node that stops takes what its machine has accepted, also where that has to wait for room.
+func TestStopTakesWhatTheMachineHasAccepted(t *testing.T) {
+	answers := newGate(t)
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		answers.wait()
+		return echo(c, r, body)
+	})
+	n := nodeWith(t, nil, server)
+	n.clients.allot(1, 0, 100)
+	var ins []*bufio.Reader
+	for i := range 5 { // one at work, one at the door, three in the machine
+		c, in := dial(t, n)
+		ins = append(ins, in)
+		io.WriteString(c, taskText("batch", fmt.Sprint("t", i), ""))
+		soon(t, "the first at work and the second at the door", func() bool { return int(n.count(clientsTaken)) == min(i+1, 2) })
+	}
+	answers.held(t, 1)
+	stopped := make(chan struct{})
+	go func() { n.stop(); close(stopped) }()
+	soon(t, "the end of taking", n.clients.ending.Load)
+	answers.pass()
+	for i, in := range ins {
+		if status, body, _ := answerOn(in); status != 200 {
+			t.Errorf("task %d was answered %d %s", i, status, body)
+		}
+	}
+	<-stopped
+	if c, err := net.Dial("tcp", n.address()); err == nil {
+		c.Close()
+		t.Error("it still listens")
+	}
+}
+
+// What has no answer shortly before the platform kills a process is given up: a decline where another try does no harm.
+func TestWhatIsOutAtTheEndIsGivenUp(t *testing.T) {
+	silent, tasks := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		if r.URL.Path == "/batch" { // an answer whose end is the connection's, and that does not come
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+			for _, err := io.WriteString(c, "x"); err == nil; _, err = io.WriteString(c, "x") {
+				time.Sleep(heldBack)
+			}
+		}
+		io.Copy(io.Discard, c)
+		return false
+	})
+	n := nodeWith(t, with(`800000`, `20000000`, `300000`, `20000000`), silent)
+	want := map[string]int{"view": 503, "update": 502, "pay": 502}
+	ins := map[string]*bufio.Reader{}
+	for category := range want {
+		c, in := dial(t, n)
+		io.WriteString(c, taskText(category, category, ""))
+		ins[category] = in
+	}
+	old, oldIn := dial(t, n)
+	io.WriteString(old, "GET /batch HTTP/1.0\r\nX-Txn: old\r\n\r\n")
+	soon(t, "all at the server, and an answer on its way", func() bool { return tasks.Load() == 4 && n.count(answersFlowed) == 1 })
+	stopped := make(chan struct{})
+	go func() { n.stop(); close(stopped) }()
+	<-stopped
+	if n.count(tasksDeclined) != 1 || n.count(tasksBrokenOff) != 2 {
+		t.Errorf("at the end %d tasks are declined and %d broken off, want 1 and 2", n.count(tasksDeclined), n.count(tasksBrokenOff))
+	}
+	for category, status := range want {
+		if got, body, _ := answerOn(ins[category]); got != status {
+			t.Errorf("%s was answered %d %s, want %d", category, got, body, status)
+		}
+	}
+	if text, err := io.ReadAll(oldIn); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("half an answer did not end in a reset: %v, %d bytes", err, len(text))
+	}
+	late := newExchange()
+	late.task.ID = "late"
+	n.loop.enter(func() { n.loop.arrived(late) })
+	if a := <-late.answered; a.status != 503 || n.count(tasksNoRoom) != 1 {
+		t.Errorf("a task that came after the end was answered %d", a.status)
+	}
+}
+
+// A connection is not closed behind an answer while the next task has begun to come.
+func TestTaskBeginsAsItsConnectionIsToClose(t *testing.T) {
+	answers := newGate(t)
+	server, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		answers.wait()
+		return echo(c, r, body)
+	})
+	n := nodeWith(t, nil, server)
+	client, in := dial(t, n)
+	next := taskText("batch", "b", "body")
+	io.WriteString(client, taskText("batch", "a", "")+next[:60])
+	answers.held(t, 1)
+	at := n.atClients(t)
+	soon(t, "half of the second task", func() bool {
+		at.mu.Lock()
+		defer at.mu.Unlock()
+		return !at.began.IsZero() && at.busy == 1
+	})
+	n.stopping.Store(true)
+	answers.pass()
+	if status, _, header := answerOn(in); status != 200 || header.Get("Connection") == "close" {
+		t.Errorf("the first was answered %d, %v", status, header)
+	}
+	io.WriteString(client, next[60:])
+	if status, _, _ := answerOn(in); status != 200 {
+		t.Errorf("the second was answered %d", status)
+	}
+	if status, _, _ := answerOn(in); status != 0 {
+		t.Error("the connection stays after the last")
+	}
+}
+
+// An answer that comes a second time is nobody's: neither while its connection stands idle, nor once another task is out.
+func TestSecondAnswerComesLate(t *testing.T) {
+	stray := newGate(t)
+	var conns atomic.Int64
+	server := listen(t, func(c net.Conn) {
+		first := conns.Add(1) == 1
+		in := bufio.NewReader(c)
+		for i := 0; ; i++ {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if i > 0 && first {
+				say(c, "200 OK", "stray") // the second answer comes before its own
+			}
+			echo(c, r, "")
+			if i == 0 && first {
+				go func() {
+					stray.wait()
+					say(c, "200 OK", "stray")
+				}()
+			}
+		}
+	})
+	idleOf := func(n *Node) (c *serverConn) {
+		soon(t, "an idle connection", func() bool {
+			n.servers.mu.Lock()
+			defer n.servers.mu.Unlock()
+			for _, list := range n.servers.idle {
+				c = list[0]
+			}
+			return c != nil
+		})
+		return c
+	}
+	t.Run("another task is out", func(t *testing.T) {
+		n := newNode(t, nil, server)
+		n.servers.rests = time.Hour
+		n.start()
+		n.servers.strays(true) // such have been seen here
+		ask(t, n, "batch", "a", "")
+		idleOf(n)
+		if _, body, _ := ask(t, n, "batch", "b", ""); body != "/batch b " {
+			t.Errorf("while the second answer is due a task got %q", body)
+		}
+		if conns.Load() != 2 {
+			t.Errorf("%d connections, want another for the second task", conns.Load())
+		}
+	})
+	t.Run("idle", func(t *testing.T) {
+		conns.Store(0)
+		n := nodeWith(t, nil, server)
+		ask(t, n, "batch", "a", "")
+		c := idleOf(n)
+		stray.pass()
+		soon(t, "the second answer", c.has)
+		if _, body, _ := ask(t, n, "batch", "b", ""); body != "/batch b " {
+			t.Errorf("once the second answer has come a task got %q", body)
+		}
+		if n.servers.strayed.Load() == 0 {
+			t.Error("it was not noticed")
+		}
+	})
+}
+
+// What a connection has shown decides when it carries the next task.
+func TestConnectionRests(t *testing.T) {
+	server := listen(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	at := place{1, server}
+	for name, c := range map[string]struct {
+		strayed, turned bool
+		standing        bool
+		taken           bool
+	}{
+		"after an answer":           {standing: true, taken: true},
+		"after one turned away":     {standing: true, turned: true},
+		"where answers come again":  {standing: true, strayed: true},
+		"its server is not wanted":  {},
+		"nor in any of these cases": {strayed: true, turned: true},
+	} {
+		n := newNode(t, nil)
+		n.servers.rests = time.Hour
+		n.servers.listed(1, server, c.standing)
+		n.servers.strays(c.strayed)
+		raw, err := net.Dial("tcp", server)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.servers.reserve()
+		n.servers.keep(&serverConn{conn: newConn(raw), place: at, turned: c.turned})
+		if open := n.servers.open; open != 0 != c.standing {
+			t.Errorf("%s: %d connections are open", name, open)
+		}
+		if got := n.servers.take(at); got != nil != c.taken {
+			t.Errorf("%s: taken %t", name, got != nil)
+		}
+		n.servers.rests = 0
+		if got := n.servers.take(at); got != nil != (c.standing && !c.taken) {
+			t.Errorf("%s: taken %t once it has rested", name, got != nil)
+		}
+		raw.Close()
+	}
+}
+
+// A server that has started anew at its address is not sent to on connections from before.
+func TestServerStartsAnewWhereItStood(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := nodeWith(t, nil, server)
+	ask(t, n, "batch", "a", "")
+	soon(t, "an idle connection", func() bool { n.servers.mu.Lock(); defer n.servers.mu.Unlock(); return n.servers.order.Len() == 1 })
+	born := strings.Replace(listEntry("s-0", server, "up"), `"born_ms":0`, fmt.Sprintf(`"born_ms":%d`, n.clock.now()/milli), 1)
+	n.learn(t, listText(2, false, born))
+	soon(t, "its end", func() bool { n.servers.mu.Lock(); defer n.servers.mu.Unlock(); return n.servers.open == 0 })
+	n.learn(t, listText(3, false, born))
+	ask(t, n, "batch", "b", "")
+	n.learn(t, listText(4, false, born))
+	if n.passed(); n.count(serversClosedIdle) != 1 {
+		t.Errorf("%d connections closed", n.count(serversClosedIdle))
+	}
+}
+
+// A connection that its server closes as a task is written to it, or resets, is one on which the task may have run.
+func TestIdleConnectionEndsAsATaskIsWritten(t *testing.T) {
+	for name, c := range map[string]struct {
+		linger bool
+		status map[string]int
+	}{
+		"closed": {false, map[string]int{"pay": 502, "view": 503, "update": 502}},
+		"reset":  {true, map[string]int{"pay": 502, "view": 503, "update": 502}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for category, want := range c.status {
+				server, tasks := serverOf(t, func(conn net.Conn, r *http.Request, body string) bool {
+					if r.Header.Get(headerTask) == "first" {
+						return echo(conn, r, body)
+					}
+					if c.linger {
+						conn.(*net.TCPConn).SetLinger(0)
+					}
+					return false
+				})
+				n := nodeWith(t, nil, server)
+				ask(t, n, category, "first", "")
+				if status, _, _ := ask(t, n, category, "second", ""); status != want || tasks.Load() != 2 {
+					t.Errorf("%s: answered %d, want %d; %d tasks came", category, status, want, tasks.Load())
+				}
+				if n.count(handOffsReset) != 1 {
+					t.Errorf("%s: %d resets", category, n.count(handOffsReset))
+				}
+			}
+		})
+	}
+}
+
+// A stop that comes just before one who carries the hand-off sets its own time holds.
+func TestStopCrossesADeadline(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	h := &handOff{}
+	h.stop()
+	for name, set := range map[string]func() error{
+		"a read": func() error {
+			h.until(near.SetReadDeadline, time.Now().Add(5*time.Second))
+			_, err := near.Read(make([]byte, 1))
+			return err
+		},
+		"a write": func() error { return writePaced(near, h, []byte("x")) },
+	} {
+		if err := set(); err == nil || !strings.Contains(err.Error(), "timeout") {
+			t.Errorf("%s after the stop: %v", name, err)
+		}
+	}
+	given := atomic.Bool{}
+	given.Store(true)
+	if err := (&pace{stall: time.Hour, given: &given}).begin(near); err != errGivenUp {
+		t.Errorf("a body that was given up is waited for: %v", err)
+	}
+}
+
+// watchOf is a discovery whose calls each go by their own script.
+func watchOf(t *testing.T, calls ...func(c net.Conn, chunk func(string))) (address string, asked *atomic.Int64) {
+	asked = new(atomic.Int64)
+	return listen(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil || r.URL.Path != pathList {
+			return
+		}
+		if i := int(asked.Add(1)) - 1; i < len(calls) {
+			calls[i](c, func(text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) })
+		} else {
+			io.Copy(io.Discard, c)
+		}
+	}), asked
+}
+
+const watchBegins = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// A watch that falls silent, or a call that gets no head, is followed by another at once, however long waits have grown and whatever
+// the settings say of asking; a half of a line counts for nothing, and a list may be broken into lines as it likes.
+func TestWatchesBreak(t *testing.T) {
+	stays := func(c net.Conn) { io.Copy(io.Discard, c) }
+	line := func(version int, health, server string) string {
+		return listText(version, false, listEntry("s-0", server, health)) + "\n"
+	}
+	for _, mode := range []string{"push", "ask"} {
+		for name, script := range map[string]func(server string) []func(net.Conn, func(string)){
+			"silent, with nothing changed": func(server string) (calls []func(net.Conn, func(string))) {
+				for range 4 {
+					calls = append(calls, func(c net.Conn, chunk func(string)) {
+						io.WriteString(c, watchBegins)
+						chunk(listText(1, false) + "\n")
+						stays(c)
+					})
+				}
+				return append(calls, func(c net.Conn, chunk func(string)) {
+					io.WriteString(c, watchBegins)
+					chunk(line(2, "draining", server))
+					stays(c)
+				})
+			},
+			"silent behind its head, then in the midst of a line": func(server string) []func(net.Conn, func(string)) {
+				return []func(net.Conn, func(string)){
+					func(c net.Conn, chunk func(string)) { io.WriteString(c, watchBegins); stays(c) },
+					func(c net.Conn, chunk func(string)) {
+						io.WriteString(c, watchBegins)
+						chunk(line(7, "up", server)[:40])
+						stays(c)
+					},
+					func(c net.Conn, chunk func(string)) {
+						io.WriteString(c, watchBegins)
+						chunk(line(2, "draining", server))
+						stays(c)
+					},
+				}
+			},
+			"indented, in pieces": func(server string) []func(net.Conn, func(string)) {
+				return []func(net.Conn, func(string)){func(c net.Conn, chunk func(string)) {
+					io.WriteString(c, watchBegins)
+					var tree any
+					json.Unmarshal([]byte(line(2, "draining", server)), &tree)
+					text, _ := json.MarshalIndent(tree, "", "  ")
+					chunk("\n")
+					chunk(string(text[:50]))
+					chunk(string(text[50:]) + "\n\n")
+					stays(c)
+				}}
+			},
+		} {
+			t.Run(mode+": "+name, func(t *testing.T) {
+				t.Parallel()
+				server, tasks := serverOf(t, echo)
+				address, _ := watchOf(t, script(server)...)
+				n := newNode(t, func(c *Config) {
+					with(`"discovery":"ask"`, fmt.Sprintf(`"discovery":%q`, mode), `"ask_within_us":10000000`, `"ask_within_us":3600000000`)(c)
+					c.Discovery = address
+				}, server)
+				n.discovery.silence, n.discovery.wait = 60*time.Millisecond, time.Hour
+				n.start()
+				soon(t, "the drain", func() bool {
+					n.passed()
+					n.servers.mu.Lock()
+					defer n.servers.mu.Unlock()
+					return len(n.servers.stand) == 0
+				})
+				if status, _, _ := ask(t, n, "batch", "t", ""); status != 503 || tasks.Load() != 0 {
+					t.Errorf("after the drain a task was answered %d, %d came to the server", status, tasks.Load())
+				}
+				if n.discovery.version != 2 {
+					t.Errorf("the next call would ask for what came after %d", n.discovery.version)
+				}
+			})
+		}
+	}
+	for name, c := range map[string]struct {
+		wait  time.Duration // between calls
+		first func(c net.Conn, chunk func(string), server string)
+	}{
+		"a call without a head": {time.Hour, func(c net.Conn, _ func(string), _ string) { stays(c) }},
+		"reset in the midst of a line": {time.Millisecond, func(c net.Conn, chunk func(string), server string) {
+			io.WriteString(c, watchBegins)
+			chunk(line(2, "draining", server)[:90])
+			c.(*net.TCPConn).SetLinger(0)
+		}},
+	} {
+		t.Run("push: "+name, func(t *testing.T) {
+			t.Parallel()
+			server, _ := serverOf(t, echo)
+			address, asked := watchOf(t, func(conn net.Conn, chunk func(string)) { c.first(conn, chunk, server) })
+			n := newNode(t, func(c *Config) { with(`"discovery":"ask"`, `"discovery":"push"`)(c); c.Discovery = address }, server)
+			n.discovery.head, n.discovery.wait = 60*time.Millisecond, c.wait
+			n.start()
+			soon(t, "the next call", func() bool { return asked.Load() >= 2 })
+			if status, _, _ := ask(t, n, "batch", "t", ""); status != 200 {
+				t.Errorf("by half a line a server was given up: %d", status)
+			}
+		})
+	}
+}
+
+// What is pushed counts from the first moment of a new process: no task goes by the list from before while the first word is due.
+func TestPushedListIsHeardBeforeTheFirstTask(t *testing.T) {
+	server, tasks := serverOf(t, echo)
+	word := newGate(t)
+	address, _ := watchOf(t, func(c net.Conn, chunk func(string)) {
+		word.wait()
+		io.WriteString(c, watchBegins)
+		chunk(listText(2, false, listEntry("s-0", server, "draining")) + "\n")
+		io.Copy(io.Discard, c)
+	})
+	n := newNode(t, func(c *Config) { with(`"discovery":"ask"`, `"discovery":"push"`)(c); c.Discovery = address }, server)
+	client, in := dial(t, n)
+	io.WriteString(client, taskText("batch", "t", ""))
+	go n.start()
+	word.held(t, 1)
+	if n.notReady() == "" {
+		t.Error("ready before the first word")
+	}
+	word.pass()
+	if status, _, _ := answerOn(in); status != 503 || tasks.Load() != 0 {
+		t.Errorf("answered %d, %d tasks at a server that is draining", status, tasks.Load())
+	}
+}
+
+// The last line of an old place of discovery does not come after the first of the new one.
+func TestLastLineOfAnOldPlaceCrossesTheMove(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	late := newGate(t)
+	old, _ := watchOf(t, func(c net.Conn, chunk func(string)) {
+		io.WriteString(c, watchBegins)
+		chunk(listText(50, false) + "\n")
+		late.wait()
+		chunk(listText(51, false, listEntry("s-0", server, "draining")) + "\n")
+	})
+	young, _ := watchOf(t, func(c net.Conn, chunk func(string)) {
+		io.WriteString(c, watchBegins)
+		chunk(listText(3, true, listEntry("s-0", server, "up")) + "\n")
+		io.Copy(io.Discard, c)
+	})
+	n := nodeWith(t, func(c *Config) { c.Discovery = old }, server)
+	late.held(t, 1)
+	n.discovery.move(young)
+	late.pass()
+	soon(t, "the new list", func() bool { return n.count(listLines) >= 2 })
+	if status, _, _ := ask(t, n, "batch", "t", ""); status != 200 {
+		t.Errorf("answered %d by a list that was left", status)
+	}
+}
+
+// Where the successor dies while the old process is stopping, the old one takes what still comes.
+func TestSuccessorDiesWhileTheOldProcessStops(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	next := processes(t, server)
+	old := next()
+	old.start()
+	fresh := next()
+	fresh.handover.served()
+	soon(t, "the old one yields", old.handover.hasYielded)
+	client, in := dial(t, old) // stands in the machine: the successor was to take it
+	io.WriteString(client, taskText("batch", "t", ""))
+	stopped := make(chan struct{})
+	go func() { old.stop(); close(stopped) }()
+	soon(t, "the stop", old.stopping.Load)
+	fresh.handover.close()
+	fresh.handover.mu.Lock()
+	fresh.handover.before.Close()
+	fresh.handover.mu.Unlock()
+	if status, _, _ := answerOn(in); status != 200 {
+		t.Errorf("a task that nobody else is there for was answered %d", status)
+	}
+	<-stopped
+}
+
+// A recall whose outcome is still out counts as out, and what is proved by an end decides who may go again.
+func TestRecallThatIsStillOut(t *testing.T) {
+	answers := newGate(t)
+	server, tasks := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+		answers.wait()
+		return echo(c, r, body)
+	})
+	n := nodeWith(t, nil, server, server)
+	client, in := dial(t, n)
+	io.WriteString(client, taskText("pay", "t", ""))
+	answers.held(t, 1)
+	held := n.holdLoop(t)
+	n.loop.enter(func() { n.loop.Recall("t", 0) })
+	held.pass()
+	if status, _, _ := answerOn(in); status != 502 || tasks.Load() != 1 {
+		t.Errorf("an exclusive task that was recalled was answered %d, %d came to servers", status, tasks.Load())
+	}
+	if n.count(handOffsRecalled) != 1 {
+		t.Errorf("%d recalled", n.count(handOffsRecalled))
+	}
+}
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -31,6 +31,8 @@
 	old    bool    // the client speaks HTTP/1.0, which knows no chunks
 	source *source // what follows the body, of one that is too long to hold
 
+	left func() bool // whether its client has gone, as far as can be known now; told by the client side
+
 	answered chan answer
 	settled  atomic.Bool
 
@@ -39,7 +41,7 @@
 }
 
 func newExchange() *exchange {
-	return &exchange{answered: make(chan answer, 1)}
+	return &exchange{answered: make(chan answer, 1), left: func() bool { return false }}
 }
 
 // settle gives the exchange its one answer and tells whether this was it.
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -252,9 +252,9 @@
 		h.successor, h.yielded = nil, false
 		h.mu.Unlock()
 		h.node.allot()
+		h.node.clients.resume() // also while this one is stopping: there is nobody else to take what still comes
 		if !h.node.stopping.Load() {
 			h.node.log.Warn("the process that was to take over has ended, this one goes on")
-			h.node.clients.resume()
 			h.open()
 		}
 	}()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -50,7 +50,10 @@
 }
 
 // listedAs is what the list calls a server, and where it is.
-type listedAs struct{ name, address string }
+type listedAs struct {
+	name, address string
+	started       int64
+}
 
 type loop struct {
 	node   *Node
@@ -60,6 +63,7 @@
 	timers timers
 	tasks  map[policy.TaskID]*exchange
 	fleet  map[policy.ServerID]listedAs
+	over   bool // the process is about to end
 }
 
 func newLoop(n *Node) *loop {
@@ -113,11 +117,31 @@
 		x.settle(answer{status: http.StatusConflict})
 		return
 	}
+	if l.over {
+		l.node.counters.add(tasksNoRoom)
+		x.settle(l.node.noRoom())
+		return
+	}
 	l.node.counters.add(tasksTaken)
 	l.tasks[x.task.ID] = x
 	l.handle(x, func() { l.policy.TaskArrived(l.now, x.task) })
 }
 
+// giveUp answers whatever still has no answer, and from here on all that comes: the process is about to end, and what it leaves
+// without an answer is lost.
+func (l *loop) giveUp() {
+	l.over = true
+	for id, x := range l.tasks {
+		c := l.node.settings.Policy.Categories[x.task.Category]
+		mayHaveRun := slices.ContainsFunc(x.handOffs, func(h *handOff) bool { return !h.neverRan })
+		if !mayHaveRun || c.Repeat == policy.Rerunnable || c.Repeat == policy.Ticketed && c.Group == policy.WholeFleet {
+			l.Decline(id, 0)
+		} else {
+			l.BreakOff(id)
+		}
+	}
+}
+
 func (l *loop) withdrawn(x *exchange) {
 	if l.tasks[x.task.ID] != x || !l.finish(x, tasksWithdrawn, answer{}) {
 		return
@@ -144,6 +168,10 @@
 	if x.half() {
 		l.broken(x) // before the decisions hear of it: they would decline what is the client's own fault
 	}
+	if r.left {
+		l.withdrawn(x) // likewise, or they would send it again
+	}
+	h.neverRan = r.outcome == policy.Full || r.outcome == policy.Unreached || r.outcome == policy.NeverSent
 	x.open--
 	h.stop()
 	how := outcomeCounters[r.outcome]
@@ -232,13 +260,15 @@
 		if e.State == policy.Gone && l.node.settings.Policy.GoneMayServe && len(l.fleet) <= mostKept {
 			continue // it may still be sent to: what it is called and where it is stays known, and its connections open
 		}
-		if old := l.fleet[e.Server].address; old != "" && (old != e.address || e.State != policy.Active) {
-			go l.node.servers.forget(place{e.Server, old})
+		l.node.servers.listed(e.Server, e.address, e.State == policy.Active)
+		old := l.fleet[e.Server]
+		if old.address != "" && (old.address != e.address || e.State != policy.Active || e.Started > old.started) {
+			go l.node.servers.forget(place{e.Server, old.address})
 		}
 		if e.State == policy.Gone {
 			delete(l.fleet, e.Server)
 		} else if e.address != "" {
-			l.fleet[e.Server] = listedAs{e.name, e.address}
+			l.fleet[e.Server] = listedAs{e.name, e.address, e.Started}
 		}
 	}
 	l.handle(nil, func() { l.policy.ListLearned(l.now, list, whole) })
@@ -271,6 +301,13 @@
 	}
 	h := &handOff{exchange: x, number: len(x.handOffs), place: place{server, l.fleet[server].address}, sentAt: l.now}
 	h.limit = min(l.now+timeOut, x.task.HardLimit)
+	if c := l.node.settings.Policy.Categories[x.task.Category]; c.Repeat == policy.Ticketed {
+		for _, earlier := range x.handOffs {
+			if !earlier.neverRan { // what may have run is remembered from then on, and this one has to come before that ends
+				h.before = min(cmp.Or(h.before, earlier.sentAt+c.Memory), earlier.sentAt+c.Memory)
+			}
+		}
+	}
 	x.handOffs = append(x.handOffs, h)
 	x.open++
 	if x.settled.Load() { // against decisions that a panic has left without the end of this task
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,11 @@
 const (
 	stillTaking = 450 * time.Millisecond // after SIGTERM, as connections go on coming for a while
 	stillKept   = 700 * time.Millisecond // where a successor takes the new ones, idle connections stay so long
+	// The platform kills a process no sooner than the longest hard limit, but at most this, and killedAfter behind SIGTERM.
+	longestKept = 3 * time.Second
+	killedAfter = 700 * time.Millisecond
+	lastWords   = 150 * time.Millisecond // before that all that has no answer is given up: what a kill finds is lost
+	lastExit    = 40 * time.Millisecond  // and so long before it the process ends
 	ownFiles    = 24                     // standard files, the poller, the listener, discovery, what the runtime opens
 	fewest      = 32                     // descriptors with which a node can do anything
 	spareShare  = 16                     // a sixteenth of the descriptors is kept to tell clients that there is no room
@@ -366,6 +371,13 @@
 	go n.clients.empty()
 	go n.discovery.run()
 	go n.peers.run()
+	if !n.settings.Policy.MustAsk && n.heritage == nil {
+		// What is pushed counts as told from the first moment of a new process, so it is heard before the first task.
+		select {
+		case <-n.discovery.heard:
+		case <-time.After(listConnect):
+		}
+	}
 	inPlace := make(chan struct{})
 	n.loop.enter(func() { close(inPlace) })
 	<-inPlace
@@ -378,34 +390,47 @@
 	n.log.Info("serving", zap.String("name", n.config.Name), zap.String("listen", n.config.Listen))
 }
 
-// Run serves until SIGTERM or SIGINT has been followed to its end.
-func (n *Node) Run() error {
-	n.limit()
+// Signals hears what the platform tells the process, from the call on: before it a signal ends the process where it is, a start
+// with tasks already in the machine as well.
+func Signals() chan os.Signal {
 	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to end
-	signals := make(chan os.Signal, 4)
+	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	return signals
+}
+
+// Run serves until SIGTERM or SIGINT has been followed to its end. The other signals are heard on through that, and another of
+// these changes nothing.
+func (n *Node) Run(signals <-chan os.Signal) error {
+	n.limit()
 	n.start()
 	sweep := time.NewTicker(time.Second)
+	var stopped chan struct{} // closed at the end, once there has been such a signal
 	for {
 		select {
 		case <-sweep.C:
 			n.servers.sweep()
+		case <-stopped:
+			n.members.end()
+			n.state.end()
+			n.peers.close()
+			n.console.close()
+			n.handover.end()
+			n.counters.log(n.log, "at exit")
+			return nil
 		case s := <-signals:
-			switch s {
-			case syscall.SIGUSR1:
+			switch {
+			case s == syscall.SIGUSR1:
 				n.counters.log(n.log, "asked for")
-			case syscall.SIGHUP:
+			case s == syscall.SIGHUP:
 				n.reread()
-			default:
+			case stopped == nil:
+				stopped = make(chan struct{})
 				n.members.leave()
-				n.stop()
-				n.members.end()
-				n.state.end()
-				n.peers.close()
-				n.console.close()
-				n.handover.end()
-				n.counters.log(n.log, "at exit")
-				return nil
+				go func() {
+					n.stop()
+					close(stopped)
+				}()
 			}
 		}
 	}
@@ -433,22 +458,34 @@
 	n.discovery.move(c.Discovery)
 }
 
-// stop goes on taking for a while, then closes what is idle and waits until every task taken has its answer.
+// stop goes on taking for a while, then closes what is idle and waits until every task taken has its answer. What is left shortly
+// before the platform may kill the process is given up.
 func (n *Node) stop() {
 	n.log.Info("stopping")
+	killed := time.Now().Add(min(time.Duration(slices.Max(n.settings.HardLimits)), longestKept) + killedAfter)
 	n.stopping.Store(true)
 	if n.handover.hasYielded() {
-		time.Sleep(stillKept)
+		time.Sleep(min(stillKept, time.Until(killed)-2*lastWords))
 	} else {
 		time.Sleep(stillTaking)
 	}
-	n.clients.close()
+	n.clients.close(killed.Add(-lastWords))
 	n.handover.close()
-	longest := time.Duration(slices.Max(n.settings.HardLimits))
-	for end := time.Now().Add(longest + stillTaking); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	if n.settled(killed.Add(-lastWords)) {
+		return
+	}
+	n.log.Warn("stops with tasks or connections open: what has no answer is given up")
+	n.loop.enter(n.loop.giveUp)
+	n.settled(killed.Add(-lastExit))
+	n.clients.cut()
+}
+
+// settled waits until no client is left, or until a time, and tells which.
+func (n *Node) settled(by time.Time) bool {
+	for ; time.Now().Before(by); time.Sleep(10 * time.Millisecond) {
 		if n.clients.settle() == 0 {
-			return
+			return true
 		}
 	}
-	n.log.Warn("stopped with connections open")
+	return false
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -606,7 +606,7 @@
 		}
 	}
 	n := newNode(t, func(c *Config) { c.Discovery, c.path = old, path }, "127.0.0.1:1")
-	go n.Run()
+	go n.Run(Signals())
 	soon(t, "the old watch", func() bool { return n.count(listLines) == 1 })
 	told := func(counted counter) {
 		t.Helper()
@@ -985,11 +985,12 @@
 func TestLongestIdleMakesRoom(t *testing.T) {
 	n := newNode(t, nil)
 	s := n.servers
-	s.most = 3
+	s.most, s.rests = 3, 0
 	var conns []*serverConn
 	for i := range 3 {
 		c, _ := net.Pipe()
 		conns = append(conns, &serverConn{conn: newConn(c), place: place{policy.ServerID(i), "x"}})
+		s.listed(policy.ServerID(i), "x", true)
 		if !s.reserve() {
 			t.Fatal("no room for one of three")
 		}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -37,14 +37,15 @@
 }
 
 func (s *servers) askLoad(to place) (policy.Outcome, policy.Report) {
-	if s.node.orders.isOut(to.server) {
-		return policy.NeverSent, reportOf("")
-	}
 	limit := time.Now().Add(2 * time.Duration(s.node.settings.ConnectWithin))
 	c, err := s.connection(&handOff{place: to}, limit)
 	if err != nil {
 		return policy.Unreached, reportOf("")
 	}
+	if s.node.orders.isOut(to.server) || !s.stands(to) {
+		s.close(c)
+		return policy.NeverSent, reportOf("")
+	}
 	c.SetDeadline(limit)
 	if _, err := c.Write([]byte(loadQuestion(to.address))); err == nil {
 		if r, m, err := c.fromServer(&http.Request{Method: http.MethodGet}); err == nil {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -34,6 +35,8 @@
 	place    place
 	sentAt   int64
 	limit    int64
+	before   int64 // it must be written before this; 0: whenever
+	neverRan bool  // proved by its end; of the loop
 
 	mu      sync.Mutex
 	stopped bool   // recalled, or ended
@@ -67,6 +70,17 @@
 	return h.stopped
 }
 
+// until sets by when a read or a write has to be over, by set; once the hand-off has been stopped that is now. Guards against
+// a stop that comes just before one of those who carry it puts its own time in place of the stop's.
+func (h *handOff) until(set func(time.Time) error, end time.Time) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopped {
+		end = time.Unix(1, 0)
+	}
+	return set(end)
+}
+
 type result struct {
 	outcome policy.Outcome
 	report  policy.Report
@@ -76,6 +90,7 @@
 	flowed  int64       // the part of the time in which the task's body was still coming
 	on      *serverConn // where a long answer is still coming
 	closes  bool        // the server closes it afterwards
+	left    bool        // it was not written, as the client has gone
 }
 
 // stage is how far a hand-off had come.
@@ -102,18 +117,26 @@
 func (e *handOffError) Error() string { return fmt.Sprintf("%v: %v", e.stage, e.err) }
 func (e *handOffError) Unwrap() error { return e.err }
 
-var (
-	errNoRoom   = errors.New("no descriptor left for a connection")
-	errRecalled = errors.New("recalled before it was written")
-	errNotHeld  = errors.New("the task's body is not held any more")
-	errTakenOut = errors.New("the server was taken out")
+// ownReason is why this node itself does not send; it says nothing of the server.
+type ownReason string
+
+func (r ownReason) Error() string { return string(r) }
+
+const (
+	errNoRoom   ownReason = "no descriptor left for a connection"
+	errRecalled ownReason = "recalled before it was written"
+	errNotHeld  ownReason = "the task's body is not held any more"
+	errTakenOut ownReason = "the server is to have nothing new"
+	errAnswered ownReason = "the task has its answer"
+	errLeft     ownReason = "the client has gone"
+	errTooLate  ownReason = "the servers may have forgotten the hand-off before"
 )
 
 // outcome tells what the error proves: a server begins a task only when its last byte has come.
 func (e *handOffError) outcome() policy.Outcome {
+	var own ownReason
 	switch {
-	case e.stage < writtenWhole && (e.stopped || errors.Is(e.err, errNoRoom) || errors.Is(e.err, errTakenOut) ||
-		errors.Is(e.err, errNotHeld)):
+	case e.stage < writtenWhole && (e.stopped || errors.As(e.err, &own)):
 		return policy.NeverSent
 	case e.stage < writtenWhole:
 		return policy.Unreached
@@ -127,33 +150,52 @@
 
 type serverConn struct {
 	*conn
-	place place
-	idle  time.Time
-	stand *list.Element // among all that are idle
+	place  place
+	idle   time.Time
+	stand  *list.Element // among all that are idle
+	turned bool          // its last answer turned a task away
 }
 
 type servers struct {
 	node    *Node
+	dial    func(ctx context.Context, address string, limit time.Time) (net.Conn, error)
 	work    chan *handOff // taken by a carrier that has nothing to do
 	resting atomic.Int64  // carriers that wait for work
 	mayRest atomic.Int64
 
 	mu    sync.Mutex
-	idle  map[place][]*serverConn // the longest idle first
-	order list.List               // of all that are idle, the longest first: with thousands of servers a search takes too long
+	stand map[policy.ServerID]string // where those are that may have something new
+	idle  map[place][]*serverConn    // the longest idle first
+	order list.List                  // of all that are idle, the longest first: with thousands of servers a search takes too long
 	open  int
 	most  int // connections open or being opened
 
+	rests   time.Duration // after an answer that may come again, before a connection carries the next task
+	strayed atomic.Int64  // when more than belonged to a task's answer came last
+
 	probing chan struct{} // one for each probe that is out
 }
 
 func newServers(n *Node) *servers {
-	return &servers{node: n, idle: map[place][]*serverConn{}, work: make(chan *handOff),
-		probing: make(chan struct{}, mostProbes)}
+	s := &servers{node: n, stand: map[policy.ServerID]string{}, idle: map[place][]*serverConn{}, work: make(chan *handOff),
+		rests: strayWithin, probing: make(chan struct{}, mostProbes)}
+	s.dial = s.connect
+	return s
+}
+
+// connect opens a connection.
+func (s *servers) connect(ctx context.Context, address string, limit time.Time) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: time.Duration(s.node.settings.ConnectWithin), Deadline: limit, KeepAlive: -1}
+	dialer.SetMultipathTCP(false)
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 const (
-	restingPart = 4 // carriers that may rest, as a part of the connections to servers
+	// An answer may come a second time some milliseconds later, and nothing on it tells whose it is: the next task on that
+	// connection would be answered with it, or be sent again on its word that it never ran. Up to 5 ms were seen.
+	strayWithin = 20 * time.Millisecond
+	strayMemory = time.Minute // for so long all rest once more than an answer has come
+	restingPart = 4           // carriers that may rest, as a part of the connections to servers
 	mostResting = 64
 )
 
@@ -197,7 +239,7 @@
 		defer s.node.caught("hand-off", func() {})
 		answered, err := s.try(h)
 		if r = answered; err != nil {
-			r = result{outcome: err.outcome(), report: reportOf("")}
+			r = result{outcome: err.outcome(), report: reportOf(""), left: errors.Is(err.err, errLeft)}
 		}
 	}()
 	r.at = s.node.clock.now()
@@ -241,8 +283,11 @@
 		return fail(notConnected, errRecalled)
 	}
 	defer h.waits(nil)
-	if s.node.orders.isOut(h.place.server) {
-		return fail(notConnected, errTakenOut) // ordered since the decisions chose it
+	if err := s.hindrance(h); err != nil {
+		h.waits(nil)
+		whole = true // nothing was written on it
+		s.keep(c)
+		return fail(notConnected, err)
 	}
 	response, m, at, flowed, err := s.ask(c, h)
 	if err != nil {
@@ -281,7 +326,8 @@
 		return r, nil
 	}
 	m.end()
-	if running && all && !response.Close && at == writtenWhole && len(c.pending()) == 0 {
+	s.strays(all && len(c.pending()) > 0)
+	if c.turned = r.outcome == policy.Full; running && all && !response.Close && at == writtenWhole && len(c.pending()) == 0 {
 		whole = true
 		s.keep(c)
 	}
@@ -291,6 +337,40 @@
 	return r, nil
 }
 
+// hindrance tells why a hand-off must not be written, by what has become of its task and its server since the decisions chose it:
+// it may have stood in a queue or waited for its connection. It is asked last of all before the first byte, so that whatever
+// comes meanwhile is known here, and what comes later crosses a task that is on its way.
+func (s *servers) hindrance(h *handOff) error {
+	switch x := h.exchange; {
+	case x.settled.Load():
+		return errAnswered
+	case x.left():
+		return errLeft
+	case s.node.orders.isOut(h.place.server) || !s.stands(h.place):
+		return errTakenOut
+	case h.before > 0 && s.node.clock.now() >= h.before:
+		return errTooLate
+	}
+	return nil
+}
+
+// stands tells whether a server may have something new where it is.
+func (s *servers) stands(at place) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	address, stands := s.stand[at.server]
+	return stands && address == at.address
+}
+
+// listed has a server stand at an address, or nowhere.
+func (s *servers) listed(server policy.ServerID, address string, stands bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stand[server] = address; !stands {
+		delete(s.stand, server)
+	}
+}
+
 // ask writes a task and reads the head of its answer. It tells how far that came, and how much of the time went by while
 // the task's body was still coming from its client.
 func (s *servers) ask(c *serverConn, h *handOff) (r *http.Response, m *message, at stage, flowed int64, err error) {
@@ -304,13 +384,13 @@
 		return r, m, writtenWhole, 0, err
 	}
 	began := time.Now()
-	if err = writePaced(c, x.headFor(wait)); err != nil {
+	if err = writePaced(c, h, x.headFor(wait)); err != nil {
 		return nil, nil, partlyWritten, 0, err
 	}
 	if x.source.taken.Swap(true) {
 		return nil, nil, partlyWritten, 0, errNotHeld
 	}
-	up := startUpload(c, x, time.Duration(wait))
+	up := startUpload(c, h, time.Duration(wait))
 	r, m, err = c.fromServer(to)
 	switch whole := up.stop(c, x); {
 	case whole:
@@ -375,6 +455,7 @@
 		if !old && c.quiet() {
 			return c, nil
 		}
+		s.strays(c.has())
 		if s.close(c); !old {
 			s.node.counters.add(serversFoundClosed)
 		}
@@ -387,9 +468,7 @@
 	if !h.waits(cancel) {
 		cancel()
 	}
-	dialer := net.Dialer{Timeout: time.Duration(s.node.settings.ConnectWithin), Deadline: limit, KeepAlive: -1}
-	dialer.SetMultipathTCP(false)
-	raw, err := dialer.DialContext(ctx, "tcp", to.address)
+	raw, err := s.dial(ctx, to.address, limit)
 	if err != nil {
 		s.mu.Lock()
 		s.open--
@@ -403,19 +482,32 @@
 	return &serverConn{conn: newConn(raw), place: to}, nil
 }
 
+// take takes the connection used last, unless its answer may come again and it has not rested since: then one that has, or none.
+// To open another costs more than a rest does, so all rest only once something has come that nobody asked for.
 func (s *servers) take(from place) *serverConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	idle := s.idle[from]
-	if len(idle) == 0 {
+	idle, now := s.idle[from], time.Now()
+	wary := now.UnixNano()-s.strayed.Load() < int64(strayMemory)
+	i := len(idle) - 1
+	for ; i >= 0 && (wary || idle[i].turned) && now.Sub(idle[i].idle) < s.rests; i-- {
+	}
+	if i < 0 {
 		return nil
 	}
-	c := idle[len(idle)-1]
-	s.idle[from] = idle[:len(idle)-1]
+	c := idle[i]
+	s.idle[from] = slices.Delete(idle, i, i+1)
 	s.order.Remove(c.stand)
 	return c
 }
 
+// strays notes that more than a task's answer has come on a connection.
+func (s *servers) strays(more bool) {
+	if more {
+		s.strayed.Store(time.Now().UnixNano())
+	}
+}
+
 // reserve makes room for one more connection, if need be in place of the one that has been idle longest.
 func (s *servers) reserve() bool {
 	s.mu.Lock()
@@ -445,9 +537,15 @@
 	}
 }
 
+// keep puts a connection by, unless its server is not wanted any more: it would come back behind those that were closed for
+// that, and hold its place for nobody.
 func (s *servers) keep(c *serverConn) {
 	c.SetDeadline(time.Time{})
 	c.shrink()
+	if !s.stands(c.place) {
+		s.close(c)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.idle = time.Now()
@@ -487,6 +585,7 @@
 				kept = append(kept, c)
 				continue
 			}
+			s.strays(c.has())
 			c.Close()
 			s.order.Remove(c.stand)
 			s.open--
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 	HardLimits                   []int64 // of a task that does not tell its own
 	ConnectWithin                int64
 	IdleClose                    int64
+	StopWithin                   int64 // sends to a draining server have to stop; 0: not told
 }
 
 // FromLine decodes path=value pairs set apart by spaces.
@@ -189,7 +190,7 @@
 	if p.has("value_by") {
 		s.EarnsByWork = choice(p, "value_by", map[string]bool{"request": false, "work": true})
 	}
-	s.Zone = int(p.number("zone", 0))
+	s.Zone = int(p.numberOr("zone", 0, 0)) // a deployment may have no zones
 	s.Position = int(p.numberOr("position", 0, 0))
 	s.Nodes = int(p.numberOr("group_size", 1, 1))
 	s.Streams = int(p.numberOr("limits.multiplex", 1, 1))
@@ -232,6 +233,7 @@
 	// The bench opens connections itself and may leave these out; a node checks that it has them.
 	all.ConnectWithin = p.timeOr("limits.connect_timeout_us", 0)
 	all.IdleClose = p.timeOr("limits.idle_close_us", 0)
+	all.StopWithin = p.timeOr("rules.stop_sending_within_us", 0)
 	return all, p.err
 }
 
