A stop does not stand behind an accept on a socket that others made blocking

Symptom: TestHandOversCross, new, hung in two of two runs under the race detector, in clients.close (listener.Close, semacquire). Cause: processes of one node share the socket, and its blocking mode with it. Starting another process flips it in passing (the descriptor handed on is made blocking, the new process makes it non-blocking again). An accept entered in between stands in the machine; neither a deadline nor Close reaches it, and listener.Close waits for it. Older than this work: the stop then never came to settle or answer anything until SIGKILL. Ruled out: the successor's end, the acceptor's pause, the room at the door. A receive timeout on the socket was tried and does nothing where the listener is of the multipath kind.

Mend: close waits only while somebody is at the door, and never for such an accept. TestSharedSocketTurnsBlocking fails without.

Also: tests of a stop with a task at every stage, of hand-overs that cross, and of stops against deadlines, judged by what was set.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -27,6 +27,8 @@
 	pipelined  = 4                       // tasks read ahead on one connection
 	lingers    = 25 * time.Millisecond
 	lastLook   = 5 * time.Millisecond // for connections that wait to be accepted
+	// without anybody at the door: then an accept stands
+	standsAfter = 200 * time.Millisecond
 	// of silence within a message, while others wait for a connection
 	slowUnderFlood = time.Second
 )
@@ -110,15 +112,24 @@
 
 // close ends the taking of connections, and returns once what the machine had accepted is taken, or by a time. Guards against
 // a listener that is closed over connections which nobody has got to: the machine resets them, with tasks already written.
+//
+// It waits no longer than the door is in use: whoever else holds the socket may make it a blocking one at any moment, as the start
+// of another process does in passing, and an accept that then stands in the machine ends with the next connection alone.
 func (s *clients) close(by time.Time) {
 	s.ending.Store(true)
 	s.until(time.Unix(1, 0))
 	s.wake()
-	select {
-	case <-s.ended:
-	case <-time.After(time.Until(by)):
-		s.listener.Close()
+	for idle := time.Now(); time.Now().Before(by) && time.Since(idle) < standsAfter; {
+		select {
+		case <-s.ended:
+			return
+		case <-time.After(lastLook):
+		}
+		if s.atDoor.Load() > 0 {
+			idle = time.Now()
+		}
 	}
+	go s.listener.Close() // which waits for such an accept as well
 }
 
 func (s *clients) wake() {
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -406,6 +406,81 @@
 	}
 }
 
+// A task that is anywhere on its way when the node stops gets its whole answer.
+func TestStopWithATaskAtEveryStage(t *testing.T) {
+	long := strings.Repeat("x", 2<<20) // more than is held, or than the machines take
+	for name, c := range map[string]struct {
+		body  string
+		hold  func(t *testing.T, n *Node) *gate // before the task
+		serve func(g *gate, c net.Conn, in *bufio.Reader) (served bool)
+		there func(n *Node) bool
+	}{
+		"in the queue": {hold: func(t *testing.T, n *Node) *gate { return n.holdLoop(t) }, there: func(n *Node) bool { return len(n.loop.events) > 0 }},
+		"dialling":     {there: func(n *Node) bool { return n.count(handOffsSent) == 1 }},
+		"partly written": {body: long, serve: func(g *gate, _ net.Conn, _ *bufio.Reader) bool { g.wait(); return false },
+			there: func(n *Node) bool { return n.count(tasksFlowed) == 1 }},
+		"written": {serve: func(g *gate, _ net.Conn, in *bufio.Reader) bool {
+			http.ReadRequest(in)
+			g.wait()
+			return false
+		}},
+		"answering": {serve: func(g *gate, c net.Conn, in *bufio.Reader) bool {
+			http.ReadRequest(in)
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nha")
+			g.wait()
+			io.WriteString(c, "lf")
+			return true
+		}},
+		"flowing": {serve: func(g *gate, c net.Conn, in *bufio.Reader) bool {
+			http.ReadRequest(in)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long[:wholeAnswer])
+			g.wait()
+			io.WriteString(c, long[wholeAnswer:])
+			return true
+		}, there: func(n *Node) bool { return n.count(answersFlowed) == 1 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newGate(t)
+			server := listen(t, func(conn net.Conn) {
+				in := bufio.NewReader(conn)
+				if c.serve != nil && c.serve(g, conn, in) {
+					return
+				}
+				if name != "written" {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+				}
+				say(conn, "200 OK", "whole")
+			})
+			n := newNode(t, quiet(t), server)
+			if name == "dialling" {
+				g = n.holdDials(t)
+			}
+			n.start()
+			if c.hold != nil {
+				g = c.hold(t, n)
+			}
+			client, in := dial(t, n)
+			go io.WriteString(client, taskText("batch", "t", c.body))
+			g.held(t, 1)
+			soon(t, "there", func() bool { return c.there == nil || c.there(n) })
+			stopped := make(chan struct{})
+			go func() { n.stop(); close(stopped) }()
+			soon(t, "the end of taking", n.clients.ending.Load)
+			g.pass()
+			status, body, header := answerOn(in)
+			if status != 200 || body != "whole" && body != "half" && body != long {
+				t.Errorf("answered %d with %d bytes, %v", status, len(body), header)
+			}
+			<-stopped
+		})
+	}
+}
+
 // What has no answer shortly before the platform kills a process is given up: a decline where another try does no harm.
 func TestWhatIsOutAtTheEndIsGivenUp(t *testing.T) {
 	silent, tasks := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
@@ -638,28 +713,38 @@
 	}
 }
 
-// A stop that comes just before one who carries the hand-off sets its own time holds.
+// noted notes by when a write has to be over, and takes it all.
+type noted struct {
+	net.Conn
+	end time.Time
+}
+
+func (c *noted) SetWriteDeadline(end time.Time) error { c.end = end; return nil }
+func (c *noted) Write(p []byte) (int, error)          { return len(p), nil }
+
+// A stop holds that comes just before one who carries the hand-off, or reads its body, sets a time of its own.
 func TestStopCrossesADeadline(t *testing.T) {
-	near, far := net.Pipe()
-	defer far.Close()
-	h := &handOff{}
-	h.stop()
-	for name, set := range map[string]func() error{
-		"a read": func() error {
-			h.until(near.SetReadDeadline, time.Now().Add(5*time.Second))
-			_, err := near.Read(make([]byte, 1))
-			return err
-		},
-		"a write": func() error { return writePaced(near, h, []byte("x")) },
-	} {
-		if err := set(); err == nil || !strings.Contains(err.Error(), "timeout") {
-			t.Errorf("%s after the stop: %v", name, err)
+	for _, stopped := range []bool{false, true} {
+		h := &handOff{}
+		if stopped {
+			h.stop()
+		}
+		var read time.Time
+		h.until(func(end time.Time) error { read = end; return nil }, time.Now().Add(time.Hour))
+		c := &noted{}
+		writePaced(c, h, []byte("x"))
+		for name, end := range map[string]time.Time{"a read": read, "a write": c.end} {
+			if end.Before(time.Now()) != stopped {
+				t.Errorf("stopped %t: %s may last until %v", stopped, name, end)
+			}
+		}
+		near, far := net.Pipe()
+		defer far.Close()
+		var given atomic.Bool
+		given.Store(stopped)
+		if err := (&pace{stall: time.Hour, given: &given}).begin(near); (err == errGivenUp) != stopped {
+			t.Errorf("given up %t: %v", stopped, err)
 		}
-	}
-	given := atomic.Bool{}
-	given.Store(true)
-	if err := (&pace{stall: time.Hour, given: &given}).begin(near); err != errGivenUp {
-		t.Errorf("a body that was given up is waited for: %v", err)
 	}
 }
 
@@ -832,6 +917,34 @@
 	}
 }
 
+// The socket that processes share turns blocking while one stands before its next accept: the end of taking reaches it all the same.
+func TestSharedSocketTurnsBlocking(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	n := processes(t, server)()
+	n.start()
+	raw, err := n.clients.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), false) })
+	ask(t, n, "batch", "t", "") // the accept behind this one stands in the machine
+	stopped := make(chan struct{})
+	go func() { n.stop(); close(stopped) }()
+	select {
+	case <-stopped:
+	case <-time.After(10 * time.Second):
+		t.Error("the stop stands behind an accept")
+	}
+	over := make(chan bool, 1)
+	n.loop.enter(func() { over <- n.loop.over })
+	if <-over {
+		t.Error("the stop ended only by giving up")
+	}
+	if c, err := net.Dial("tcp", n.address()); err == nil { // and lets it go, for the end of the test
+		c.Close()
+	}
+}
+
 // Where the successor dies while the old process is stopping, the old one takes what still comes.
 func TestSuccessorDiesWhileTheOldProcessStops(t *testing.T) {
 	server, _ := serverOf(t, echo)
@@ -856,6 +969,69 @@
 	<-stopped
 }
 
+// Two successors at once, or both processes told to end: nobody's tasks are lost over it.
+func TestHandOversCross(t *testing.T) {
+	for name, cross := range map[string]func(t *testing.T, next func() *Node, old *Node, ask func(string)){
+		"two successors": func(t *testing.T, next func() *Node, old *Node, ask func(string)) {
+			first := next()
+			second := next() // finds the place taken, and makes a plain start
+			if first.heritage == nil || second.heritage != nil {
+				t.Error("one of them is to take over, the other is not")
+			}
+			second.start()
+			ask("second")
+			first.start()
+			soon(t, "the old one yields", old.handover.hasYielded)
+			old.stop()
+			ask("first")
+		},
+		"both stop": func(t *testing.T, next func() *Node, old *Node, ask func(string)) {
+			fresh := next()
+			fresh.start()
+			soon(t, "the old one yields", old.handover.hasYielded)
+			var done sync.WaitGroup
+			for _, n := range []*Node{old, fresh} {
+				done.Go(n.stop)
+			}
+			soon(t, "both stop", func() bool { return old.stopping.Load() && fresh.stopping.Load() })
+			ask("while both stop")
+			done.Wait()
+		},
+		"the old one is told to end before the first accept": func(t *testing.T, next func() *Node, old *Node, ask func(string)) {
+			fresh := next()
+			fresh.handover.served() // says so, and does not take yet
+			soon(t, "the old one yields", old.handover.hasYielded)
+			old.stop()
+			go fresh.start()
+			ask("after")
+		},
+		"a drain in between": func(t *testing.T, next func() *Node, old *Node, ask func(string)) {
+			fresh := next()
+			if _, err := old.orders.change(func(o *standingOrders) string { o.drained = true; return "" }); err != nil {
+				t.Fatal(err)
+			}
+			fresh.start()
+			soon(t, "both know", func() bool { return old.orders.drained() && fresh.notReady() == "drained" })
+			ask("drained")
+			old.stop()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server, _ := serverOf(t, echo)
+			next := processes(t, server)
+			old := next()
+			old.start()
+			cross(t, next, old, func(id string) {
+				t.Helper()
+				if status, body, _ := ask(t, old, "batch", id, ""); status != 200 {
+					t.Errorf("%s: answered %d %s", id, status, body)
+				}
+			})
+		})
+	}
+}
+
 // A recall whose outcome is still out counts as out, and what is proved by an end decides who may go again.
 func TestRecallThatIsStillOut(t *testing.T) {
 	answers := newGate(t)
