--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -193,7 +193,7 @@
 const (
 	// An answer may come a second time some milliseconds later, and nothing on it tells whose it is: the next task on that
 	// connection would be answered with it, or be sent again on its word that it never ran. Up to 5 ms were seen.
-	strayWithin = 20 * time.Millisecond
+	strayWithin = 8 * time.Millisecond
 	strayMemory = time.Minute // for so long all rest once more than an answer has come
 	restingPart = 4           // carriers that may rest, as a part of the connections to servers
 	mostResting = 64
@@ -284,9 +284,9 @@
 	}
 	defer h.waits(nil)
 	if err := s.hindrance(h); err != nil {
-		h.waits(nil)
-		whole = true // nothing was written on it
-		s.keep(c)
+		if whole = h.waits(nil); whole { // nothing was written on it, and no stop is about to set its time
+			s.keep(c)
+		}
 		return fail(notConnected, err)
 	}
 	response, m, at, flowed, err := s.ask(c, h)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -54,3 +54,15 @@
 		}
 	}
 }
+
+// Guards against a deployment without zones, or one that does not say how soon sends have to stop, being refused.
+func TestSettingsThatADeploymentMayLack(t *testing.T) {
+	got, err := FromJSON([]byte(strings.NewReplacer(`"zone":1,"zones":["a","b"],`, "").Replace(nested)))
+	if err != nil || got.Policy.Zone != 0 || got.Zones != nil || got.StopWithin != 0 {
+		t.Errorf("%v, zone %d of %v, stop within %d", err, got.Policy.Zone, got.Zones, got.StopWithin)
+	}
+	got, err = FromJSON([]byte(strings.Replace(nested, `"rules":{`, `"rules":{"stop_sending_within_us":250000,`, 1)))
+	if err != nil || got.StopWithin != 250e6 {
+		t.Errorf("%v, stop within %d", err, got.StopWithin)
+	}
+}
