--- a/cmd/fawnglade/signals_test.go
+++ b/cmd/fawnglade/signals_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // Signals that come while the node starts, held in the midst of it by an old process that says nothing, wait until it can follow
@@ -62,6 +63,7 @@
 				t.Fatal(err)
 			}
 			defer client.Close()
+			client.SetDeadline(time.Now().Add(10 * time.Second))
 			io.WriteString(client, "GET /view HTTP/1.1\r\nHost: h\r\nX-Txn: t\r\n\r\n")
 			for _, s := range signals {
 				c.Process.Signal(s)
