The test of a socket that turns blocking makes it non-blocking again before its end

It hung once, in the whole package under the race detector: the accept that its last connection let go stood anew before the listener's close had begun, and the test's clean-up waits for it. The check is the same; only how the test lets the accept go has changed.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -926,7 +926,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), false) })
+	held := -1
+	raw.Control(func(fd uintptr) {
+		held, _ = syscall.Dup(int(fd))
+		syscall.SetNonblock(held, false) // and with it all that stand for the socket
+	})
+	defer syscall.Close(held)
 	ask(t, n, "batch", "t", "") // the accept behind this one stands in the machine
 	stopped := make(chan struct{})
 	go func() { n.stop(); close(stopped) }()
@@ -940,7 +945,8 @@
 	if <-over {
 		t.Error("the stop ended only by giving up")
 	}
-	if c, err := net.Dial("tcp", n.address()); err == nil { // and lets it go, for the end of the test
+	syscall.SetNonblock(held, true) // and the accept is let go, for the end of the test
+	if c, err := net.Dial("tcp", n.address()); err == nil {
 		c.Close()
 	}
 }
