The clients of the upgrade's test each have an error of their own

make race found a data race in TestUpgradeUnderLoad, older than this work (the untouched build shows it as well): eight clients wrote to one variable of the test. The check is unchanged; under the race detector internal/node, cmd/fawnglade and internal/settings are green.

--- a/cmd/fawnglade/upgrade_test.go
+++ b/cmd/fawnglade/upgrade_test.go
@@ -92,6 +92,7 @@
 	for i := range 8 {
 		done.Go(func() {
 			var c net.Conn
+			var err error // its own: the clients run side by side
 			var in *bufio.Reader
 			for k := 0; !stop.Load(); k++ {
 				if c == nil {
