A connection is put by under the lock that takes its server off; waits between calls have a floor

Cause, by a second read: keep() asked whether the server stands, then took the lock anew to put the connection by; the line that takes the server off and forget() fit between the two, and the connection came back behind its fellows: the crossing that the check was for. StopWithin of some microseconds made the wait between refused calls for a pushed list next to nothing. A probe opened a connection to a server that was taken out already, only to close it.

Change: keep() asks under the lock in which it puts by; the wait is 20 ms at least (TestWaitsBetweenCalls, fails without); a probe asks before it connects as well as after. TestStopWithATaskAtEveryStage could not fail by a stop that ends too soon, as the test's process goes on; it now holds the task until a stop would have ended. The window in keep() is too narrow to be forced; it is gone by construction.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -471,6 +471,11 @@
 			stopped := make(chan struct{})
 			go func() { n.stop(); close(stopped) }()
 			soon(t, "the end of taking", n.clients.ending.Load)
+			select {
+			case <-stopped:
+				t.Error("the stop ended with a task out") // and the process with it
+			case <-time.After(100 * time.Millisecond): // rounds in which it might have
+			}
 			g.pass()
 			status, body, header := answerOn(in)
 			if status != 200 || body != "whole" && body != "half" && body != long {
@@ -868,6 +873,16 @@
 	}
 }
 
+// Between calls there is always a wait, whatever the settings say of sends to draining servers.
+func TestWaitsBetweenCalls(t *testing.T) {
+	for within, want := range map[int]time.Duration{0: longestWait, 1: leastWait, 400000: 100 * time.Millisecond, 60000000: longestWait} {
+		n := newNode(t, with(`"rules":{`, fmt.Sprintf(`"rules":{"stop_sending_within_us":%d,`, within)))
+		if n.discovery.wait != want {
+			t.Errorf("sends stop within %d us: a wait of %v, want %v", within, n.discovery.wait, want)
+		}
+	}
+}
+
 // What is pushed counts from the first moment of a new process: no task goes by the list from before while the first word is due.
 func TestPushedListIsHeardBeforeTheFirstTask(t *testing.T) {
 	server, tasks := serverOf(t, echo)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -27,7 +27,8 @@
 	listSilence = 3200 * time.Millisecond // an empty line comes every 2 s while nothing changes
 	longestLine = 4 << 20
 	longestWait = 200 * time.Millisecond // between calls, where nobody asks for them
-	waitPart    = 4                      // of the time within which sends have to stop, if that is less
+	leastWait   = 20 * time.Millisecond
+	waitPart    = 4 // of the time within which sends have to stop, if that is less
 	// What a watch that has fallen silent misses counts as told 6 s later. The call that opens it anew gives up this soon, so that
 	// another still comes in time.
 	listHeadAnew = 2 * time.Second
@@ -56,7 +57,7 @@
 	d := &discovery{node: n, address: n.config.Discovery, calls: make(chan struct{}, 1), silence: listSilence, head: listHead,
 		wait: longestWait, heard: make(chan struct{})}
 	if within := time.Duration(n.settings.StopWithin); within > 0 {
-		d.wait = min(d.wait, within/waitPart)
+		d.wait = max(min(d.wait, within/waitPart), leastWait)
 	}
 	d.place, d.leave = context.WithCancel(context.Background())
 	d.of = d.place
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -37,12 +37,16 @@
 }
 
 func (s *servers) askLoad(to place) (policy.Outcome, policy.Report) {
+	wanted := func() bool { return !s.node.orders.isOut(to.server) && s.stands(to) }
+	if !wanted() {
+		return policy.NeverSent, reportOf("")
+	}
 	limit := time.Now().Add(2 * time.Duration(s.node.settings.ConnectWithin))
 	c, err := s.connection(&handOff{place: to}, limit)
 	if err != nil {
 		return policy.Unreached, reportOf("")
 	}
-	if s.node.orders.isOut(to.server) || !s.stands(to) {
+	if !wanted() { // since it began to connect
 		s.close(c)
 		return policy.NeverSent, reportOf("")
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -542,12 +542,13 @@
 func (s *servers) keep(c *serverConn) {
 	c.SetDeadline(time.Time{})
 	c.shrink()
-	if !s.stands(c.place) {
-		s.close(c)
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stand[c.place.server] != c.place.address { // asked under the lock: forget comes behind what changes it
+		c.Close()
+		s.open--
+		return
+	}
 	c.idle = time.Now()
 	s.idle[c.place] = append(s.idle[c.place], c)
 	c.stand = s.order.PushBack(c)
