--- /dev/null
+++ b/internal/distribution/distribution.go
@@ -0,0 +1,131 @@
+// Package distribution is how endpoints and configuration come to nodes: incrementally, by scope, at a bounded rate, through
+// relays. It has three parts. An Origin owns truth and gives every change the next version within its epoch. A Relay holds the
+// newest state of each record, not a log, and sends each subscriber what it lacks at its pace. A Subscriber keeps the records of
+// its scopes and resumes after a position. It has no I/O, no clock and no goroutine: time is told, frames go in and out as bytes,
+// and the same calls give the same result. It must never claim a scope to be whole that it does not know to be, and never bring
+// back what was told to be gone.
+package distribution
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+const (
+	// MaxFrame is the most bytes that a frame from a relay may have, without the four bytes of length before it.
+	MaxFrame = 64 << 10
+	// MaxHello is the most bytes that a hello may have.
+	MaxHello = 256 << 10
+	// MaxBody is the most bytes that the body of a record may have: a record always fits into a frame.
+	MaxBody = 16 << 10
+	// MaxName is the most bytes that a scope or a key may have.
+	MaxName = 256
+	// MaxPrefixes is how many selectors of a subscriber may be prefixes: each is looked at on every change.
+	MaxPrefixes = 64
+	// Heartbeat is the time between two frames to a subscriber that has nothing to be told, nanoseconds.
+	Heartbeat = int64(1e9)
+	// Burst is how far a relay may run ahead of a subscriber's pace, nanoseconds.
+	Burst = int64(250e6)
+)
+
+// Class is the order in which records go out: a withdrawal goes before any endpoint, an endpoint before any configuration.
+type Class uint8
+
+// The classes, first to last.
+const (
+	Withdrawal    Class = iota // an endpoint that drains or has gone
+	Endpoint                   // an endpoint that serves
+	Configuration              // a route, a tenant, a service
+	classes
+)
+
+// Record is the newest state of one key of a scope. Whoever is given one must not change its Body.
+type Record struct {
+	Scope, Key string
+	Class      Class
+	Epoch      uint64
+	Version    uint64 // of the change that made it so, within Epoch
+	Gone       bool
+	Body       []byte // not looked at
+}
+
+// Change is what became of a record at a subscriber.
+type Change struct {
+	Record
+	Old   []byte // the body before; nil where there was none
+	Swept bool   // gone because a whole scope came without it
+}
+
+// Position says that all changes up to Through of Epoch are known. The zero value says that nothing is.
+type Position struct{ Epoch, Through uint64 }
+
+func (p Position) compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Epoch, q.Epoch), cmp.Compare(p.Through, q.Through))
+}
+
+// Selector names one scope, or all whose name begins with Scope ("" and Prefix: all), also those that are born later.
+type Selector struct {
+	Scope  string
+	Prefix bool
+	After  Position // the zero value for who holds nothing
+}
+
+func (s Selector) covers(scope string) bool {
+	return s.Scope == scope || s.Prefix && strings.HasPrefix(scope, s.Scope)
+}
+
+// Limits bound what a part holds; 0 stands for the default in brackets. What would go beyond is refused with an error that wraps
+// ErrLimit and names the bound.
+type Limits struct {
+	Records     int // held, tombstones among them (2,097,152)
+	Bytes       int // of scopes' names, keys and bodies held (1 GiB)
+	Subscribers int // of a relay (8,192)
+	Selectors   int // of a subscriber (4,096)
+	Tombstones  int // that a relay holds beyond what it must (65,536)
+}
+
+func (l Limits) filled() Limits {
+	fill := func(v *int, byDefault int) {
+		if *v <= 0 {
+			*v = byDefault
+		}
+	}
+	fill(&l.Records, 2<<20)
+	fill(&l.Bytes, 1<<30)
+	fill(&l.Subscribers, 8192)
+	fill(&l.Selectors, 4096)
+	fill(&l.Tombstones, 64<<10)
+	return l
+}
+
+// Errors that callers tell apart. After any error of Take the connection is to be ended; Hello or Upstream begins anew.
+var (
+	ErrLimit   = errors.New("distribution: over a bound")
+	ErrFrame   = errors.New("distribution: not a frame")
+	ErrHello   = errors.New("distribution: not a hello")
+	ErrGap     = errors.New("distribution: a frame is missing")
+	ErrMissing = errors.New("distribution: a record is said to be held that is not")
+	ErrUnknown = errors.New("distribution: no such subscriber")
+)
+
+func over(what string, bound, found int) error {
+	return fmt.Errorf("%w: %s: at most %d, found %d", ErrLimit, what, bound, found)
+}
+
+// Stats are counters since the start, and what is held now.
+type Stats struct {
+	Epoch, Through                      uint64 // the position; of a relay what it claims
+	Whole                               bool
+	Records, Tombstones, Scopes, Bytes  int // held now; Records without Tombstones
+	Subscribers, Selectors              int // of a relay now
+	Floor                               uint64
+	Frames, FrameBytes                  int64 // taken
+	Sent, SentBytes, SentRecords        int64 // by a relay
+	SentNames                           int64 // of SentRecords those without a body, as the subscriber held it
+	Resumed, Anew                       int64 // selectors that were resumed after their position, and those that were sent anew
+	Applied, Repeated, Stale, Swept     int64 // records taken: newer, the same again, older than what is known; gone with a whole scope
+	Spoilt, Foreign, OldFrames, Refused int64 // records passed over; frames of another session or epoch; hellos refused
+	LastSpoilt                          string
+}
