--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -41,6 +41,13 @@
 	classes
 )
 
+func (c Class) withdrawn() Class {
+	if c == Endpoint {
+		return Withdrawal
+	}
+	return c
+}
+
 // Record is the newest state of one key of a scope. Whoever is given one must not change its Body.
 type Record struct {
 	Scope, Key string
@@ -69,7 +76,6 @@
 type Selector struct {
 	Scope  string
 	Prefix bool
-	After  Position // the zero value for who holds nothing
 }
 
 func (s Selector) covers(scope string) bool {
@@ -97,6 +103,7 @@
 	fill(&l.Subscribers, 8192)
 	fill(&l.Selectors, 4096)
 	fill(&l.Tombstones, 64<<10)
+	l.Tombstones = min(l.Tombstones, l.Records/4) // so that they never take the room of what is there
 	return l
 }
 
