Distribution: a drawn network of relays holds its claims; a relay told anew in one frame raises its floor

Cause: a drawn network found a relay that held a record gone since long. It had resumed at a relay behind it, which was then told anew by its own upstream with begin and end in one frame: the relay stayed whole all the while, so the floor was not raised and what had come and gone unseen there was never told (Relay.refresh, the branch on !was alone).

Change: the floor goes by the position at which anything was last told anew.

--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -114,7 +114,8 @@
 	ErrHello   = errors.New("distribution: not a hello")
 	ErrGap     = errors.New("distribution: a frame is missing")
 	ErrMissing = errors.New("distribution: a record is said to be held that is not")
-	ErrUnknown = errors.New("distribution: no such subscriber")
+	// ErrNotFollowed refuses a subscriber that asks for more than the relay itself takes: it would take what is not there for gone.
+	ErrNotFollowed = errors.New("distribution: this relay does not follow the scope")
 )
 
 func over(what string, bound, found int) error {
--- a/internal/distribution/relay.go
+++ b/internal/distribution/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 
@@ -153,6 +154,7 @@
 	whole   bool
 	claimed Position // never falls
 	floor   Position // who is known to know less is told anew
+	ended   Position // up to where this relay was itself last told anything anew
 
 	subs     map[int]*subscription
 	lastID   int
@@ -285,11 +287,11 @@
 	if at.compare(r.claimed) > 0 {
 		r.claimed = at
 	}
-	if !was {
+	if ended := (Position{r.epoch, r.held.endMax}); !was || r.ended != ended {
 		// Between the position before and what was told anew things may have come and gone unseen: who is not known to have
-		// come past that is told anew as well.
-		if known := (Position{r.epoch, r.held.endMax}); r.floor.compare(known) < 0 {
-			r.floor = known
+		// come past that is told anew as well. Begin and end may have come in one frame.
+		if r.ended = ended; r.floor.compare(ended) < 0 {
+			r.floor = ended
 		}
 		for _, s := range r.inOrder() {
 			for i := range s.feeds {
@@ -367,6 +369,14 @@
 	if err == nil && len(r.subs) >= r.limits.Subscribers {
 		err = over("subscribers", r.limits.Subscribers, len(r.subs)+1)
 	}
+	if err == nil && r.owner == nil {
+		for _, n := range h.Selectors {
+			if !r.held.includes(n.Scope, n.Flags&flagPrefix != 0) {
+				err = fmt.Errorf("%w: %q", ErrNotFollowed, n.Scope)
+				break
+			}
+		}
+	}
 	if err != nil {
 		r.stats.Refused++
 		return 0, err
--- a/internal/distribution/replica.go
+++ b/internal/distribution/replica.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/google/btree"
@@ -221,6 +222,14 @@
 	return false
 }
 
+// includes says whether all that a selector names is covered.
+func (r *replica) includes(name string, prefix bool) bool {
+	if !prefix {
+		return r.covers(name)
+	}
+	return slices.ContainsFunc(r.prefixes, func(i int32) bool { return strings.HasPrefix(name, r.interests[i].name) })
+}
+
 func (r *replica) scopeOf(name string) *scope {
 	s := r.scopes[name]
 	if s == nil {
