Distribution: plain tests of order, resumption, pace, ages, bounds and spoilt records

One by one what the API promises: withdrawals first also in slices, a scope anew by names where bodies are held, heartbeats in debt, ages of quiet scopes beside a backlog, every bound named.

--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -4,8 +4,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"strings"
 	"testing"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 const second = int64(1e9)
@@ -149,3 +153,532 @@
 		t.Fatal("age through a relay that is cut off", age)
 	}
 }
+
+func TestWithdrawalsGoFirst(t *testing.T) {
+	o := NewOrigin(1, Limits{})
+	s := newLeaf(t, Selector{Scope: "eu1/cart"}, Selector{Scope: "eu1/", Prefix: true})
+	for _, slow := range []bool{false, true} {
+		l := attach(t, 0, o.Relay(), s, 0)
+		l.drain(t, 0, s)
+		s.changes = nil
+		put(t, o, "eu1/cart", "route/1", Configuration, fmt.Sprint("R", slow))
+		put(t, o, "eu1/cart", "endpoint/a", Endpoint, fmt.Sprint("A", slow))
+		put(t, o, "eu1/new", "endpoint/b", Endpoint, fmt.Sprint("B", slow))
+		put(t, o, "eu1/cart", "endpoint/c", Withdrawal, fmt.Sprint("C", slow))
+		put(t, o, "eu1/new", "endpoint/d", Endpoint, fmt.Sprint("D", slow))
+		o.Remove(0, "eu1/new", "endpoint/d")
+		if slow { // the same where frames have room for little
+			l.from.subs[l.id].pace = 1
+			l.from.subs[l.id].due = -100000 * second
+		}
+		for range 20 {
+			l.drain(t, 0, s)
+		}
+		last := Withdrawal
+		for _, c := range s.changes {
+			if c.Class < last {
+				t.Fatalf("a change of class %d after one of %d: %+v", c.Class, last, s.changes)
+			}
+			last = c.Class
+		}
+		expect(t, "changes", len(s.changes), 4)
+		l.from.Detach(l.id)
+	}
+}
+
+func TestClassChangeKeepsOneRecord(t *testing.T) {
+	o := NewOrigin(1, Limits{})
+	s := newLeaf(t, Selector{Scope: "s"})
+	l := attach(t, 0, o.Relay(), s, 0)
+	l.drain(t, 0, s)
+	put(t, o, "s", "endpoint/a", Endpoint, "up")
+	put(t, o, "s", "endpoint/a", Withdrawal, "up")
+	l.drain(t, 0, s)
+	expect(t, "changes for two changes unsent", len(s.changes), 1)
+	put(t, o, "s", "endpoint/a", Endpoint, "up")
+	l.drain(t, 0, s)
+	expect(t, "changes", len(s.changes), 2)
+	expect(t, "class", s.changes[1].Class, Endpoint)
+	expect(t, "old", string(s.changes[1].Old), "up")
+	expect(t, "records at the relay", o.Relay().order.Len(), 1)
+}
+
+func TestSameIsNoChange(t *testing.T) {
+	o := NewOrigin(1, Limits{})
+	v := put(t, o, "s", "k", Endpoint, "x")
+	expect(t, "version", put(t, o, "s", "k", Endpoint, "x"), v)
+	if n, err := o.Replace(0, "e", []Record{{Scope: "s", Key: "e/1", Class: Endpoint, Body: []byte("1")}}); n != 1 || err != nil {
+		t.Fatal(n, err)
+	}
+	if n, err := o.Replace(0, "e", []Record{{Scope: "s", Key: "e/1", Class: Endpoint, Body: []byte("1")}}); n != 0 || err != nil {
+		t.Fatal(n, err)
+	}
+	if n, err := o.Replace(0, "e", []Record{{Scope: "s", Key: "f/1"}, {Scope: "s", Key: "e/2", Class: 9}}); n != 1 || err == nil {
+		t.Fatal("one goes, two are spoilt", n, err)
+	}
+	expect(t, "what is of another kind stays", o.Relay().Stats().Records, 1)
+	// A new epoch with the same bodies tells nobody of a change.
+	s := newLeaf(t, Selector{Scope: "s"})
+	attach(t, 0, o.Relay(), s, 0).drain(t, 0, s)
+	s.changes = nil
+	o = NewOrigin(2, Limits{})
+	put(t, o, "s", "k", Endpoint, "x")
+	attach(t, 0, o.Relay(), s, 0).drain(t, 0, s)
+	expect(t, "changes", len(s.changes), 0)
+	expect(t, "position", s.Position("s"), Position{2, 1})
+}
+
+func TestResumedWithoutRecords(t *testing.T) {
+	o := NewOrigin(1, Limits{})
+	s := newLeaf(t, Selector{Scope: "s"}, Selector{Scope: "empty"})
+	for i := range 100 {
+		put(t, o, "s", fmt.Sprint("k", i), Endpoint, "x")
+	}
+	attach(t, 0, o.Relay(), s, 0).drain(t, 0, s)
+	sent := o.Relay().Stats().SentRecords
+	l := attach(t, 0, o.Relay(), s, 0)
+	expect(t, "frames of a resumption", len(l.drain(t, 0, s)), 1)
+	expect(t, "records of a resumption", o.Relay().Stats().SentRecords-sent, int64(0))
+	expect(t, "resumed", o.Relay().Stats().Resumed, int64(2))
+	put(t, o, "s", "k7", Endpoint, "y")
+	l = attach(t, 0, o.Relay(), s, 0)
+	l.drain(t, 0, s)
+	expect(t, "records of a resumption after one change", o.Relay().Stats().SentRecords-sent, int64(1))
+}
+
+// A relay that started with nothing tells a subscriber of the same epoch what it holds by name, without the bodies.
+func TestAnewByName(t *testing.T) {
+	o := NewOrigin(1, Limits{})
+	s := newLeaf(t, Selector{Scope: "s"})
+	for i := range 100 {
+		put(t, o, "s", fmt.Sprint("k", i), Endpoint, fmt.Sprintf("%0200d", i))
+	}
+	attach(t, 0, o.Relay(), s, 0).drain(t, 0, s)
+	o.Remove(0, "s", "k7")
+	put(t, o, "s", "k8", Endpoint, "new")
+	r := newInner(t, Limits{}, Selector{Prefix: true})
+	attach(t, 0, o.Relay(), r, 0).drain(t, 0, r)
+	s.changes = nil
+	bytes := 0
+	for _, f := range attach(t, 0, r.Relay, s, 0).drain(t, 0, s) {
+		bytes += len(f)
+	}
+	expect(t, "changes", len(s.changes), 2)
+	expect(t, "names", r.Stats().SentNames, int64(98))
+	if bytes > 98*12+300 {
+		t.Fatalf("%d bytes for 98 names and two changes", bytes)
+	}
+}
+
+func TestNameOfWhatIsNotHeld(t *testing.T) {
+	o := NewOrigin(1, Limits{})
+	put(t, o, "s", "k", Endpoint, "x")
+	s := newLeaf(t, Selector{Scope: "s"})
+	attach(t, 0, o.Relay(), s, 0).drain(t, 0, s)
+	s.held.remove(s.held.find("s", "k")) // as if it had been spoilt on its way
+	r := newInner(t, Limits{}, Selector{Prefix: true})
+	put(t, o, "s", "l", Endpoint, "x")
+	attach(t, 0, o.Relay(), r, 0).drain(t, 0, r)
+	l := attach(t, 0, r.Relay, s, 0)
+	f, _ := r.Next(0, l.id)
+	if _, err := s.Take(0, f); !errors.Is(err, ErrMissing) {
+		t.Fatal(err)
+	}
+	if c, err := s.Take(0, f); c != nil || err != nil {
+		t.Fatal("a session after its error", c, err)
+	}
+	attach(t, 0, r.Relay, s, 0).drain(t, 0, s)
+	expect(t, "records", list(s.Subscriber), "s k=x\ns l=x\n")
+}
+
+// An origin without its list claims nothing, and takes nothing away.
+func TestOriginWithoutItsList(t *testing.T) {
+	o := NewOrigin(1, Limits{})
+	put(t, o, "s", "endpoint/a", Endpoint, "A")
+	put(t, o, "s", "endpoint/b", Endpoint, "B")
+	s := newLeaf(t, Selector{Scope: "s"}, Selector{Scope: "empty"})
+	attach(t, 0, o.Relay(), s, 0).drain(t, 0, s)
+	o = NewOrigin(2, Limits{})
+	o.Await("endpoint", "route")
+	l := attach(t, 0, o.Relay(), s, 0)
+	put(t, o, "s", "endpoint/b", Endpoint, "B2")
+	for now := range int64(5) {
+		l.drain(t, now*second, s)
+	}
+	expect(t, "records", list(s.Subscriber), "s endpoint/a=A\ns endpoint/b=B2\n")
+	expect(t, "position", s.Position("s").Epoch, uint64(1))
+	if age, _ := s.Age(4*second, "s"); age != 4*second {
+		t.Fatal("age", age)
+	}
+	if _, err := o.Replace(0, "route", nil); err != nil {
+		t.Fatal(err)
+	}
+	l.drain(t, 5*second, s)
+	expect(t, "position with one list of two", s.Position("s").Epoch, uint64(1))
+	if _, err := o.Replace(0, "endpoint", []Record{{Scope: "s", Key: "endpoint/b", Class: Endpoint, Body: []byte("B2")}}); err != nil {
+		t.Fatal(err)
+	}
+	l.drain(t, 5*second, s)
+	expect(t, "records", list(s.Subscriber), "s endpoint/b=B2\n")
+	expect(t, "position", s.Position("empty").Epoch, uint64(2))
+}
+
+// A subscriber that has heard of an epoch goes to a relay that has not: it is told nothing until that has.
+func TestRelayOfAnOldEpoch(t *testing.T) {
+	old := NewOrigin(1, Limits{})
+	put(t, old, "s", "endpoint/a", Endpoint, "A")
+	behind := newInner(t, Limits{}, Selector{Prefix: true})
+	attach(t, 0, old.Relay(), behind, 0).drain(t, 0, behind)
+	o := NewOrigin(2, Limits{})
+	put(t, o, "s", "endpoint/b", Endpoint, "B")
+	s := newLeaf(t, Selector{Scope: "s"}, Selector{Scope: "t"})
+	attach(t, 0, o.Relay(), s, 0).drain(t, 0, s)
+	l := attach(t, 0, behind.Relay, s, 0)
+	if f := l.drain(t, 0, s); len(f) != 1 {
+		t.Fatal("frames", len(f))
+	}
+	expect(t, "records that a relay of an old epoch sent", behind.Stats().SentRecords, int64(0))
+	l.drain(t, second, s)
+	expect(t, "records", list(s.Subscriber), "s endpoint/b=B\n")
+	if age, _ := s.Age(second, "s"); age != second {
+		t.Fatal("age", age)
+	}
+	attach(t, second, o.Relay(), behind, 0).drain(t, second, behind)
+	l.drain(t, second, s)
+	if age, _ := s.Age(second, "s"); age != 0 {
+		t.Fatal("age", age)
+	}
+}
+
+// A slow subscriber costs a relay its cursors: changes of a record that are not sent are one.
+func TestSlowSubscriberIsBounded(t *testing.T) {
+	o := NewOrigin(1, Limits{Tombstones: 10})
+	s := newLeaf(t, Selector{Scope: "s"}, Selector{Scope: "quiet"})
+	put(t, o, "quiet", "k", Endpoint, "x")
+	put(t, o, "s", "stays", Endpoint, "x")
+	l := attach(t, 0, o.Relay(), s, 0)
+	l.drain(t, 0, s)
+	for i := range 5000 {
+		put(t, o, "s", fmt.Sprint("k", i), Endpoint, "x")
+		l.drain(t, 0, s)
+		if i < 4000 {
+			o.Remove(0, "s", fmt.Sprint("k", i))
+		}
+		if i == 10 {
+			break
+		}
+	}
+	for i := range 5000 { // from here on it takes nothing
+		o.Remove(0, "s", fmt.Sprint("k", i))
+		put(t, o, "s", fmt.Sprint("l", i), Endpoint, "x")
+		o.Remove(0, "s", fmt.Sprint("l", i))
+		put(t, o, "s", "stays", Endpoint, fmt.Sprint(i))
+	}
+	st := o.Relay().Stats()
+	expect(t, "tombstones", st.Tombstones, 10)
+	if n := len(o.relay.dead); n > 2*10+65 {
+		t.Fatal("places of tombstones kept:", n)
+	}
+	for q := range queues {
+		if n := len(o.relay.subs[l.id].queues[q].list); n > 40 {
+			t.Fatal("a queue for two selectors has", n)
+		}
+	}
+	s.changes = nil
+	l.drain(t, second, s)
+	expect(t, "records", list(s.Subscriber), "quiet k=x\ns stays=4999\n")
+	expect(t, "records sent in the end", o.Relay().Stats().SentRecords-st.SentRecords, int64(1))
+}
+
+func TestPaceAndHeartbeats(t *testing.T) {
+	const pace = 20000
+	o := NewOrigin(1, Limits{})
+	for i := range 2000 {
+		put(t, o, "s", fmt.Sprint("k", i), Endpoint, fmt.Sprintf("%0200d", i))
+	}
+	s := newLeaf(t, Selector{Scope: "s"})
+	l := attach(t, 0, o.Relay(), s, pace)
+	sum, last, longest := 0, int64(0), int64(0)
+	var now int64
+	for now = 0; now < 60*second && !s.Complete(); {
+		f, at := o.Relay().Next(now, l.id)
+		if f == nil {
+			if at <= now {
+				t.Fatal("to be asked again at", at, "at", now)
+			}
+			now = at
+			continue
+		}
+		sum += len(f)
+		longest = max(longest, now-last)
+		last = now
+		if len(f) > pace/4 {
+			t.Fatalf("a frame of %d bytes at %d a second", len(f), pace)
+		}
+		if most := pace*(now+Burst)/second + pace/4; int64(sum) > most {
+			t.Fatalf("%d bytes after %d ns, at most %d", sum, now, most)
+		}
+		if _, err := s.Take(now, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if least := int64(sum-pace/2) * second / pace; !s.Complete() || now < least || now > least+3*second/2 {
+		t.Fatalf("complete %v after %d ns with %d bytes", s.Complete(), now, sum)
+	}
+	if longest > second {
+		t.Fatal("silence", longest)
+	}
+	// In debt by one great body the heartbeats go on, and are small.
+	put(t, o, "s", "great", Endpoint, string(make([]byte, MaxBody)))
+	l.from.subs[l.id].pace, l.from.subs[l.id].due = 1000, now
+	expect(t, "frames of a great body", len(l.drain(t, now, s)), 1)
+	put(t, o, "s", "k1", Endpoint, "later")
+	for i := int64(1); i <= 5; i++ {
+		f := l.drain(t, now+i*second, s)
+		if len(f) != 1 || len(f[0]) > 64 {
+			t.Fatalf("%d frames in the debt's second %d", len(f), i)
+		}
+	}
+	l.drain(t, now+30*second, s)
+	expect(t, "records", s.Stats().Records, 2001)
+}
+
+// While one scope's backlog is sent, the others' ages are told.
+func TestAgesBesideABacklog(t *testing.T) {
+	o := NewOrigin(1, Limits{})
+	put(t, o, "quiet", "k", Endpoint, "x")
+	s := newLeaf(t, Selector{Scope: "busy"}, Selector{Scope: "quiet"})
+	l := attach(t, 0, o.Relay(), s, 4000)
+	l.drain(t, 0, s)
+	for i := range 500 {
+		put(t, o, "busy", fmt.Sprint("k", i), Configuration, fmt.Sprintf("%0200d", i))
+	}
+	var now int64
+	for range 10 {
+		now += second + 1
+		l.drain(t, now, s)
+	}
+	if age, _ := s.Age(now, "quiet"); age > 2*second {
+		t.Fatal("age of the quiet scope", age)
+	}
+	if age, _ := s.Age(now, "busy"); age < 8*second {
+		t.Fatal("age of the busy scope", age)
+	}
+	at := s.Position("quiet")
+	if busy := s.Position("busy"); busy.compare(at) >= 0 {
+		t.Fatal("positions", busy, at)
+	}
+	l = attach(t, now, o.Relay(), s, 0)
+	l.drain(t, now, s)
+	expect(t, "records", s.Stats().Records, 501)
+	if age, _ := s.Age(now, "busy"); age != 0 {
+		t.Fatal("age of the busy scope", age)
+	}
+}
+
+func TestSpoiltRecords(t *testing.T) {
+	o := NewOrigin(1, Limits{})
+	s := newLeaf(t, Selector{Scope: "s"}, Selector{Scope: "t"})
+	for _, k := range []string{"a", "b", "c"} {
+		put(t, o, "s", k, Endpoint, "x")
+	}
+	put(t, o, "t", "a", Endpoint, "x")
+	attach(t, 0, o.Relay(), s, 0).drain(t, 0, s)
+	s.Hello()
+	raw := func(v any) cbor.RawMessage { return encode(v) }
+	// Anew, with a record of a class that this build does not know, one that is no record, and one more.
+	f := encode(map[int]any{1: s.held.session, 2: 1, 3: 2, 4: []int{0, 1}, 5: []any{
+		[]any{"s", []any{[]any{"a", 3, 7, []byte("x")}, "nonsense", raw([]any{"d", 1, 8, []byte("y")})}},
+		[]any{"foreign", []any{[]any{"a", 1, 9, []byte("x")}}},
+	}, 6: []int{0, 1}, 7: 9})
+	if _, err := s.Take(0, f); err != nil {
+		t.Fatal(err)
+	}
+	// What could not be read may have named any record of its scope: they stay. The other scope is empty.
+	expect(t, "records", list(s.Subscriber), "s a=x\ns b=x\ns c=x\ns d=y\n")
+	st := s.Stats()
+	expect(t, "spoilt", st.Spoilt, int64(2))
+	expect(t, "foreign", st.Foreign, int64(1))
+	if !strings.Contains(st.LastSpoilt, `"s"`) {
+		t.Fatal("named:", st.LastSpoilt)
+	}
+	// A group that can't be read may have named anything.
+	s.Hello()
+	f = encode(map[int]any{1: s.held.session, 2: 1, 3: 2, 4: []int{0, 1}, 5: []any{"nonsense"}, 6: []int{0, 1}, 7: 10})
+	if _, err := s.Take(0, f); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, "records", s.Stats().Records, 4)
+	// And later, whole, the scope goes by what it is.
+	s.Hello()
+	f = encode(map[int]any{1: s.held.session, 2: 1, 3: 2, 4: []int{0, 1}, 5: []any{[]any{"s", []any{[]any{"d", 0x21, 8, nil}}}}, 6: []int{0, 1}, 7: 10})
+	if _, err := s.Take(0, f); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, "records", list(s.Subscriber), "s d=y\n")
+}
+
+func TestBoundsAreNamed(t *testing.T) {
+	refused := func(what string, err error, is error) {
+		t.Helper()
+		if !errors.Is(err, is) || !strings.Contains(err.Error(), what) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	long := strings.Repeat("n", MaxName+1)
+	o := NewOrigin(1, Limits{Records: 8, Bytes: 40000, Subscribers: 1, Selectors: 3})
+	_, err := o.Put(0, "s", "k", Endpoint, make([]byte, MaxBody+1))
+	refused("bytes of a body", err, ErrLimit)
+	for _, n := range [][2]string{{"", "k"}, {long, "k"}, {"s", ""}, {"s", long}} {
+		if _, err := o.Put(0, n[0], n[1], Endpoint, nil); err == nil {
+			t.Error("no error for", n)
+		}
+	}
+	if _, err := o.Put(0, "s", "k", classes, nil); err == nil {
+		t.Error("no error for a class that there is not")
+	}
+	put(t, o, "s", "k1", Endpoint, string(make([]byte, MaxBody)))
+	put(t, o, "s", "k2", Endpoint, string(make([]byte, MaxBody)))
+	version := o.version
+	_, err = o.Put(0, "s", "k3", Endpoint, make([]byte, MaxBody))
+	refused("bytes of records", err, ErrLimit)
+	expect(t, "version after a refusal", o.version, version)
+	for i := range 6 {
+		put(t, o, "s", fmt.Sprint("small", i), Endpoint, "x")
+	}
+	_, err = o.Put(0, "s", "k3", Endpoint, nil)
+	refused("records", err, ErrLimit)
+	for i := range 50 { // tombstones never take the room of what is there
+		o.Remove(0, "s", "small5")
+		o.Remove(0, "s", "small4")
+		o.Remove(0, "s", "small3")
+		put(t, o, "s", "small3", Endpoint, fmt.Sprint(i))
+	}
+	_, err = NewSubscriber(make([]Selector, 4), Limits{Selectors: 3})
+	refused("selectors", err, ErrLimit)
+	if _, err = NewSubscriber([]Selector{{Scope: ""}}, Limits{}); err == nil {
+		t.Error("no error for no name")
+	}
+	if _, err = NewSubscriber([]Selector{{Scope: long}}, Limits{}); err == nil {
+		t.Error("no error for a long name")
+	}
+	var many []Selector
+	for i := range MaxPrefixes + 1 {
+		many = append(many, Selector{Scope: fmt.Sprint(i), Prefix: true})
+	}
+	_, err = NewSubscriber(many, Limits{})
+	refused("prefixes", err, ErrLimit)
+
+	wide, _ := NewSubscriber([]Selector{{Scope: "a"}, {Scope: "b"}, {Scope: "c"}, {Scope: "d"}}, Limits{})
+	_, err = o.Relay().Attach(0, wide.Hello(), 0)
+	refused("selectors", err, ErrLimit)
+	pre := hello{Protocol: protocol}
+	for _, s := range many {
+		pre.Selectors = append(pre.Selectors, helloOfScope{Scope: s.Scope, Flags: flagPrefix})
+	}
+	_, err = NewOrigin(1, Limits{}).Relay().Attach(0, encode(pre), 0)
+	refused("prefixes", err, ErrLimit)
+	_, err = o.Relay().Attach(0, make([]byte, MaxHello+1), 0)
+	refused("bytes", err, ErrHello)
+	_, err = o.Relay().Attach(0, encode(hello{Protocol: 7}), 0)
+	refused("protocol", err, ErrHello)
+	_, err = o.Relay().Attach(0, encode(hello{Protocol: protocol, Selectors: []helloOfScope{{}}}), 0)
+	refused("selector 0", err, ErrHello)
+	_, err = o.Relay().Attach(0, []byte("nonsense"), 0)
+	refused("hello", err, ErrHello)
+	expect(t, "refused", o.Relay().Stats().Refused, int64(5))
+	s := newLeaf(t, Selector{Scope: "s"})
+	l := attach(t, 0, o.Relay(), s, 0)
+	_, err = o.Relay().Attach(0, s.Hello(), 0)
+	refused("subscribers", err, ErrLimit)
+	o.Relay().Detach(l.id)
+	attach(t, 0, o.Relay(), s, 0)
+
+	narrow := newInner(t, Limits{}, Selector{Scope: "eu1/", Prefix: true}, Selector{Scope: "x"})
+	for _, sel := range []Selector{{Scope: "us1/cart"}, {Scope: "", Prefix: true}, {Scope: "eu", Prefix: true}, {Scope: "x", Prefix: true}} {
+		_, err = narrow.Attach(0, newLeaf(t, sel).Hello(), 0)
+		refused(sel.Scope, err, ErrNotFollowed)
+	}
+	for _, sel := range []Selector{{Scope: "eu1/cart"}, {Scope: "x"}, {Scope: "eu1/c", Prefix: true}} {
+		if _, err = narrow.Attach(0, newLeaf(t, sel).Hello(), 0); err != nil {
+			t.Error(sel, err)
+		}
+	}
+
+	few, _ := NewSubscriber([]Selector{{Scope: "s"}}, Limits{Records: 3})
+	h := few.Hello()
+	_, err = few.Take(0, make([]byte, MaxFrame+1))
+	refused("bytes", err, ErrFrame)
+	_, err = few.Take(0, encode(frame{Session: 1, Number: 1}))
+	if err != nil || few.Stats().OldFrames != 1 {
+		t.Error("a session after its error", err)
+	}
+	big := NewOrigin(1, Limits{})
+	for i := range 10 {
+		put(t, big, "s", fmt.Sprint("k", i), Endpoint, "x")
+	}
+	h = few.Hello()
+	id, _ := big.Relay().Attach(0, h, 0)
+	f, _ := big.Relay().Next(0, id)
+	changes, err := few.Take(0, f)
+	refused("records", err, ErrLimit)
+	if len(changes) != 3 || few.Complete() {
+		t.Error("changes before the bound", len(changes), few.Complete())
+	}
+}
+
+func TestFramesThatAreWrong(t *testing.T) {
+	for what, f := range map[string]frame{
+		"a number missed":     {Number: 2, Epoch: 1},
+		"begin of none":       {Number: 1, Epoch: 1, Begin: []uint32{9}},
+		"end without a begin": {Number: 1, Epoch: 1, End: []uint32{0}, Through: 5},
+		"end of none":         {Number: 1, Epoch: 1, End: []uint32{9}},
+		"all but none":        {Number: 1, Epoch: 1, All: true, Except: []uint32{9}},
+	} {
+		s := newLeaf(t, Selector{Scope: "s"})
+		s.Hello()
+		f.Session = 1
+		if _, err := s.Take(0, encode(f)); err == nil {
+			t.Error("no error for", what)
+		}
+		expect(t, what+": complete", s.Complete(), false)
+		s.Hello()
+		f.Session, f.Number, f.Begin, f.End, f.Except = 1, 1, []uint32{0}, []uint32{0}, nil
+		if _, err := s.Take(0, encode(f)); err != nil || s.Complete() {
+			t.Error("a frame of a session that is over counts", err)
+		}
+	}
+	s := newLeaf(t, Selector{Scope: "s"})
+	s.Hello()
+	if _, err := s.Take(100, encode(frame{Session: 1, Number: 1, Epoch: 1, Begin: []uint32{0}, End: []uint32{0}, Age: -50})); err != nil {
+		t.Fatal(err)
+	}
+	if age, known := s.Age(100, "s"); age != 0 || !known {
+		t.Fatal("an age from the future", age, known)
+	}
+}
+
+func TestReadyNamesWhoHasSomething(t *testing.T) {
+	o := NewOrigin(1, Limits{})
+	a, b := newLeaf(t, Selector{Scope: "a"}), newLeaf(t, Selector{Scope: "b"})
+	la, lb := attach(t, 0, o.Relay(), a, 0), attach(t, 0, o.Relay(), b, 0)
+	la.drain(t, 0, a)
+	lb.drain(t, 0, b)
+	o.Relay().Ready()
+	put(t, o, "a", "k", Endpoint, "x")
+	put(t, o, "a", "l", Endpoint, "x")
+	expect(t, "ready", fmt.Sprint(o.Relay().Ready()), fmt.Sprint([]int{la.id}))
+	expect(t, "ready again", len(o.Relay().Ready()), 0)
+	la.drain(t, 0, a)
+	put(t, o, "b", "k", Endpoint, "x")
+	o.Relay().Detach(lb.id)
+	expect(t, "ready without who has gone", len(o.Relay().Ready()), 0)
+	f, at := o.Relay().Next(0, lb.id)
+	if f != nil || at <= 0 {
+		t.Fatal("who has gone", f, at)
+	}
+	expect(t, "scopes nobody holds or waits for", o.Relay().Stats().Scopes, 2)
+	o.Relay().Detach(la.id)
+	o.Remove(0, "a", "k")
+	expect(t, "scopes", o.Relay().Stats().Scopes, 2)
+}
