Distribution: each guard by itself, by frames that no relay would send

Taking guards out one by one showed some that only another guard's failure would reach. Each has a test by hand-made frames now; two conditions that nothing could miss are gone (a state of its own for who resumes at a relay that is not whole; the look at whether an interest was whole where its epoch says so).

--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -126,7 +126,8 @@
 	step(0)
 	expect(t, "records", list(s.Subscriber), "eu1/cart endpoint/a=A\neu1/cart endpoint/b=B\n")
 	expect(t, "complete", s.Complete(), true)
-	expect(t, "foreign records at a relay", low.Stats().Records, 2)
+	expect(t, "records at a relay", low.Stats().Records, 2)
+	expect(t, "foreign records sent to a relay", low.Stats().Foreign, int64(0))
 	v, _ := o.Remove(0, "eu1/cart", "endpoint/a")
 	put(t, o, "eu1/none", "endpoint/d", Endpoint, "D")
 	step(second / 10)
@@ -321,6 +322,7 @@
 	l.drain(t, 5*second, s)
 	expect(t, "records", list(s.Subscriber), "s endpoint/b=B2\n")
 	expect(t, "position", s.Position("empty").Epoch, uint64(2))
+	expect(t, "records sent, once each", o.Relay().Stats().SentRecords, int64(1))
 }
 
 // A subscriber that has heard of an epoch goes to a relay that has not: it is told nothing until that has.
@@ -548,11 +550,12 @@
 	}
 	_, err = o.Put(0, "s", "k3", Endpoint, nil)
 	refused("records", err, ErrLimit)
+	for i := range 3 {
+		o.Remove(0, "s", fmt.Sprint("small", 3+i))
+	}
 	for i := range 50 { // tombstones never take the room of what is there
-		o.Remove(0, "s", "small5")
-		o.Remove(0, "s", "small4")
-		o.Remove(0, "s", "small3")
-		put(t, o, "s", "small3", Endpoint, fmt.Sprint(i))
+		put(t, o, "s", fmt.Sprint("fresh", i), Endpoint, "x")
+		o.Remove(0, "s", fmt.Sprint("fresh", i))
 	}
 	_, err = NewSubscriber(make([]Selector, 4), Limits{Selectors: 3})
 	refused("selectors", err, ErrLimit)
--- /dev/null
+++ b/internal/distribution/guards_test.go
@@ -0,0 +1,313 @@
+package distribution
+
+// Each guard by itself, by frames that no relay of ours would send, or seldom: what the drawn networks reach only now and then, or never
+// since another guard stands before it.
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// session hands frames to a taker, numbered.
+type session struct {
+	t      *testing.T
+	to     taker
+	number uint64
+	id     uint64
+}
+
+func newSession(t *testing.T, to taker) *session {
+	to.hello(0)
+	s := &session{t: t, to: to}
+	switch to := to.(type) {
+	case *leaf:
+		s.id = to.held.session
+	case inner:
+		s.id = to.held.session
+	}
+	return s
+}
+
+func (s *session) send(now int64, f frame) {
+	s.t.Helper()
+	s.number++
+	f.Session, f.Number = s.id, s.number
+	if err := s.to.take(now, encode(f)); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func rec(key string, flags uint8, version uint64) record {
+	return record{Key: key, Flags: flags, Version: version, Body: fmt.Append(nil, version)}
+}
+
+func in(scope string, records ...record) []group { return []group{{Scope: scope, Records: records}} }
+
+var first = []uint32{0}
+
+func TestRepeatedFrameIsPassedOver(t *testing.T) {
+	s := newLeaf(t, Selector{Scope: "s"})
+	e := newSession(t, s)
+	e.send(0, frame{Epoch: 1, Groups: in("s", rec("k", 1, 5))})
+	e.send(0, frame{Epoch: 1, Groups: in("s", rec("k", flagGone, 6))})
+	e.number = 0
+	e.send(0, frame{Epoch: 1, Groups: in("s", rec("k", 1, 9))})
+	expect(t, "records", list(s.Subscriber), "")
+	expect(t, "old frames", s.Stats().OldFrames, int64(1))
+}
+
+func TestLowerEpochIsPassedOver(t *testing.T) {
+	s := newLeaf(t, Selector{Scope: "s"})
+	e := newSession(t, s)
+	e.send(0, frame{Epoch: 2, Groups: in("s", rec("k", 1, 5))})
+	e.send(0, frame{Epoch: 1, Groups: in("s", rec("l", 1, 9))})
+	e = newSession(t, s)
+	e.send(0, frame{Epoch: 1, Begin: first, Groups: in("s", rec("l", 1, 9)), End: first, Through: 9, All: true})
+	expect(t, "records", list(s.Subscriber), "s k=5\n")
+	expect(t, "complete", s.Complete(), false)
+}
+
+func TestOlderRecordsAreDead(t *testing.T) {
+	s := newLeaf(t, Selector{Scope: "s"})
+	e := newSession(t, s)
+	// Before the scope is whole a tombstone keeps the older state out, and goes when the position has passed it.
+	e.send(0, frame{Epoch: 1, Begin: first, Groups: in("s", rec("k", flagGone, 9), rec("l", 1, 8))})
+	e.send(0, frame{Epoch: 1, Groups: in("s", rec("k", 1, 5), rec("l", 1, 7))})
+	expect(t, "records", list(s.Subscriber), "s l=8\n")
+	expect(t, "tombstones", s.Stats().Tombstones, 1)
+	e.send(0, frame{Epoch: 1, End: first, Through: 10})
+	expect(t, "tombstones", s.Stats().Tombstones, 0)
+	// Once it is whole, what is not held and not newer is dead by the position alone.
+	e.send(0, frame{Epoch: 1, Groups: in("s", rec("k", 1, 5), rec("m", 1, 10))})
+	expect(t, "records", list(s.Subscriber), "s l=8\n")
+	expect(t, "stale", s.Stats().Stale, int64(4))
+	// Gone, back and gone within one frame leaves one tombstone to bury.
+	e.send(0, frame{Epoch: 1, Groups: in("s", rec("n", flagGone, 11), rec("n", 1, 12), rec("n", flagGone, 13))})
+	e.send(0, frame{Epoch: 1, Through: 13, All: true})
+	expect(t, "records", list(s.Subscriber), "s l=8\n")
+	expect(t, "held", s.held.items.Len(), 1)
+}
+
+func TestNewerThanTheEndStays(t *testing.T) {
+	s := newLeaf(t, Selector{Scope: "s"})
+	e := newSession(t, s)
+	e.send(0, frame{Epoch: 1, Groups: in("s", rec("k", 1, 20), rec("l", 1, 9))})
+	e.send(0, frame{Epoch: 1, Begin: first, End: first, Through: 10})
+	expect(t, "records", list(s.Subscriber), "s k=20\n")
+}
+
+func TestSessionEndsWhatItBegan(t *testing.T) {
+	s := newLeaf(t, Selector{Scope: "s"})
+	e := newSession(t, s)
+	e.send(0, frame{Epoch: 1, Begin: first, Groups: in("s", rec("k", 1, 5))})
+	s.Hello()
+	if _, err := s.Take(0, encode(frame{Session: s.held.session, Number: 1, Epoch: 1, End: first, Through: 10})); !errors.Is(err, ErrFrame) {
+		t.Fatal(err)
+	}
+	expect(t, "records", list(s.Subscriber), "s k=5\n")
+}
+
+func TestPositionsOnlyRise(t *testing.T) {
+	s := newLeaf(t, Selector{Scope: "s"}, Selector{Scope: "t"}, Selector{Scope: "u"})
+	at := func(what string, want ...uint64) {
+		t.Helper()
+		for i, scope := range []string{"s", "t", "u"} {
+			if p := s.Position(scope); p.Epoch*1000+p.Through != want[i] {
+				t.Fatalf("%s: %s is at %v, want %d", what, scope, p, want[i])
+			}
+		}
+	}
+	e := newSession(t, s)
+	e.send(0, frame{Epoch: 1, Through: 20, All: true})
+	at("progress before anything was whole", 0, 0, 0)
+	expect(t, "whole", s.Stats().Whole, false)
+	e.send(0, frame{Epoch: 1, Begin: []uint32{0, 1}, End: []uint32{0, 1}, Through: 30})
+	at("ends", 1030, 1030, 0)
+	e.send(0, frame{Epoch: 1, Through: 25, All: true})
+	at("progress below an end", 1030, 1030, 0)
+	e.send(0, frame{Epoch: 1, Through: 40, All: true, Except: []uint32{1}})
+	at("progress but for one", 1040, 1030, 0)
+	e.send(0, frame{Epoch: 1, Through: 41, All: true})
+	at("progress", 1041, 1041, 0)
+	e.send(0, frame{Epoch: 1, Through: 35, All: true})
+	at("progress that falls back", 1041, 1041, 0)
+	e.send(0, frame{Epoch: 1, Begin: first, Through: 50, All: true})
+	at("progress while one is told anew", 1041, 1050, 0)
+	e.send(0, frame{Epoch: 1, End: first, Through: 33})
+	at("an end that falls back", 1041, 1050, 0)
+	e.send(0, frame{Epoch: 1, Through: 60, All: true})
+	at("progress", 1060, 1060, 0)
+	e.send(0, frame{Epoch: 2, Through: 5, All: true})
+	at("progress of a new epoch alone", 1060, 1060, 0)
+	e.send(0, frame{Epoch: 2, Begin: []uint32{0, 1, 2}, End: []uint32{0, 2}, Through: 6, All: true, Except: []uint32{1}})
+	at("ends of a new epoch", 2006, 1060, 2006)
+	expect(t, "complete", s.Complete(), true)
+}
+
+func TestAgesOnlyFallByWhatIsNewer(t *testing.T) {
+	s := newLeaf(t, Selector{Scope: "s"})
+	age := func(now, want int64) {
+		t.Helper()
+		if got, _ := s.Age(now, "s"); got != want {
+			t.Fatalf("age %d, want %d", got, want)
+		}
+	}
+	if _, known := s.Age(0, "s"); known {
+		t.Fatal("an age of nothing")
+	}
+	e := newSession(t, s)
+	e.send(10*second, frame{Epoch: 1, Begin: first, End: first, Through: 5, Age: 2 * second})
+	age(10*second, 2*second)
+	e.send(11*second, frame{Epoch: 1, Begin: first, End: first, Through: 5, Age: 9 * second})
+	age(11*second, 3*second)
+	e.send(11*second, frame{Epoch: 1, Through: 5, All: true})
+	age(11*second, 0)
+	e.send(12*second, frame{Epoch: 1, Through: 5, All: true, Age: 9 * second})
+	age(12*second, second)
+}
+
+func TestRecordsThatAreNone(t *testing.T) {
+	s := newLeaf(t, Selector{Prefix: true})
+	long := strings.Repeat("n", MaxName+1)
+	e := newSession(t, s)
+	for i, g := range [][]group{
+		in("s", rec("k", 0x41, 1)), in("s", rec("k", 0x03, 1)), in("s", rec("k", 1, 0)), in("s", rec("", 1, 1)), in("s", rec(long, 1, 1)),
+		in("", rec("k", 1, 1)), in(long, rec("k", 1, 1)), in("s", record{Key: "k", Flags: 1, Version: 1, Body: make([]byte, MaxBody+1)}),
+	} {
+		e.send(0, frame{Epoch: 1, Groups: g})
+		expect(t, fmt.Sprint("spoilt ", i), s.Stats().Spoilt, int64(i+1))
+		expect(t, fmt.Sprint("records ", i), s.held.items.Len(), 0)
+	}
+}
+
+func TestTooLongThoughSound(t *testing.T) {
+	s := newLeaf(t, Selector{Scope: "s"})
+	s.Hello()
+	f := frame{Session: 1, Number: 1, Epoch: 1, Groups: in("s")}
+	for i := range 5 {
+		f.Groups[0].Records = append(f.Groups[0].Records, record{Key: fmt.Sprint(i), Flags: 1, Version: 1, Body: make([]byte, MaxBody)})
+	}
+	if _, err := s.Take(0, encode(f)); !errors.Is(err, ErrFrame) || s.held.items.Len() > 0 {
+		t.Fatal(err)
+	}
+	h := hello{Protocol: protocol}
+	for len(h.Selectors) < 1100 {
+		h.Selectors = append(h.Selectors, helloOfScope{Scope: strings.Repeat("n", MaxName)})
+	}
+	if _, err := NewOrigin(1, Limits{}).Relay().Attach(0, encode(h), 0); !errors.Is(err, ErrHello) {
+		t.Fatal(err)
+	}
+}
+
+// A relay claims what it knows, once it does.
+func TestWhenARelayIsWhole(t *testing.T) {
+	r := newInner(t, Limits{}, Selector{Scope: "s"}, Selector{Scope: "t"})
+	down := newLeaf(t, Selector{Scope: "s"})
+	l := attach(t, 0, r.Relay, down, 0)
+	now := int64(0)
+	whole := func(what string, want bool) {
+		t.Helper()
+		expect(t, what, r.Whole(), want)
+		now += second
+		f, _ := r.Next(now, l.id)
+		h, err := decodeFrame(f, func(string) {})
+		if err != nil || !want && (h.All || h.End != nil) {
+			t.Fatalf("%s: %+v, %v", what, h, err)
+		}
+		if err := down.take(now, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e := newSession(t, r)
+	whole("nothing heard", false)
+	e.send(0, frame{Epoch: 1, Begin: []uint32{0, 1}, Groups: in("s", rec("k", 1, 5))})
+	whole("begun", false)
+	e.send(0, frame{Epoch: 1, End: []uint32{0}, Through: 100})
+	whole("one of two has ended", false)
+	e.send(0, frame{Epoch: 1, End: []uint32{1}, Through: 150})
+	whole("the first is known up to less than the second", false)
+	e.send(0, frame{Epoch: 1, Through: 150, All: true})
+	whole("all is known", true)
+	expect(t, "through", r.Stats().Through, uint64(150))
+	e.send(0, frame{Epoch: 1, Begin: []uint32{0}})
+	whole("told anew", false)
+	e.send(0, frame{Epoch: 1, End: []uint32{0}, Groups: in("s", rec("k", 1|flagNamed, 5)), Through: 150})
+	whole("told anew to its end", true)
+	e.send(0, frame{Epoch: 2, Groups: in("s", rec("k", 1, 1))})
+	whole("a new epoch", false)
+	e.send(0, frame{Epoch: 2, Through: 200, All: true})
+	whole("progress of a new epoch alone", false)
+	expect(t, "epoch of what is served", down.Position("s").Epoch, uint64(1))
+
+	// To who knows of a higher epoch it claims nothing, whole as it is.
+	old := NewOrigin(1, Limits{})
+	s := newLeaf(t, Selector{Scope: "s"})
+	newSession(t, s).send(0, frame{Epoch: 2, Groups: in("s", rec("k", 1, 5))})
+	id, err := old.Relay().Attach(0, s.Hello(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(t, old, "s", "k", Endpoint, "x")
+	f, _ := old.Relay().Next(0, id)
+	if h, err := decodeFrame(f, func(string) {}); err != nil || h.All || h.Groups != nil || h.Begin != nil {
+		t.Fatal(h, err)
+	}
+}
+
+// Tombstones of what a relay can't claim to know stay over their bound: the older state may come yet.
+func TestTombstonesThatMustStay(t *testing.T) {
+	r := newInner(t, Limits{Tombstones: 1}, Selector{Scope: "s"})
+	e := newSession(t, r)
+	e.send(0, frame{Epoch: 1, Begin: first, Groups: in("s", rec("a", flagGone, 9), rec("b", flagGone, 10), rec("c", flagGone, 11))})
+	expect(t, "tombstones", r.Stats().Tombstones, 3)
+	e = newSession(t, r)
+	e.send(0, frame{Epoch: 1, Begin: first, Groups: in("s", rec("a", 1, 4))})
+	expect(t, "records", r.Stats().Records, 0)
+	e.send(0, frame{Epoch: 1, End: first, Through: 20})
+	expect(t, "tombstones once it is whole", r.Stats().Tombstones, 1)
+	expect(t, "floor", r.Stats().Floor, uint64(20))
+	o := NewOrigin(1, Limits{})
+	for i := range 5000 {
+		put(t, o, "s", "k", Endpoint, fmt.Sprint(i))
+		o.Remove(0, "s", "k")
+	}
+	if n := len(o.relay.dead); n > 70 {
+		t.Fatalf("%d places of one tombstone", n)
+	}
+}
+
+// Records that came to a relay out of the order of versions reach who resumes, and those that it has do not come again.
+func TestResumedAtARelayOutOfOrder(t *testing.T) {
+	r := newInner(t, Limits{}, Selector{Scope: "s"})
+	e := newSession(t, r)
+	e.send(0, frame{Epoch: 1, Begin: first, Groups: in("s", rec("k", 1, 9), rec("l", 1, 5))})
+	s := newLeaf(t, Selector{Scope: "s"})
+	newSession(t, s).send(0, frame{Epoch: 1, Begin: first, Groups: in("s", rec("l", 1, 5)), End: first, Through: 7, All: true})
+	attach(t, 0, r.Relay, s, 0).drain(t, 0, s)
+	expect(t, "records", list(s.Subscriber), "s k=9\ns l=5\n")
+	expect(t, "sent", r.Stats().SentRecords, int64(1))
+}
+
+// A subscriber goes on at a relay that is behind it; that is told anew, begin and end in one frame, and what has come and gone in
+// between it never knew.
+func TestBehindAndToldAnew(t *testing.T) {
+	o := NewOrigin(1, Limits{Tombstones: 1})
+	behind := newInner(t, Limits{}, Selector{Prefix: true})
+	attach(t, 0, o.Relay(), behind, 0).drain(t, 0, behind)
+	put(t, o, "s", "k", Endpoint, "x")
+	put(t, o, "s", "stays", Endpoint, "x")
+	s := newLeaf(t, Selector{Scope: "s"})
+	attach(t, 0, o.Relay(), s, 0).drain(t, 0, s)
+	l := attach(t, 0, behind.Relay, s, 0)
+	l.drain(t, 0, s)
+	o.Remove(0, "s", "k")
+	for i := range 3 {
+		put(t, o, "s", fmt.Sprint(i), Endpoint, "x")
+		o.Remove(0, "s", fmt.Sprint(i))
+	}
+	expect(t, "frames", len(attach(t, 0, o.Relay(), behind, 0).drain(t, 0, behind)), 1)
+	l.drain(t, 0, s)
+	expect(t, "records", list(s.Subscriber), "s stays=x\n")
+}
--- a/internal/distribution/relay.go
+++ b/internal/distribution/relay.go
@@ -39,10 +39,9 @@
 
 const (
 	waiting   state = iota // for the epoch that the subscriber knows of
-	undecided              // the relay is not whole: only what is newer than the position goes out
 	anew                   // to be begun
 	begun                  // records go out, from the first
-	following              // all that changes goes out
+	following              // what is newer than the position goes out, and all that changes
 )
 
 // feed is one selector of one subscriber. 96 bytes; the position is the subscriber's own as far as told.
@@ -243,7 +242,7 @@
 			r.each(d.it, func(s *subscription, at int32) {
 				f := &s.feeds[at]
 				unsent := f.queued&(1<<d.it.class) != 0 && f.cursor[d.it.class] < d.seq
-				if unsent && (f.state == undecided || f.state == following || f.state == begun && d.seq > f.since) {
+				if unsent && (f.state == following || f.state == begun && d.seq > f.since) {
 					r.anew(s, at)
 				}
 			})
@@ -296,7 +295,7 @@
 		for _, s := range r.inOrder() {
 			for i := range s.feeds {
 				switch f := &s.feeds[i]; f.state {
-				case following, undecided:
+				case following:
 					r.decide(s, int32(i))
 				case anew, begun:
 					if f.queued&records == 0 {
@@ -443,21 +442,18 @@
 		s.settle(f, waiting, f.queued)
 	case f.after.Epoch != r.epoch || r.whole && f.after.compare(r.floor) < 0:
 		r.anew(s, at)
-	case !r.whole:
-		r.resume(s, at, undecided)
-	default:
-		r.resume(s, at, following)
+	default: // also while this relay is not whole: it is decided anew when it is, and nothing is claimed before
+		r.resume(s, at)
 	}
 }
 
 // resume has a feed go on after its position.
-func (r *Relay) resume(s *subscription, at int32, to state) {
+func (r *Relay) resume(s *subscription, at int32) {
 	f := &s.feeds[at]
-	was := f.state
-	s.settle(f, to, f.queued)
-	if was == following || was == undecided {
+	if f.state == following {
 		return // its cursors stand
 	}
+	s.settle(f, following, f.queued)
 	for c := range classes {
 		f.cursor[c] = 0
 		if l := r.lane(f, c); l.last.compare(f.after) > 0 || l.mixed {
--- a/internal/distribution/replica.go
+++ b/internal/distribution/replica.go
@@ -572,7 +572,7 @@
 	still := r.lagging[:0]
 	for _, i := range r.lagging {
 		n := &r.interests[i]
-		if n.whole && !n.open && !except[uint32(i)] && n.pos.Epoch == at.Epoch && n.pos.compare(at) <= 0 {
+		if !n.open && !except[uint32(i)] && n.pos.Epoch == at.Epoch && n.pos.compare(at) <= 0 {
 			n.follows = true
 		} else {
 			still = append(still, i)
