--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -4,6 +4,36 @@
 // its scopes and resumes after a position. It has no I/O, no clock and no goroutine: time is told, frames go in and out as bytes,
 // and the same calls give the same result. It must never claim a scope to be whole that it does not know to be, and never bring
 // back what was told to be gone.
+//
+// What holds, whatever is repeated, lost, late or started anew:
+//
+//   - A record's state gives way to a newer one alone, by epoch, then version. What is not held and not newer than the position of
+//     its scope is dead. An epoch that was heard of is never gone back on: a relay of an older one has nothing to say.
+//   - A position (epoch, through) says that all changes of the scope up to through are known. Only a relay that is whole by its
+//     own upstream's word gives one, so emptiness comes from the origin alone, never from a relay that has just started.
+//   - A subscriber goes on after its position. Where that is below the relay's floor, or of another epoch, the scope is told anew:
+//     begin, records, end, and what was not named and is not newer than the end goes. What the position says is held is named
+//     without its body. The floor is the newest tombstone that was given up, or the position at which the relay was itself last
+//     told anything anew: what came and went before, it may never have known.
+//   - A frame counts in its session and its turn alone: a new hello voids what an old connection still brings.
+//   - A spoilt or unknown record is passed over, and its scope keeps what it has until it is told anew without one.
+//
+// Bounds, for records with k bytes of key and b of body in scopes of n bytes of name; measured by the benchmarks beside.
+//
+//   - From nothing a subscriber of S scopes and R records is told in at most R(k+b+16) + S(n+16) bytes, by name alone in
+//     R(k+12) + S(n+16). A change is n+k+b+48 bytes, however often the record changed meanwhile. A heartbeat, once a second, is 40,
+//     and 3 for each of at most 32 scopes that wait. A hello is S(n+8), at most S(n+26) where every scope has a position of its own.
+//   - At a pace of p bytes a second any w seconds bring at most p(w+0.25) bytes, one frame (the larger of p/8 and one record) and
+//     the heartbeats. No frame is over MaxFrame, so no message holds the whole fleet; one frame at a time is made.
+//   - In force at depth d: the sum over d ways of the way's delay, one frame at its pace, and what waits of the same class and
+//     those before at the pace. A burst of N records that all concern a node waits N(n+k+b+16)/p seconds at the last way; a
+//     withdrawal waits for withdrawals and one frame. An age is at most d heartbeats and the ways' delays while all stands.
+//   - A subscriber holds under 200 bytes a record with its part of the scope (2.4 records in each), and k+b where they are not
+//     shared. A relay holds 215 bytes a record beside k+b and its part of n, and 110 a selector of a subscriber, whatever that
+//     has missed: no log, cursors. Tombstones are at most Limits.Tombstones, beside those that are newer than what is claimed.
+//   - A change costs a relay the logarithm of its records, the subscribers of the scope and those with prefixes; a heartbeat costs
+//     either end the same for any number of scopes. A resumption looks at what is newer; only where a relay came to know a
+//     scope's records out of the order of versions, at all of that scope.
 package distribution
 
 import (
--- a/internal/distribution/relay.go
+++ b/internal/distribution/relay.go
@@ -562,9 +562,10 @@
 	return out, now
 }
 
-// claim says of a frame's scopes up to where they are told: only a relay that is whole does, and only for those that want nothing.
+// claim says of a frame's scopes up to where they are told: only a relay that is whole does, and only for those that want nothing. Feeds
+// that wait for an epoch are unsettled and in no queue, so that nothing is claimed beside them.
 func (r *Relay) claim(now int64, s *subscription, f *frame, beat bool) {
-	if !r.whole || r.epoch < s.seen {
+	if !r.whole {
 		return
 	}
 	if s.unsettled > 0 && beat && s.unsettled <= mostExcept {
