--- a/internal/distribution/model_test.go
+++ b/internal/distribution/model_test.go
@@ -473,11 +473,15 @@
 }
 
 func TestNetwork(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		n := newNetwork(t)
-		for range rapid.IntRange(5, 200).Draw(t, "acts") {
-			n.act()
-		}
-		n.settle()
-	})
+	for _, most := range []int{30, 100, 200} {
+		t.Run(fmt.Sprint("acts-", most), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				n := newNetwork(t)
+				for range rapid.IntRange(5, most).Draw(t, "acts") {
+					n.act()
+				}
+				n.settle()
+			})
+		})
+	}
 }
