Calls to discovery are kept while they wait; a list is read as it comes

Cause: a call without a head was given up at 3 s (listHead, discovery.go) and begun again at the queue's end, so a discovery that answers a watch after 4 or 6 s never got to a node; a line over 4 MiB (longestLine) was never read. Change: internal/discover keeps a call that waits and opens others beside it, two out at most, at gaps that grow; whichever speaks first is the watch. After a failure the decisions' wait is cut at 2 s.

--- a/internal/listing/listing.go
+++ b/internal/listing/listing.go
@@ -82,11 +82,13 @@
 	return &Reader{limits: limits, in: b, values: json.NewDecoder(b), words: map[string]string{}}
 }
 
-// bounded ends a line or a value that grows too long.
+// bounded ends a line or a value that grows too long. Between two lines it drops what breaks them: an empty one comes every 2 s on
+// a watch that may stand for weeks.
 type bounded struct {
 	in          io.Reader
 	limits      Limits
 	line, value int64 // bytes since the last whole one
+	between     bool
 }
 
 func (b *bounded) Read(p []byte) (int, error) {
@@ -97,6 +99,14 @@
 		return 0, &TooLongError{"bytes of a line", b.limits.Line}
 	}
 	n, err := b.in.Read(p)
+	for ; b.between && n > 0; n, err = b.in.Read(p) {
+		if rest := bytes.TrimLeft(p[:n], " \t\r\n"); len(rest) > 0 {
+			n, b.between = copy(p, rest), false
+			break
+		} else if err != nil {
+			return 0, err
+		}
+	}
 	b.line += int64(n)
 	b.value += int64(n)
 	return n, err
@@ -105,11 +115,12 @@
 // Next reads a line. It has begin called where entries begin, and take with each; what take finds fault with is passed over. Entries
 // of before another begin are nothing, and all are nothing if there is an error. After one nothing more can be read.
 func (r *Reader) Next(begin func(), take func(Entry) error) (l Line, err error) {
-	r.in.line, r.in.value = 0, 0
+	r.in.line, r.in.value, r.in.between = 0, 0, r.drained()
 	var version *int64
 	if err = r.delim('{'); err != nil {
 		return l, err
 	}
+	r.in.between = false
 	for r.values.More() {
 		token, err := r.values.Token()
 		if err != nil {
@@ -143,6 +154,17 @@
 	return l, nil
 }
 
+// drained tells whether nothing of the next line has come with the one before.
+func (r *Reader) drained() bool {
+	for in := r.values.Buffered().(io.ByteReader); ; {
+		if c, err := in.ReadByte(); err != nil {
+			return true
+		} else if c != ' ' && c != '\t' && c != '\r' && c != '\n' {
+			return false
+		}
+	}
+}
+
 // unexpected tells an end within a line from one between two.
 func unexpected(err error) error {
 	if err == io.EOF {
--- a/internal/listing/listing_test.go
+++ b/internal/listing/listing_test.go
@@ -131,6 +131,31 @@
 	}
 }
 
+// An empty line every two seconds for some weeks is neither held nor too long, and cuts between two lines fall anywhere.
+func TestEmptyLines(t *testing.T) {
+	many := strings.NewReader(strings.Repeat("\r\n", 4<<20))
+	second := `{"seq":7,"hosts":[{"host":"a  b"},{"host":" "}]}`
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	r := New(io.MultiReader(strings.NewReader(seeds[0]), many, strings.NewReader(second)), Limits{Value: 64 << 10, Line: 64 << 10, Hosts: 10})
+	for i, version := range []int64{41, 7} {
+		if got, err := quick(r.Next); err != nil || got.Line.Version != version {
+			t.Errorf("line %d: %+v, %v", i, got, err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if took := after.TotalAlloc - before.TotalAlloc; took > 1<<20 {
+		t.Errorf("%d bytes taken", took)
+	}
+	for cut := range len(second) {
+		r := New(io.MultiReader(strings.NewReader(seeds[0]+"\n"+second[:cut]), strings.NewReader(second[cut:])), For(0))
+		quick(r.Next)
+		if got, err := quick(r.Next); err != nil || len(got.Entries) != 2 || got.Entries[0].Host != "a  b" || got.Entries[1].Host != " " {
+			t.Fatalf("cut at %d: %+v, %v", cut, got, err)
+		}
+	}
+}
+
 // endless is a line that never ends, made as it is read.
 type endless struct {
 	head, each string
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -1,37 +1,36 @@
 package node
 
-// This file owns the one connection to discovery: it watches the list, notices when the watch falls silent and opens it anew,
-// calls again when told to and moves when its address does. It must never decide when to call after a call has failed; where
-// nobody asks for calls it makes them by itself.
+// This file owns the watch of the list: it opens one anew that falls silent, calls again when told to and moves when its address does.
+// The calls that are out for a watch are internal/discover's, the form of a list internal/listing's. It must never decide when to call after a call has failed, but for the longest that the page allows;
+// where nobody asks for calls it makes them by itself.
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+
+	"fawnglade/internal/discover"
+	"fawnglade/internal/listing"
 )
 
 const (
 	listConnect = time.Second
-	listHead    = 3 * time.Second         // discovery works through calls in turn
+	listHead    = 3 * time.Second         // a call that waits so long has another beside it, not in its place: calls are worked in turn
 	listSilence = 3200 * time.Millisecond // an empty line comes every 2 s while nothing changes
-	longestLine = 4 << 20
-	longestWait = 200 * time.Millisecond // between calls, where nobody asks for them
+	longestWait = 200 * time.Millisecond  // between calls, where nobody asks for them
 	leastWait   = 20 * time.Millisecond
 	waitPart    = 4 // of the time within which sends have to stop, if that is less
-	// What a watch that has fallen silent misses counts as told 6 s later. The call that opens it anew gives up this soon, so that
-	// another still comes in time.
+	// What a watch that has fallen silent misses counts as told 6 s later. The call that opens it anew has another beside it this soon,
+	// so that it still comes in time.
 	listHeadAnew = 2 * time.Second
+	// What discovery has counts as told 6 s after it could be reached, whoever chooses the waits and whatever is wrong with its list.
+	mostApart = 2 * time.Second
+	mostLong  = 4 * time.Second // between calls for a list that can't be held: each costs discovery all of it
 )
 
 type discovery struct {
@@ -40,8 +39,9 @@
 	of      context.Context // the place that told the version
 	calls   chan struct{}
 	silence time.Duration // after which a watch is taken to be dead
-	head    time.Duration // within which a call has to be answered
+	head    time.Duration // after which a call that has not been answered has another beside it
 	wait    time.Duration // between calls, where nobody asks for them
+	long    time.Duration // the last wait for a list that can be held; 0: the last one could be
 	heard   chan struct{} // closed once the first call has brought a line, or has failed
 	once    sync.Once
 	anew    bool         // this call opens a watch anew that had fallen silent
@@ -92,8 +92,8 @@
 	}
 }
 
-// run makes one call after another. One whose watch stood and fell silent, or that got no head, is followed by the next at once: the
-// list that discovery has may count as told whether or not a watch is open, and a call that waits is answered as soon as it can be.
+// run has one watch after another opened. One that stood and fell silent is followed by the next at once: the list that discovery has
+// may count as told whether or not a watch is open.
 func (d *discovery) run() {
 	if !d.node.settings.Policy.MustAsk {
 		d.call() // the decisions expect to be told unasked
@@ -109,25 +109,33 @@
 			continue
 		}
 		d.node.counters.add(listCallsFailed)
-		d.node.log.Warn("watch of the list ended", zap.Error(err), zap.Duration("lasted", time.Since(began)))
 		d.once.Do(func() { close(d.heard) })
-		silent := errors.Is(err, os.ErrDeadlineExceeded)
-		if d.anew = stood && silent; d.anew {
-			d.call()
-			continue
+		wait := d.wait
+		silent, tooLong := errors.Is(err, os.ErrDeadlineExceeded), (*listing.TooLongError)(nil)
+		if errors.As(err, &tooLong) {
+			if d.long == 0 {
+				d.node.log.Error("the list can't be held, the one from before is kept", zap.Error(err))
+			}
+			d.long = min(max(2*d.long, longestWait), mostLong)
+			wait = d.long
+		} else {
+			d.node.log.Warn("watch of the list ended", zap.Error(err), zap.Duration("lasted", time.Since(began)))
 		}
-		if d.node.settings.Policy.MustAsk {
+		switch d.anew = stood && silent; {
+		case d.anew:
+			wait = 0
+		case tooLong != nil:
+		case d.node.settings.Policy.MustAsk:
 			d.node.loop.enter(d.node.loop.listFailed)
-			continue
-		}
-		if silent {
-			d.call()
-			continue
+			wait = mostApart
+		case silent:
+			wait = 0
 		}
 		select {
-		case <-time.After(d.wait):
+		case <-time.After(wait):
+			d.call()
+		case <-d.calls: // the decisions ask sooner, or the address is another
 			d.call()
-		case <-place.Done():
 		}
 	}
 }
@@ -135,106 +143,74 @@
 // watch follows the list until it ends, and returns why, and whether it had begun.
 func (d *discovery) watch(address string, place context.Context) (stood bool, err error) {
 	defer d.node.caught("discovery", func() { err = errors.New("panic") })
-	d.node.counters.add(listCalls)
-	dialer := net.Dialer{Timeout: listConnect}
-	c, err := dialer.DialContext(place, "tcp", address)
-	if err != nil {
-		return false, err
-	}
-	defer c.Close()
-	defer context.AfterFunc(place, func() { c.Close() })()
 	if d.of != place {
 		d.of, d.version = place, 0
 	}
-	head := d.head
+	how := discover.Call{Address: address, Head: watchHead(address, d.version), Connect: listConnect, First: d.head, Gap: d.head, Again: d.wait,
+		Silence: d.silence, Called: func() { d.node.counters.add(listCalls) }, Failed: func() { d.node.counters.add(listCallsFailed) },
+		Said: func() { d.word.Store(d.node.clock.now()) }}
 	if d.anew {
-		head = min(head, listHeadAnew)
-	}
-	c.SetDeadline(time.Now().Add(head))
-	if _, err := c.Write([]byte(watchHead(address, d.version))); err != nil {
-		return false, err
+		how.First = min(d.head, listHeadAnew)
 	}
-	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	said, err := how.Answered(place)
 	if err != nil {
 		return false, err
 	}
-	if r.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("discovery answered %s", r.Status)
-	}
 	defer d.word.Store(0)
-	said := &words{d: d, c: c, body: r.Body}
-	for lines := json.NewDecoder(said); ; said.size = 0 {
-		var line json.RawMessage
-		if err = lines.Decode(&line); err == nil {
-			err = d.line(line)
-		} else if broken := (*json.SyntaxError)(nil); !errors.As(err, &broken) {
-			return true, err // what had come of a line is nothing
-		}
+	defer said.Close()
+	for lines := listing.New(said, d.node.lists); ; {
+		entries, l, err := d.node.list(lines.Next)
 		if err != nil {
-			// What it told is lost, so the next call has to bring it again.
-			d.node.counters.add(listLinesPassedOver)
-			return true, err
+			if said.Ended() == nil {
+				d.node.counters.add(listLinesPassedOver) // what it told is lost, so the next call has to bring it again
+			}
+			return true, err // what had come of a line is nothing
 		}
+		d.line(entries, l)
 	}
 }
 
-// words reads what a watch says, and notices when it falls silent. A line is a whole value, however it is broken: lists may come
-// indented, and a half of one that a reset leaves behind is none.
-type words struct {
-	d    *discovery
-	c    net.Conn
-	body io.Reader
-	size int // since the last whole line
-}
-
-func (w *words) Read(p []byte) (int, error) {
-	if w.size > longestLine {
-		return 0, bufio.ErrTooLong
-	}
-	w.c.SetReadDeadline(time.Now().Add(w.d.silence))
-	n, err := w.body.Read(p)
-	if w.size += n; n > 0 {
-		w.d.word.Store(w.d.node.clock.now())
-	}
-	return n, err
-}
-
-// line takes in one line of the watch. An entry that makes no sense is passed over; the others still count.
-func (d *discovery) line(text []byte) error {
-	entries, version, whole, err := d.node.listOf(text)
-	if err != nil {
-		return err
-	}
-	d.version = version
+// line takes in one line of the watch.
+func (d *discovery) line(entries []entry, l listing.Line) {
+	d.version = l.Version
 	d.node.counters.add(listLines)
-	entries = d.node.state.listed(entries, version, whole)
+	if d.long > 0 {
+		d.long = 0
+		d.node.log.Info("the list can be held again", zap.Int("entries", len(entries)))
+	}
+	entries = d.node.state.listed(entries, l.Version, l.Whole)
 	if d.node.hearing == nil {
-		d.node.loop.enterList(entries, whole)
+		d.node.loop.enterList(entries, l.Whole)
 	} else {
-		d.node.hearing.listed(entries, version, whole)
+		d.node.hearing.listed(entries, l.Version, l.Whole)
 	}
 	d.node.listed.Store(true)
 	d.once.Do(func() { close(d.heard) })
-	return nil
 }
 
-func (n *Node) listOf(text []byte) (entries []entry, version int64, whole bool, err error) {
-	var in listLine
-	if err := json.Unmarshal(text, &in); err != nil {
-		return nil, 0, false, err
-	}
-	if in.Version == nil {
-		return nil, 0, false, errors.New("a list without a version")
-	}
-	for _, one := range in.Entries {
-		e, err := entryOf(one, n.settings.Zones)
-		if err != nil {
-			n.counters.add(listLinesPassedOver)
-			n.log.Warn("entry of the list passed over", zap.Error(err))
-			continue
+// list reads a line. An entry that makes no sense is passed over; the others still count.
+func (n *Node) list(read func(begin func(), take func(listing.Entry) error) (listing.Line, error)) (entries []entry, l listing.Line, err error) {
+	l, err = read(func() { entries = nil }, func(in listing.Entry) error {
+		e, err := entryOf(in, n.settings.Zones)
+		if err == nil {
+			entries = append(entries, e)
 		}
-		entries = append(entries, e)
+		return err
+	})
+	if err != nil {
+		return nil, l, err
 	}
-	// A server is not taken off the list because its entry could not be read.
-	return entries, *in.Version, in.Whole && len(entries) == len(in.Entries), nil
+	if l.Passed > 0 {
+		n.counters[listLinesPassedOver].Add(int64(l.Passed))
+		n.log.Warn("entry of the list passed over", zap.Int("entries", l.Passed), zap.Error(l.First))
+	}
+	return entries, l, nil
+}
+
+// listOf reads a list that is there whole.
+func (n *Node) listOf(text []byte) (entries []entry, version int64, whole bool, err error) {
+	entries, l, err := n.list(func(begin func(), take func(listing.Entry) error) (listing.Line, error) {
+		return listing.Parse(text, n.lists, begin, take)
+	})
+	return entries, l.Version, l.Whole, err
 }
--- a/internal/node/helper_test.go
+++ b/internal/node/helper_test.go
@@ -186,3 +186,12 @@
 }
 
 func (n *Node) count(what counter) int64 { return n.counters[what].Load() }
+
+// entryOf is one server as a list words it.
+func (n *Node) entryOf(text string) (entry, error) {
+	entries, _, _, err := n.listOf([]byte(listText(1, false, text)))
+	if err != nil || len(entries) != 1 {
+		return entry{}, fmt.Errorf("%v, %d entries", err, len(entries))
+	}
+	return entries[0], nil
+}
--- a/internal/node/names.go
+++ b/internal/node/names.go
@@ -1,7 +1,7 @@
 package node
 
-// This file owns every name that the protocol uses on a socket: headers, paths, list fields and states. It must
-// never decide anything; no other file of the node holds a protocol name.
+// This file owns every name that the protocol uses on a socket: headers, paths and states; those of a list's fields are
+// internal/listing's. It must never decide anything; no other file of the node holds a protocol name.
 
 import (
 	"encoding/json"
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 
+	"fawnglade/internal/listing"
 	"fawnglade/policy"
 )
 
@@ -128,12 +129,6 @@
 	return r
 }
 
-type listLine struct {
-	Version *int64            `json:"seq"`
-	Whole   bool              `json:"whole"`
-	Entries []json.RawMessage `json:"hosts"`
-}
-
 // entry is one server of the list, with the address that this node is to use for it.
 type entry struct {
 	policy.Listed
@@ -141,17 +136,8 @@
 	address string
 }
 
-// entryOf reads one server of a list. A server that wants nothing new needs no address.
-func entryOf(text []byte, zones []string) (entry, error) {
-	var in struct {
-		Host, Dial, Site, Health string
-		Block                    int
-		Share                    float64
-		Born                     float64 `json:"born_ms"`
-	}
-	if err := json.Unmarshal(text, &in); err != nil {
-		return entry{}, err
-	}
+// entryOf takes in one server of a list. A server that wants nothing new needs no address.
+func entryOf(in listing.Entry, zones []string) (entry, error) {
 	e := entry{name: in.Host, address: in.Dial, Listed: policy.Listed{
 		Server: serverID(in.Host), Zone: zoneOf(in.Site, zones), Pod: in.Block, Weight: in.Share,
 		Started: int64(in.Born * 1e6),
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -92,7 +92,7 @@
 	whole := &badDisk{}
 	dir := t.TempDir()
 	n := nodeWith(t, onDisk(t, whole, dir))
-	at, err := entryOf([]byte(listEntry("s-9", server, "up")), n.settings.Zones)
+	at, err := n.entryOf(listEntry("s-9", server, "up"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,7 +123,7 @@
 		})
 	}
 	n := life(3)
-	out, err := entryOf([]byte(listEntry("s-0", drains, "draining")), n.settings.Zones)
+	out, err := n.entryOf(listEntry("s-0", drains, "draining"))
 	if err != nil {
 		t.Fatal(err)
 	}
