Tests of a discovery that is slow, crowded, gone or long of word

Change: internal/discover in a time of its own (a fleet before a queue, a machine that vanishes), internal/node on real sockets. A long list is taken in in slices of a 32nd.

--- a/internal/discover/pace.go
+++ b/internal/discover/pace.go
@@ -12,25 +12,25 @@
 
 const (
 	second = int64(1e9)
-	// An open connection to a machine that has vanished is silent for ever. A call that has waited so long is taken for one of these
-	// once there is another to wait in its place.
-	longest = 60 * second
 	// While a further connection can't be made, discovery can't be reached: it is tried again after waits that grow up to this, as
 	// what it has to tell counts as told 6 s after it can be.
 	mostAgain = second
 	// One connection that can't be made may be the crowd at the door; so many in a row tell that discovery can't be reached.
 	doubtful = 2
+	// Gaps beyond those below double, up to this part of the first; a queue may be longer than anybody thinks, and the one call that is
+	// kept in it may have been lost.
+	mostGap = 256
 )
 
-// gaps are the times from the second call of a watch to the third and so on, in parts of the shell's gap. What discovery has to tell counts as told 6 s after it
-// could be reached, so they are short for as long as an outage mostly lasts (17 s, by a gap of 3 s), in case all that is out went to
-// a machine that has vanished since and nobody noticed; they grow then, as each call costs a discovery that is only slow another turn.
-var gaps = []float64{1, 1, 4. / 3, 4. / 3, 5. / 3, 7. / 3, 10. / 3, 5}
+// gaps are the times from the second call of a watch to the third and so on, in parts of the shell's gap. What discovery has to tell counts
+// as told 6 s after it could be reached, so they are short for as long as most outages last (14 s, by a gap of 3 s), in case all that is
+// out went to a machine that has vanished since and nobody noticed; then they double, as each call costs a discovery that is only slow
+// another turn, whether or not it is given up.
+var gaps = []float64{1, 4. / 3, 4. / 3}
 
 type call struct {
 	id      int
-	from    int64 // when its connection stood
-	doubted bool  // discovery could not be reached since
+	doubted bool // discovery could not be reached since
 }
 
 // Pace is the state of the calls for one watch. Times are in ns of any one clock.
@@ -58,15 +58,17 @@
 // Opened takes in a call whose connection stands, and tells which other has to be closed before its request goes out, if any.
 func (p *Pace) Opened(now int64, id int) (close int, any bool) {
 	if any = len(p.out) == Most; any {
-		at := p.victim(now)
+		at := p.victim()
 		close = p.out[at].id
 		p.out = slices.Delete(p.out, at, at+1)
 	}
-	p.out = append(p.out, call{id: id, from: now})
+	p.out = append(p.out, call{id: id})
 	if p.opened++; p.opened == 1 {
 		p.due = now + p.first
 	} else {
-		p.due = now + int64(float64(p.gap)*gaps[min(p.opened-2, len(gaps)-1)])
+		n := p.opened - 2
+		part := gaps[min(n, len(gaps)-1)] * float64(int64(1)<<min(max(n-len(gaps)+1, 0), 30))
+		p.due = now + int64(float64(p.gap)*min(part, mostGap))
 	}
 	p.missed, p.wait = 0, p.again
 	return close, any
@@ -74,11 +76,9 @@
 
 // victim is the call that a third takes the place of: one that most likely went to a machine that has vanished, else the one with less
 // of its turn behind it.
-func (p *Pace) victim(now int64) int {
-	for i, c := range p.out {
-		if c.doubted || i == 0 && now-c.from >= longest {
-			return i
-		}
+func (p *Pace) victim() int {
+	if at := slices.IndexFunc(p.out, func(c call) bool { return c.doubted }); at >= 0 {
+		return at
 	}
 	return len(p.out) - 1
 }
--- /dev/null
+++ b/internal/discover/pace_test.go
@@ -0,0 +1,203 @@
+package discover
+
+// This file owns the tests of the pace of calls, in a time of its own.
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+const (
+	ms    = second / 1000
+	gap   = 3 * second
+	again = 200 * ms
+)
+
+// world is a discovery and one node's calls to it, on a clock that jumps from one thing to the next.
+type world struct {
+	pace   *Pace
+	now    int64
+	last   int
+	out    map[int]int64 // by call: when it was made
+	most   int
+	reach  func(now int64) bool
+	answer func(now, made int64) bool // whether a call that was made then is answered by now
+}
+
+// play goes on until a call is answered, or to the end, and tells when and after how many calls.
+func (w *world) play(end int64) (answered int64, calls int) {
+	if w.out = map[int]int64{}; w.reach == nil {
+		w.reach = func(int64) bool { return true }
+	}
+	for ; w.now < end; w.now += 10 * ms {
+		for _, made := range w.out {
+			if w.answer(w.now, made) {
+				return w.now, w.last
+			}
+		}
+		if w.now < w.pace.Due() {
+			continue
+		}
+		if !w.reach(w.now) {
+			if w.pace.Out() == 0 {
+				return -1, w.last
+			}
+			w.now += second // a dial that nobody answers
+			w.pace.Missed(w.now)
+			continue
+		}
+		w.last++
+		if old, any := w.pace.Opened(w.now, w.last); any {
+			delete(w.out, old)
+		}
+		w.out[w.last] = w.now
+		w.most = max(w.most, len(w.out))
+	}
+	return -1, w.last
+}
+
+// However long the queue is, a call that waits in it gets to its turn, at a cost that grows far slower than the wait.
+func TestACallGetsToItsTurn(t *testing.T) {
+	for wait, most := range map[int64]int{1: 1, 2900: 1, 4000: 2, 6500: 3, 9900: 3, 20000: 5, 59000: 7, 600000: 11} {
+		w := &world{pace: New(0, gap, gap, again), answer: func(now, made int64) bool { return now-made >= wait*ms }}
+		if at, calls := w.play(1000 * second); at < wait*ms || at > (wait+10)*ms || calls > most || w.most > Most {
+			t.Errorf("a turn after %d ms: answered at %d ms with %d calls, %d at a time; want at once and %d at most", wait, at/ms, calls, w.most, most)
+		}
+	}
+	// The first call may have been lost where nobody noticed: one of the others gets to its turn all the same.
+	w := &world{pace: New(0, gap, gap, again), answer: func(now, made int64) bool { return now-made >= 30*second && made > 0 }}
+	if at, calls := w.play(200 * second); at < 0 || at > 100*second || calls > 9 {
+		t.Errorf("the first call is never answered: %d ms, %d calls", at/ms, calls)
+	}
+}
+
+// A machine that vanishes leaves connections open and silent, whether or not anybody tried to reach it meanwhile: what it has is told
+// 6 s after it can be reached again, by a discovery that answers within 1.5 s.
+func TestAMachineThatVanishes(t *testing.T) {
+	draws := rand.New(rand.NewPCG(3, 4))
+	for range 20000 {
+		gone := draws.Int64N(12 * second) // whatever was open by then is silent for ever
+		back := gone + draws.Int64N(8*second)
+		first := []int64{gap, 2 * second}[draws.IntN(2)]
+		queue := draws.Int64N(1500 * ms)
+		w := &world{pace: New(0, first, gap, again), reach: func(now int64) bool { return now < gone || now >= back },
+			answer: func(now, made int64) bool { return made >= back && now-made >= queue }}
+		if gone == 0 {
+			continue // then no call is out
+		}
+		at, calls := w.play(40 * second)
+		if at < 0 || at-back > 6*second || calls > 8 || w.most > Most {
+			t.Fatalf("gone at %d ms, back at %d, a queue of %d: told %d ms after, %d calls, %d at a time", gone/ms, back/ms, queue/ms, (at-back)/ms, calls, w.most)
+		}
+	}
+}
+
+// Where discovery can't be reached at all, tries are a second apart at most, dials aside, and whoever waits since before gives way first.
+func TestWhoeverWaitsSinceBeforeGivesWay(t *testing.T) {
+	p := New(0, gap, gap, again)
+	p.Opened(0, 1)
+	p.Opened(3*second, 2)
+	now := 6 * second
+	for i, want := range []int64{200, 400, 800, 1000, 1000} {
+		if p.Missed(now); p.Due()-now != want*ms {
+			t.Errorf("wait %d is %d ms, want %d", i, (p.Due()-now)/ms, want)
+		}
+		now = p.Due() + second
+	}
+	if old, any := p.Opened(now, 3); !any || old != 1 {
+		t.Errorf("%d gave way, %t", old, any)
+	}
+	if old, any := p.Opened(now+gap, 4); !any || old != 2 {
+		t.Errorf("%d gave way, %t", old, any)
+	}
+	if old, any := p.Opened(now+2*gap, 5); !any || old != 4 {
+		t.Errorf("%d gave way, %t; the one with more of its turn behind it stays", old, any)
+	}
+	if !p.Ended(5) || p.Ended(3) {
+		t.Error("who is out")
+	}
+	// One try that fails is no proof: the crowd at the door may be why.
+	p = New(0, gap, gap, again)
+	p.Opened(0, 1)
+	p.Missed(gap)
+	p.Opened(gap+second, 2)
+	if old, _ := p.Opened(2*gap, 3); old != 2 {
+		t.Errorf("%d gave way after one try that failed", old)
+	}
+}
+
+// fleet is many nodes before a discovery that works calls in turn, one at a time, also those that were given up.
+func fleet(nodes int, cost, up int64, keeps bool) (ready []int64, calls int) {
+	type made struct {
+		node, id int
+		at       int64
+	}
+	draws := rand.New(rand.NewPCG(uint64(nodes), 1))
+	var queue []made
+	paces, last, out, done := make([]*Pace, nodes), make([]int, nodes), make([]map[int]bool, nodes), make([]bool, nodes)
+	for i := range paces {
+		apart := func(g int64) int64 { return g - draws.Int64N(g/parts) }
+		paces[i], out[i] = New(up+draws.Int64N(second), apart(gap), apart(gap), again), map[int]bool{}
+	}
+	left := nodes
+	for now, free := int64(0), int64(0); left > 0 && now < 4*(up+int64(nodes)*cost)+20*second; now += ms {
+		for i, p := range paces {
+			if done[i] || now < p.Due() {
+				continue
+			}
+			last[i]++
+			calls++
+			if !keeps { // as it was: the one that waits is given up for the next
+				for id := range out[i] {
+					p.Ended(id)
+					delete(out[i], id)
+				}
+			}
+			if old, any := p.Opened(now, last[i]); any {
+				delete(out[i], old)
+			}
+			if !keeps {
+				p.due = now + gap
+			}
+			out[i][last[i]] = true
+			queue = append(queue, made{i, last[i], now})
+		}
+		for free = max(free, now); len(queue) > 0 && free <= now; free += cost {
+			q := queue[0]
+			queue = queue[1:]
+			if !done[q.node] && out[q.node][q.id] {
+				done[q.node] = true
+				left--
+				ready = append(ready, now-up)
+			}
+		}
+	}
+	return ready, calls
+}
+
+// Many nodes that start together before a discovery that works calls in turn, also those given up, are ready as soon as it can answer a
+// call of each; the calls that it has beside those stay few.
+func TestAFleetBeforeAQueue(t *testing.T) {
+	for _, c := range []struct {
+		nodes int
+		cost  int64
+	}{{300, 20 * ms}, {90, 100 * ms}, {400, 20 * ms}, {3000, 20 * ms}} {
+		ready, calls := fleet(c.nodes, c.cost, second/2, true)
+		most := int64(c.nodes)*c.cost + second
+		if len(ready) != c.nodes {
+			t.Errorf("%d nodes, %d ms a call: %d ready", c.nodes, c.cost/ms, len(ready))
+			continue
+		}
+		if ready[c.nodes*9/10] > most || ready[c.nodes-1] > most {
+			t.Errorf("%d nodes, %d ms a call: nine in ten ready by %d ms, all by %d; the queue alone is %d ms", c.nodes, c.cost/ms, ready[c.nodes*9/10]/ms,
+				ready[len(ready)-1]/ms, most/ms)
+		}
+		if calls > c.nodes*8 || most < 7*second && calls > c.nodes*3 {
+			t.Errorf("%d nodes: %d calls", c.nodes, calls)
+		}
+		t.Logf("%d nodes, %d ms a call: nine in ten ready by %.1f s, all by %.1f s, %d calls", c.nodes, c.cost/ms, float64(ready[c.nodes*9/10])/1e9,
+			float64(ready[c.nodes-1])/1e9, calls)
+		was, wasCalls := fleet(c.nodes, c.cost, second/2, false)
+		t.Logf("   where a call that waits is given up for the next: %d ready in the end, %d calls", len(was), wasCalls)
+	}
+}
--- /dev/null
+++ b/internal/node/discovery_test.go
@@ -0,0 +1,268 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"fawnglade/internal/listing"
+)
+
+// This file owns the tests of a discovery that is slow, crowded, gone or long of word. Its times are a tenth of the real ones.
+
+const (
+	tenthHead    = listHead / 10
+	tenthSilence = listSilence / 10
+)
+
+// turns is a discovery that works calls in turn, one at a time and also those that were given up, and then lets the watch stand.
+type turns struct {
+	address     string
+	calls       atomic.Int64
+	now, most   atomic.Int64 // calls that wait for their turn, of one node at a time
+	queue       chan func()
+	fromThisOne int64 // calls before this one are never answered, and their connections never end
+}
+
+func turnsOf(t *testing.T, cost time.Duration, from int64, text string) *turns {
+	q := &turns{queue: make(chan func(), 10000), fromThisOne: from}
+	over := make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	go func() {
+		for {
+			select {
+			case answer := <-q.queue:
+				time.Sleep(cost)
+				answer()
+			case <-over:
+				return
+			}
+		}
+	}()
+	q.address = listen(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		number := q.calls.Add(1)
+		for now := q.now.Add(1); now > q.most.Load(); {
+			q.most.Store(now)
+		}
+		if number >= q.fromThisOne {
+			q.queue <- func() { fmt.Fprintf(c, "%s%x\r\n%s\n\r\n", watchBegins, len(text)+1, text) }
+		}
+		io.Copy(io.Discard, c)
+		q.now.Add(-1)
+	})
+	return q
+}
+
+// atATenth makes a node without a list whose times are a tenth.
+func atATenth(t *testing.T, mode, discovery string) *Node {
+	n := newNode(t, func(c *Config) {
+		with(`"discovery":"ask"`, fmt.Sprintf(`"discovery":%q`, mode))(c)
+		c.Discovery, c.Known = discovery, nil
+	})
+	n.discovery.head, n.discovery.silence = tenthHead, time.Hour
+	return n
+}
+
+// A discovery that works calls in turn gets to each in the end: a call that waits is not given up to begin again at the queue's end.
+func TestASlowDiscoveryIsWaitedFor(t *testing.T) {
+	text := listText(2, true, listEntry("s-0", "127.0.0.1:1", "up"))
+	for _, mode := range []string{"push", "ask"} {
+		for turn, most := range map[time.Duration]int64{400 * time.Millisecond: 2, 600 * time.Millisecond: 2, 950 * time.Millisecond: 4} {
+			t.Run(fmt.Sprint(mode, ": a turn of ", turn), func(t *testing.T) {
+				t.Parallel()
+				q := turnsOf(t, turn, 0, text)
+				n := atATenth(t, mode, q.address)
+				go n.start()
+				soon(t, "ready", func() bool { return n.notReady() == "" && n.listed.Load() })
+				if calls := q.calls.Load(); calls > most+1 { // one more where the machine is slow
+					t.Errorf("%d calls, want %d at most", calls, most)
+				}
+			})
+		}
+	}
+}
+
+// Calls that were lost, as a machine vanished that had taken them, hold nobody up: another goes beside, and never a third.
+func TestCallsThatAreLost(t *testing.T) {
+	for _, mode := range []string{"push", "ask"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			q := turnsOf(t, time.Millisecond, 4, listText(2, true, listEntry("s-0", "127.0.0.1:1", "up")))
+			n := atATenth(t, mode, q.address)
+			go n.start()
+			soon(t, "ready", func() bool { return n.notReady() == "" })
+			if calls, most := q.calls.Load(), q.most.Load(); calls > 5 || most > 3 { // the third until the node's close has come
+				t.Errorf("%d calls, %d at a time", calls, most)
+			}
+			soon(t, "the others closed", func() bool { return q.now.Load() == 1 })
+		})
+	}
+}
+
+// Nodes that start together before a discovery whose queue is far longer than a call used to wait are all ready by the queue's end, and
+// cost it few calls beside.
+func TestAFleetBeforeOneDiscovery(t *testing.T) {
+	const nodes = 40
+	q := turnsOf(t, 20*time.Millisecond, 0, listText(2, true, listEntry("s-0", "127.0.0.1:1", "up")))
+	var all []*Node
+	for i := range nodes {
+		n := atATenth(t, []string{"push", "ask"}[i%2], q.address)
+		all = append(all, n)
+		go n.start()
+	}
+	soon(t, "all ready", func() bool {
+		for _, n := range all {
+			if n.notReady() != "" {
+				return false
+			}
+		}
+		return true
+	})
+	if calls := q.calls.Load(); calls > 4*nodes {
+		t.Errorf("%d calls of %d nodes", calls, nodes)
+	}
+}
+
+// However long the decisions would wait after a failed call, a change counts as told 6 s after discovery could be reached again.
+func TestTheWaitAfterAFailedCallIsBounded(t *testing.T) {
+	server, _ := serverOf(t, echo)
+	address, _ := watchOf(t, func(c net.Conn, _ func(string)) {
+		io.WriteString(c, "HTTP/1.1 503 Later\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	}, func(c net.Conn, chunk func(string)) {
+		io.WriteString(c, watchBegins)
+		chunk(listText(2, true, listEntry("s-0", server, "up")) + "\n")
+		io.Copy(io.Discard, c)
+	})
+	n := nodeWith(t, func(c *Config) {
+		with(`"ask_within_us":10000000`, `"ask_within_us":3600000000`)(c)
+		c.Discovery = address
+	})
+	soon(t, "the list", func() bool { return n.count(listLines) == 1 })
+}
+
+// A watch whose head comes at once and whose first word comes in its turn is no dead one, and one that never says a word is.
+func TestAHeadBeforeItsTurn(t *testing.T) {
+	told := func(c net.Conn, chunk func(string)) {
+		chunk(listText(2, true, listEntry("s-0", "127.0.0.1:1", "up")) + "\n")
+		io.Copy(io.Discard, c)
+	}
+	silent := func(c net.Conn, chunk func(string)) { io.WriteString(c, watchBegins); io.Copy(io.Discard, c) }
+	for name, script := range map[string][]func(net.Conn, func(string)){
+		"in its turn": {func(c net.Conn, chunk func(string)) {
+			io.WriteString(c, watchBegins)
+			time.Sleep(2 * tenthSilence)
+			told(c, chunk)
+		}, silent, silent, silent},
+		"never": {silent, silent, func(c net.Conn, chunk func(string)) { io.WriteString(c, watchBegins); told(c, chunk) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, asked := watchOf(t, script...)
+			n := atATenth(t, "push", address)
+			n.discovery.silence = tenthSilence
+			go n.start()
+			soon(t, "ready", func() bool { return n.notReady() == "" })
+			if asked.Load() > 4 {
+				t.Errorf("%d calls", asked.Load())
+			}
+		})
+	}
+}
+
+// A list that can't be held gets one complaint and few calls, leaves the one from before in place, and counts once it can be held.
+func TestAListThatCantBeHeld(t *testing.T) {
+	for _, mode := range []string{"push", "ask"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			server, _ := serverOf(t, echo)
+			var short atomic.Bool
+			var asked atomic.Int64
+			address := listen(t, func(c net.Conn) {
+				http.ReadRequest(bufio.NewReader(c))
+				asked.Add(1)
+				text := listText(2, true, listEntry("s-1", server, "up"))
+				if !short.Load() {
+					text = listText(2, true, strings.Repeat(listEntry("s-1", server, "up")+",", 20)+listEntry("s-2", server, "up"))
+				}
+				fmt.Fprintf(c, "%s%x\r\n%s\n\r\n", watchBegins, len(text)+1, text)
+				io.Copy(io.Discard, c)
+			})
+			n := newNode(t, func(c *Config) {
+				with(`"discovery":"ask"`, fmt.Sprintf(`"discovery":%q`, mode))(c)
+				c.Discovery = address
+			}, server)
+			core, said := observer.New(zap.InfoLevel)
+			n.log = zap.New(core)
+			n.lists = listing.Limits{Value: 1 << 16, Line: 1 << 20, Hosts: 20}
+			n.start()
+			time.Sleep(1500 * time.Millisecond)
+			if calls := asked.Load(); calls < 2 || calls > 4 {
+				t.Errorf("%d calls in 1.5 s, want 2 to 4: waits grow from 0.2 s", calls)
+			}
+			if status, _, _ := ask(t, n, "batch", "t", ""); status != 200 || !n.orders.listed("s-0") || n.orders.listed("s-1") {
+				t.Errorf("%d by the list from before", status)
+			}
+			if complaints := said.FilterLevelExact(zap.ErrorLevel).Len(); complaints != 1 || said.FilterMessage("watch of the list ended").Len() != 0 {
+				t.Errorf("%d complaints: %v", complaints, said.All())
+			}
+			short.Store(true)
+			soon(t, "the list", func() bool { return n.orders.listed("s-1") })
+			if n.discovery.long != 0 && n.count(listLines) == 0 {
+				t.Error("not held yet")
+			}
+		})
+	}
+}
+
+// A node of default settings takes in a list of 120,000 servers in one line.
+func TestAListOf120000(t *testing.T) {
+	const servers = 120000
+	var b strings.Builder
+	for i := range servers {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"host":"s-%08x","dial":"127.9.%d.%d:8443","site":"a","class":"m2","block":%d,"health":"up","share":1.0,"born_ms":0}`, i, i/250%250,
+			i%250+1, i%31)
+	}
+	text := `{"seq":2,"whole":true,"hosts":[` + b.String() + `]}`
+	var asked atomic.Int64
+	address := listen(t, func(c net.Conn) {
+		http.ReadRequest(bufio.NewReader(c))
+		asked.Add(1)
+		fmt.Fprintf(c, "%s%x\r\n%s\n\r\n", watchBegins, len(text)+1, text)
+		for {
+			time.Sleep(time.Second)
+			if _, err := io.WriteString(c, "1\r\n\n\r\n"); err != nil {
+				return
+			}
+		}
+	})
+	n := newNode(t, func(c *Config) {
+		with(`"discovery":"ask"`, `"discovery":"push"`)(c)
+		c.Discovery, c.Known, c.Limits.MemoryMB = address, nil, 0
+	})
+	go n.start()
+	for end := time.Now().Add(2 * time.Minute); n.notReady() != ""; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not ready, after %d calls: %s", asked.Load(), n.notReady())
+		}
+	}
+	known := make(chan int)
+	n.loop.enter(func() { known <- len(n.loop.fleet) })
+	if fleet := <-known; fleet != servers || asked.Load() != 1 {
+		t.Errorf("%d servers known after %d calls", fleet, asked.Load())
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -200,14 +200,19 @@
 // mostKept bounds the servers that stay known where being left out of the list binds nothing.
 const mostKept = 8192
 
-// listSlice is how many lines of the list are taken in at a time.
-const listSlice = 512
+// listSlice is how many lines of the list are taken in at a time, or a listPart of it: each slice costs a pass over all servers
+// besides, so that many of them cost far more than they hold tasks up the less.
+const (
+	listSlice = 512
+	listPart  = 32
+)
 
 // enterList enters a list in slices, with tasks in between: one of thousands of lines would hold them all up. Who is not
 // on a whole list comes last, so that until then nobody is taken off who is on it.
 func (l *loop) enterList(entries []entry, whole bool) {
+	size := max(listSlice, len(entries)/listPart)
 	for rest := entries; len(rest) > 0 || !whole; {
-		slice := rest[:min(listSlice, len(rest))]
+		slice := rest[:min(size, len(rest))]
 		rest = rest[len(slice):]
 		l.enter(func() { l.listed(slice, false) })
 		if len(rest) == 0 {
