--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -105,7 +105,9 @@
 	}
 	if set.Dial == nil {
 		dialer := &net.Dialer{KeepAlive: -1}
-		set.Dial = func(ctx context.Context, address string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) }
+		set.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
 	}
 	seed := xxhash.Sum64String(set.Name)
 	return &Client{set: set, sink: sink, log: log, order: order(set), rng: rand.New(rand.NewPCG(seed, 1))}
--- /dev/null
+++ b/internal/relay/tcp_test.go
@@ -0,0 +1,478 @@
+package relay
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// counting is a feed of numbered frames: frame i holds i. A subscriber's hello says which it has.
+type counting struct {
+	last    uint64
+	subs    map[int]*place
+	ready   []int
+	nextID  int
+	most    int // subscribers; 0: any
+	padding int
+}
+
+type place struct {
+	sent uint64
+	beat int64
+}
+
+func newCounting() *counting { return &counting{subs: map[int]*place{}} }
+
+func (f *counting) Attach(now int64, hello []byte, _ int) (int, error) {
+	if len(hello) < 8 {
+		return 0, errors.New("no hello")
+	}
+	if f.most > 0 && len(f.subs) >= f.most {
+		return 0, errors.New("too many")
+	}
+	f.nextID++
+	f.subs[f.nextID] = &place{sent: binary.BigEndian.Uint64(hello)}
+	return f.nextID, nil
+}
+
+func (f *counting) Detach(id int) { delete(f.subs, id) }
+
+func (f *counting) Next(now int64, id int) ([]byte, int64) {
+	p := f.subs[id]
+	if p == nil {
+		return nil, now + int64(time.Hour)
+	}
+	if p.sent < f.last {
+		p.sent++
+		p.beat = now
+		return append(binary.BigEndian.AppendUint64(nil, p.sent), make([]byte, f.padding)...), 0
+	}
+	if now-p.beat >= int64(100*time.Millisecond) {
+		p.beat = now
+		return []byte("beat"), 0
+	}
+	return nil, p.beat + int64(100*time.Millisecond)
+}
+
+func (f *counting) Ready() []int {
+	r := f.ready
+	f.ready = nil
+	return r
+}
+
+func (f *counting) add(n uint64) {
+	f.last += n
+	for id := range f.subs {
+		f.ready = append(f.ready, id)
+	}
+}
+
+// following takes numbered frames and fails the test at a gap, a repeat or a step back.
+type following struct {
+	t      *testing.T
+	mu     sync.Mutex
+	last   uint64
+	hellos int
+	wrong  []string
+	behind atomic.Int64
+}
+
+func (s *following) Hello(int64) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hellos++
+	return append(binary.BigEndian.AppendUint64(nil, s.last), make([]byte, 20)...)
+}
+
+func (s *following) Take(_ int64, frame []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if string(frame) == "beat" {
+		return nil
+	}
+	if len(frame) < 8 {
+		return errors.New("too short")
+	}
+	n := binary.BigEndian.Uint64(frame)
+	if n != s.last+1 {
+		s.wrong = append(s.wrong, fmt.Sprintf("%d after %d", n, s.last))
+	}
+	s.last = n
+	return nil
+}
+
+func (s *following) Behind(int64) int64 { return s.behind.Load() }
+
+func (s *following) at() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
+
+func (s *following) check() {
+	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.wrong {
+		s.t.Error("frames out of order:", w)
+	}
+}
+
+func soon(t *testing.T, what string, within time.Duration, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came within %v: %s", within, what)
+		}
+	}
+}
+
+type station struct {
+	*Server
+	feed *counting
+	l    net.Listener
+	at   string
+}
+
+func (s *station) add(n uint64) { s.Do(func(int64) { s.feed.add(n) }) }
+
+func (s *station) stop() {
+	s.l.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	s.Close(ctx)
+}
+
+func stationAt(t *testing.T, at string, feed *counting, set ServerSettings) *station {
+	t.Helper()
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &station{Server: NewServer(feed, set, zap.NewNop()), feed: feed, l: l, at: l.Addr().String()}
+	go s.Serve(l)
+	t.Cleanup(s.stop)
+	return s
+}
+
+func newStation(t *testing.T, set ServerSettings) *station {
+	return stationAt(t, "127.0.0.1:0", newCounting(), set)
+}
+
+func follow(t *testing.T, set ClientSettings) (*Client, *following) {
+	t.Helper()
+	sink := &following{t: t}
+	c := NewClient(set, sink, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		c.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case <-done:
+		case <-time.After(5 * time.Second):
+			t.Error("the client did not end")
+		}
+		sink.check()
+	})
+	return c, sink
+}
+
+func TestEachFrameComesOnceAndInOrder(t *testing.T) {
+	s := newStation(t, ServerSettings{})
+	_, sink := follow(t, ClientSettings{Name: "n", Upstreams: []string{s.at}})
+	for range 20 {
+		s.add(50)
+	}
+	soon(t, "all frames", 5*time.Second, func() bool { return sink.at() == 1000 })
+}
+
+// An upstream that dies is left at once, in whichever way it dies, and nothing is lost or doubled.
+func TestAnUpstreamThatDiesIsLeftForAnother(t *testing.T) {
+	a, b := newStation(t, ServerSettings{}), newStation(t, ServerSettings{})
+	a.add(10)
+	b.add(10)
+	_, sink := follow(t, ClientSettings{Name: "n", Upstreams: []string{a.at, b.at}})
+	soon(t, "the first ten", 5*time.Second, func() bool { return sink.at() == 10 })
+	a.stop()
+	began := time.Now()
+	b.add(5)
+	soon(t, "the others by the other upstream", 5*time.Second, func() bool { return sink.at() == 15 })
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("moved after %v, expected a second at most", took)
+	}
+}
+
+// frozen accepts as the system does for a process that stands still, and says nothing.
+func frozen(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().String()
+}
+
+// freezing passes bytes between a client and an upstream until it is told to stand still: from then on it neither reads nor writes,
+// and nothing is closed.
+func freezing(t *testing.T, to string) (at string, freeze func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var still atomic.Bool
+	stop := make(chan struct{})
+	t.Cleanup(func() { l.Close(); close(stop) })
+	pass := func(dst, src net.Conn) {
+		buffer := make([]byte, 4096)
+		for {
+			n, err := src.Read(buffer)
+			if still.Load() {
+				<-stop
+			}
+			if err != nil {
+				dst.Close()
+				return
+			}
+			dst.Write(buffer[:n])
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if still.Load() {
+				go func() { <-stop; c.Close() }()
+				continue
+			}
+			up, err := net.Dial("tcp", to)
+			if err != nil {
+				c.Close()
+				continue
+			}
+			go pass(c, up)
+			go pass(up, c)
+		}
+	}()
+	return l.Addr().String(), func() { still.Store(true) }
+}
+
+func TestAFrozenUpstreamIsLeftBySilence(t *testing.T) {
+	a, b := newStation(t, ServerSettings{}), newStation(t, ServerSettings{})
+	a.add(10)
+	b.add(10)
+	still := frozen(t)
+	way, freeze := freezing(t, a.at)
+	// The second one stands still too, from the start: it is passed by as it does not greet.
+	c, sink := follow(t, ClientSettings{Name: "n", Upstreams: []string{way, still, b.at}})
+	soon(t, "the first ten", 5*time.Second, func() bool { return sink.at() == 10 })
+	freeze()
+	began := time.Now()
+	a.add(5)
+	b.add(5)
+	soon(t, "what came since, by the third", 10*time.Second, func() bool { return sink.at() == 15 })
+	if took := time.Since(began); took > 6*time.Second {
+		t.Errorf("told after %v, expected 6 s at most", took)
+	}
+	if s := c.Stats(); s.Silent != 1 {
+		t.Errorf("silent = %d, expected 1", s.Silent)
+	}
+}
+
+func TestTheFirstChoiceIsTakenUpAgainWithoutAGap(t *testing.T) {
+	a, b := newStation(t, ServerSettings{}), newStation(t, ServerSettings{})
+	a.add(3)
+	b.add(3)
+	c, sink := follow(t, ClientSettings{Name: "n", Upstreams: []string{a.at, b.at}, Back: 200 * time.Millisecond})
+	soon(t, "the first three", 5*time.Second, func() bool { return sink.at() == 3 })
+	at := a.at
+	a.stop()
+	b.add(3)
+	soon(t, "three by the second", 5*time.Second, func() bool { return sink.at() == 6 })
+	again := stationAt(t, at, newCounting(), ServerSettings{})
+	again.add(6)
+	soon(t, "the return", 5*time.Second, func() bool { return c.Stats().Returned == 1 })
+	again.add(3)
+	soon(t, "three by the first", 5*time.Second, func() bool { return sink.at() == 9 })
+	soon(t, "that the second one notices", 5*time.Second, func() bool { return b.Stats().Subscribers == 0 })
+}
+
+// A first choice that stands still, or says that it lacks something, is not gone back to.
+func TestAFirstChoiceThatIsOfNoUseIsLeftAlone(t *testing.T) {
+	lacking := newStation(t, ServerSettings{Fresh: func() bool { return false }})
+	lacking.add(3)
+	b := newStation(t, ServerSettings{})
+	b.add(3)
+	for name, first := range map[string]string{"frozen": frozen(t), "lacking": lacking.at} {
+		c, sink := follow(t, ClientSettings{Name: name, Upstreams: []string{first, b.at}, Back: 100 * time.Millisecond})
+		soon(t, "three by the second", 5*time.Second, func() bool { return sink.at() == 3 })
+		soon(t, "tries to go back", 10*time.Second, func() bool { return c.Stats().Dials >= 4 })
+		if s := c.Stats(); s.Returned != 0 || s.Connects != 1 {
+			t.Errorf("%s: %+v: expected no return and one connection", name, s)
+		}
+	}
+}
+
+// Where no upstream has all, one that lacks something is better than none.
+func TestAnUpstreamThatLacksSomethingIsBetterThanNone(t *testing.T) {
+	lacking := newStation(t, ServerSettings{Fresh: func() bool { return false }})
+	lacking.add(3)
+	_, sink := follow(t, ClientSettings{Name: "n", Upstreams: []string{"127.0.0.1:1", lacking.at}})
+	soon(t, "three by the one that lacks something", 5*time.Second, func() bool { return sink.at() == 3 })
+}
+
+func TestAnUpstreamThatIsBehindIsLeft(t *testing.T) {
+	a, b := newStation(t, ServerSettings{}), newStation(t, ServerSettings{})
+	c, sink := follow(t, ClientSettings{Name: "n", Upstreams: []string{a.at, b.at}, BehindAfter: 150 * time.Millisecond})
+	soon(t, "a connection", 5*time.Second, func() bool { return a.Stats().Subscribers == 1 })
+	sink.behind.Store(int64(time.Second))
+	soon(t, "the move", 5*time.Second, func() bool { return b.Stats().Subscribers == 1 })
+	time.Sleep(600 * time.Millisecond) // as far behind: moving on would not help, and is put off
+	if s := c.Stats(); s.Behind != 1 || s.Connects != 2 {
+		t.Errorf("%+v: expected one move", s)
+	}
+}
+
+func TestASubscriberThatTakesNothingIsEndedAndBounded(t *testing.T) {
+	feed := newCounting()
+	feed.padding = 60 << 10
+	s := stationAt(t, "127.0.0.1:0", feed, ServerSettings{WriteWithin: 300 * time.Millisecond})
+	slow, err := net.Dial("tcp", s.at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	slow.(*net.TCPConn).SetReadBuffer(4096)
+	writeFrame(slow, make([]byte, 8))
+	_, sink := follow(t, ClientSettings{Name: "n", Upstreams: []string{s.at}})
+	soon(t, "both", 5*time.Second, func() bool { return s.Stats().Subscribers == 2 })
+	s.add(500) // 30 MB, of which the system holds a few hundred KB for the slow one
+	soon(t, "all frames at the other", 10*time.Second, func() bool { return sink.at() == 500 })
+	soon(t, "the end of the slow one", 10*time.Second, func() bool { st := s.Stats(); return st.Slow == 1 && st.Subscribers == 1 })
+}
+
+// A frame over the limit ends that connection alone.
+func TestATooLongFrameEndsItsConnectionAlone(t *testing.T) {
+	s := newStation(t, ServerSettings{})
+	long, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer long.Close()
+	go func() {
+		for {
+			c, err := long.Accept()
+			if err != nil {
+				return
+			}
+			writeFrame(c, greeting(true))
+			binary.Write(c, binary.BigEndian, uint32(1<<31))
+			io.Copy(io.Discard, c)
+			c.Close()
+		}
+	}()
+	c, sink := follow(t, ClientSettings{Name: "n", Upstreams: []string{long.Addr().String(), s.at}})
+	_, other := follow(t, ClientSettings{Name: "m", Upstreams: []string{s.at}})
+	s.add(3)
+	soon(t, "three by the next upstream", 5*time.Second, func() bool { return sink.at() == 3 && other.at() == 3 })
+	if st := c.Stats(); st.TooLong != 1 {
+		t.Errorf("too long = %d, expected 1", st.TooLong)
+	}
+	// The server's side: a hello over the limit, and one that makes no sense.
+	for _, text := range []string{"\xff\xff\xff\xff", "\x00\x00\x00\x02hi", "GET / HTTP/1.1\r\n\r\n"} {
+		conn, err := net.Dial("tcp", s.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(5 * time.Second))
+		io.WriteString(conn, text)
+		if all, err := io.ReadAll(conn); errors.Is(err, os.ErrDeadlineExceeded) || len(all) > headSize+greetingSize {
+			t.Errorf("hello %q: got %q, %v; expected the end of the connection", text, all, err)
+		}
+		conn.Close()
+	}
+	s.add(1)
+	soon(t, "the fourth frame at both", 5*time.Second, func() bool { return sink.at() == 4 && other.at() == 4 })
+}
+
+func TestConnectionsAndHellosAreBounded(t *testing.T) {
+	s := newStation(t, ServerSettings{Connections: 20, Hellos: 10, HelloWithin: 300 * time.Millisecond})
+	_, sink := follow(t, ClientSettings{Name: "n", Upstreams: []string{s.at}})
+	soon(t, "the subscriber", 5*time.Second, func() bool { return s.Stats().Subscribers == 1 })
+	var conns []net.Conn
+	for range 200 {
+		if c, err := net.Dial("tcp", s.at); err == nil {
+			conns = append(conns, c)
+		}
+	}
+	soon(t, "that all were looked at", 5*time.Second, func() bool { return s.Stats().Accepted == 201 })
+	if st := s.Stats(); st.Waiting > 10 || st.Refused < 150 {
+		t.Errorf("%+v: expected 10 without a hello at most, and the others refused", st)
+	}
+	s.add(3)
+	soon(t, "three frames in the flood", 5*time.Second, func() bool { return sink.at() == 3 })
+	soon(t, "the flood's end", 5*time.Second, func() bool { st := s.Stats(); return st.Waiting == 0 && st.Ended >= 10 })
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
+func TestASubscriberThatSpeaksAfterItsHelloIsEnded(t *testing.T) {
+	s := newStation(t, ServerSettings{})
+	c, err := net.Dial("tcp", s.at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	writeFrame(c, make([]byte, 8))
+	soon(t, "the subscriber", 5*time.Second, func() bool { return s.Stats().Subscribers == 1 })
+	c.Write([]byte("x"))
+	soon(t, "its end", 5*time.Second, func() bool { return s.Stats().Subscribers == 0 })
+}
+
+// Everybody's upstream is gone: the tries are bounded.
+func TestTriesAreBounded(t *testing.T) {
+	c, _ := follow(t, ClientSettings{Name: "n", Upstreams: []string{"127.0.0.1:1", "127.0.0.1:2"}})
+	time.Sleep(1500 * time.Millisecond)
+	if n := c.Stats().Dials; n > 14 || n < 4 {
+		t.Errorf("%d tries in 1.5 s, expected 4 to 14", n)
+	}
+}
+
+// Clients of one name order keep it; those of many names fall on all upstreams alike, also once one of them has died.
+func TestClientsSpreadOverUpstreams(t *testing.T) {
+	ups := []string{"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7", "10.0.0.4:7"}
+	first, second := map[string]int{}, map[string]int{}
+	for i := range 4000 {
+		o := order(ClientSettings{Name: fmt.Sprintf("node-%d", i), Upstreams: ups, Spread: true})
+		first[o[0]]++
+		if o[0] == ups[0] {
+			second[o[1]]++
+		}
+	}
+	for _, u := range ups {
+		if n := first[u]; n < 850 || n > 1150 {
+			t.Errorf("%s is the first choice of %d in 4,000, expected about 1,000", u, n)
+		}
+		if n := second[u]; u != ups[0] && (n < 230 || n > 440) {
+			t.Errorf("%s is the second choice of %d of the first one's, expected about a third", u, n)
+		}
+	}
+}
