--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -3,21 +3,20 @@
 package features
 
 import (
-	"bytes"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"fawnglade/internal/tomlfile"
 )
 
 // Features of one node, checked.
 type Features struct {
-	Members *Members `toml:"members"` // nil: off
+	Members      *Members      `toml:"members"`      // nil: off
+	Distribution *Distribution `toml:"distribution"` // nil: off
 }
 
 // Members is who the nodes of the fleet are, and how this one hears of them.
@@ -40,12 +39,28 @@
 	Address string `toml:"address"` // where this node reaches it
 }
 
+// Distribution is the relays that tell this node its servers and configuration.
+type Distribution struct {
+	Relays  []string `toml:"relays"`  // addresses and ports; each node has an order of its own
+	Scopes  []string `toml:"scopes"`  // region/service; a star at the end stands for all that begin so
+	Silence string   `toml:"silence"` // no relay has told anything for so long: discovery is watched too, such as 4s
+
+	SilenceNs int64 `toml:"-"`
+}
+
 const (
 	usualRound = 500 * time.Millisecond
 	leastRound = 50 * time.Millisecond
 	mostRound  = time.Minute
 	mostNodes  = 4096
 	leastKey   = 16
+
+	usualSilence = 4 * time.Second
+	leastSilence = time.Second
+	mostSilence  = time.Minute
+	mostRelays   = 64
+	mostScopes   = 4096
+	longestScope = 256
 )
 
 // Read reads and checks a file for the node of a name.
@@ -57,78 +72,77 @@
 	return Parse(path, name, text)
 }
 
-// complaints gathers what is wrong.
-type complaints struct {
-	path string
-	all  []error
-}
-
-func (c *complaints) must(holds bool, key, want string, found any) {
-	if !holds {
-		c.all = append(c.all, fmt.Errorf("%s: %s: expected %s, found %v", c.path, key, want, found))
-	}
-}
-
 // Parse checks a file's text.
 func Parse(path, name string, text []byte) (*Features, error) {
 	f := &Features{}
-	in := toml.NewDecoder(bytes.NewReader(text))
-	in.DisallowUnknownFields()
-	c := &complaints{path: path}
-	if err := in.Decode(f); err != nil {
-		var strict *toml.StrictMissingError
-		var decode *toml.DecodeError
-		switch {
-		case errors.As(err, &strict):
-			for _, e := range strict.Errors {
-				line, _ := e.Position()
-				c.must(false, strings.Join(e.Key(), "."), "a key of docs/operate/members.md", fmt.Sprintf("an unknown one in line %d", line))
-			}
-		case errors.As(err, &decode):
-			line, _ := decode.Position()
-			return nil, fmt.Errorf("%s: line %d: expected TOML, found: %s", path, line, strings.TrimPrefix(decode.Error(), "toml: "))
-		default:
-			return nil, fmt.Errorf("%s: expected TOML, found: %w", path, err)
-		}
+	c, err := tomlfile.Decode(path, text, f, "docs/operate/members.md or docs/operate/relay.md")
+	if err != nil {
+		return nil, err
 	}
 	if f.Members != nil {
 		f.Members.check(c, name)
 	}
-	if len(c.all) > 0 {
-		return nil, errors.Join(c.all...)
+	if f.Distribution != nil {
+		f.Distribution.check(c)
+	}
+	if err := c.Err(); err != nil {
+		return nil, err
 	}
 	return f, nil
 }
 
-func (m *Members) check(c *complaints, name string) {
+func (m *Members) check(c *tomlfile.Complaints, name string) {
 	var err error
 	m.Bind, err = netip.ParseAddrPort(m.Listen)
-	c.must(err == nil && m.Bind.Port() != 0, "members.listen", "an address and a port", fmt.Sprintf("%q", m.Listen))
+	c.Must(err == nil && m.Bind.Port() != 0, "members.listen", "an address and a port", fmt.Sprintf("%q", m.Listen))
 	round := usualRound
 	if m.Round != "" {
 		round, err = time.ParseDuration(m.Round)
-		c.must(err == nil && round >= leastRound && round <= mostRound, "members.round", "a time from 50ms to 1m", fmt.Sprintf("%q", m.Round))
+		c.Must(err == nil && round >= leastRound && round <= mostRound, "members.round", "a time from 50ms to 1m", fmt.Sprintf("%q", m.Round))
 	}
 	m.RoundNs = int64(round)
 	m.KeyBytes, err = hex.DecodeString(m.Key)
-	c.must(err == nil && (m.Key == "" || len(m.KeyBytes) >= leastKey), "members.key", fmt.Sprintf("nothing, or at least %d hexadecimal digits", 2*leastKey),
+	c.Must(err == nil && (m.Key == "" || len(m.KeyBytes) >= leastKey), "members.key", fmt.Sprintf("nothing, or at least %d hexadecimal digits", 2*leastKey),
 		fmt.Sprintf("%d characters", len(m.Key)))
 	// A list names addresses that tasks go to: nobody without the key may tell one.
-	c.must(!m.List || m.Key != "", "members.key", "a key, as members.list is true", "none")
-	c.must(len(m.Nodes) >= 1 && len(m.Nodes) <= mostNodes, "members.node", fmt.Sprintf("1 to %d nodes", mostNodes), len(m.Nodes))
+	c.Must(!m.List || m.Key != "", "members.key", "a key, as members.list is true", "none")
+	c.Must(len(m.Nodes) >= 1 && len(m.Nodes) <= mostNodes, "members.node", fmt.Sprintf("1 to %d nodes", mostNodes), len(m.Nodes))
 	names, places, self := map[string]bool{}, map[netip.AddrPort]string{}, false
 	for i, n := range m.Nodes {
 		key := fmt.Sprintf("members.node.%d.", i)
-		c.must(n.Name != "" && len(n.Name) <= 255, key+"name", "a name of up to 255 bytes", fmt.Sprintf("%q", n.Name))
-		c.must(!names[n.Name], key+"name", "a name that no other node has", fmt.Sprintf("%q again", n.Name))
+		c.Must(n.Name != "" && len(n.Name) <= 255, key+"name", "a name of up to 255 bytes", fmt.Sprintf("%q", n.Name))
+		c.Must(!names[n.Name], key+"name", "a name that no other node has", fmt.Sprintf("%q again", n.Name))
 		names[n.Name] = true
 		at, err := netip.ParseAddrPort(n.Address)
-		if c.must(err == nil && at.Port() != 0, key+"address", "an address and a port", fmt.Sprintf("%q", n.Address)); err == nil {
-			c.must(places[at] == "", key+"address", "an address that no other node has", fmt.Sprintf("%q, which is %s's", n.Address, places[at]))
+		if c.Must(err == nil && at.Port() != 0, key+"address", "an address and a port", fmt.Sprintf("%q", n.Address)); err == nil {
+			c.Must(places[at] == "", key+"address", "an address that no other node has", fmt.Sprintf("%q, which is %s's", n.Address, places[at]))
 			places[at] = n.Name
 		}
 		m.At = append(m.At, at)
 		self = self || n.Name == name
 	}
-	c.must(self, "members.node", fmt.Sprintf("this node, %q, among them", name), fmt.Sprintf("%d others", len(m.Nodes)))
+	c.Must(self, "members.node", fmt.Sprintf("this node, %q, among them", name), fmt.Sprintf("%d others", len(m.Nodes)))
+}
+
+func (d *Distribution) check(c *tomlfile.Complaints) {
+	c.Must(len(d.Relays) >= 1 && len(d.Relays) <= mostRelays, "distribution.relays", fmt.Sprintf("1 to %d addresses and ports", mostRelays), len(d.Relays))
+	seen := map[string]bool{}
+	for i, address := range d.Relays {
+		key := fmt.Sprintf("distribution.relays.%d", i)
+		at, err := netip.ParseAddrPort(address)
+		c.Must(err == nil && at.Port() != 0, key, "an address and a port", fmt.Sprintf("%q", address))
+		c.Must(!seen[address], key, "an address that is not there twice", fmt.Sprintf("%q again", address))
+		seen[address] = true
+	}
+	c.Must(len(d.Scopes) >= 1 && len(d.Scopes) <= mostScopes, "distribution.scopes", fmt.Sprintf("1 to %d scopes", mostScopes), len(d.Scopes))
+	for i, scope := range d.Scopes {
+		c.Must(scope != "" && len(scope) <= longestScope && !strings.Contains(strings.TrimSuffix(scope, "*"), "*"), fmt.Sprintf("distribution.scopes.%d", i),
+			fmt.Sprintf("a scope of up to %d bytes, with a star at its end alone", longestScope), fmt.Sprintf("%q", scope))
+	}
+	silence, err := usualSilence, error(nil)
+	if d.Silence != "" {
+		silence, err = time.ParseDuration(d.Silence)
+		c.Must(err == nil && silence >= leastSilence && silence <= mostSilence, "distribution.silence", "a time from 1s to 1m", fmt.Sprintf("%q", d.Silence))
+	}
+	d.SilenceNs = int64(silence)
 }
