--- /dev/null
+++ b/internal/relay/config.go
@@ -0,0 +1,178 @@
+package relay
+
+// This file owns the configuration of a relay's or an origin's process. It must never start anything.
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"fawnglade/internal/distribution"
+	"fawnglade/internal/tomlfile"
+)
+
+// Config of one process, checked.
+type Config struct {
+	Name     string   `toml:"name"`
+	Role     string   `toml:"role"`     // origin or relay
+	Listen   string   `toml:"listen"`   // address and port; port 0: one that is free
+	Upstream []string `toml:"upstream"` // of a relay, the first choice first
+	Scopes   []string `toml:"scopes"`   // of a relay: region/service; a star at the end stands for all that begin so; none: all
+	Pace     int      `toml:"pace"`     // bytes a second and subscriber; 0: no bound
+	Limits   struct {
+		Records     int `toml:"records"`
+		Bytes       int `toml:"bytes"` // of names, keys and bodies
+		Subscribers int `toml:"subscribers"`
+	} `toml:"limits"`
+	Origin *OriginConfig `toml:"origin"`
+}
+
+// OriginConfig is where an origin's truth comes from.
+type OriginConfig struct {
+	Discovery     string `toml:"discovery"`     // address and port; empty: no endpoints
+	Configuration string `toml:"configuration"` // directory; empty: no configuration
+	Every         string `toml:"every"`         // how often the directory is looked at
+	State         string `toml:"state"`         // file that keeps the epoch, so that it grows though the machine's clock goes back
+	Scope         Scope  `toml:"scope"`
+
+	EveryNs int64 `toml:"-"`
+}
+
+// Scope is how a host is put into a scope, region/service.
+type Scope struct {
+	Service     string              `toml:"service"`      // that all hosts serve
+	ServiceFrom string              `toml:"service_from"` // "host": what is before the last dash of the host's name
+	Region      string              `toml:"region"`       // of sites that no region names; empty: their hosts are passed over
+	Regions     map[string][]string `toml:"regions"`      // the sites of each
+
+	sites map[string]string // the region of each
+}
+
+const (
+	roleOrigin = "origin"
+	roleRelay  = "relay"
+	fromHost   = "host"
+
+	page          = "docs/operate/relay.md"
+	usualEvery    = time.Second
+	leastEvery    = 50 * time.Millisecond
+	mostEvery     = time.Hour
+	leastPace     = 1024
+	mostUpstreams = 64
+	mostScopes    = 4096
+	longestName   = 255
+)
+
+// ReadConfig reads and checks a file. All that is wrong is told at once.
+func ReadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseConfig(path, text)
+}
+
+// ParseConfig checks a file's text.
+func ParseConfig(path string, text []byte) (*Config, error) {
+	f := &Config{}
+	c, err := tomlfile.Decode(path, text, f, page)
+	if err != nil {
+		return nil, err
+	}
+	f.check(c)
+	return f, c.Err()
+}
+
+func address(c *tomlfile.Complaints, key, found string, portless bool) {
+	at, err := netip.ParseAddrPort(found)
+	c.Must(err == nil && (portless || at.Port() != 0), key, "an address and a port", fmt.Sprintf("%q", found))
+}
+
+func (f *Config) check(c *tomlfile.Complaints) {
+	c.Must(f.Name != "" && len(f.Name) <= longestName, "name", fmt.Sprintf("a name of up to %d bytes", longestName), fmt.Sprintf("%q", f.Name))
+	c.Must(f.Role == roleOrigin || f.Role == roleRelay, "role", "origin or relay", fmt.Sprintf("%q", f.Role))
+	address(c, "listen", f.Listen, true)
+	c.Must(f.Pace == 0 || f.Pace >= leastPace, "pace", fmt.Sprintf("0, or at least %d bytes a second", leastPace), f.Pace)
+	for key, n := range map[string]int{"limits.records": f.Limits.Records, "limits.bytes": f.Limits.Bytes, "limits.subscribers": f.Limits.Subscribers} {
+		c.Must(n >= 0, key, "a number from 0, which stands for the default", n)
+	}
+	if f.Role == roleOrigin {
+		c.Must(len(f.Upstream) == 0, "upstream", "none, as role is origin", len(f.Upstream))
+		c.Must(len(f.Scopes) == 0, "scopes", "none, as role is origin", len(f.Scopes))
+		c.Must(f.Origin != nil, "origin", "a table, as role is origin", "none")
+		if f.Origin != nil {
+			f.Origin.check(c)
+		}
+		return
+	}
+	c.Must(f.Origin == nil, "origin", "none, as role is not origin", "a table")
+	c.Must(len(f.Upstream) >= 1 && len(f.Upstream) <= mostUpstreams, "upstream", fmt.Sprintf("1 to %d addresses and ports", mostUpstreams), len(f.Upstream))
+	seen := map[string]bool{}
+	for i, up := range f.Upstream {
+		key := fmt.Sprintf("upstream.%d", i)
+		address(c, key, up, false)
+		c.Must(!seen[up], key, "an address that is not there twice", fmt.Sprintf("%q again", up))
+		c.Must(up != f.Listen, key, "another address than listen", fmt.Sprintf("%q", up))
+		seen[up] = true
+	}
+	if len(f.Scopes) == 0 {
+		f.Scopes = []string{"*"}
+	}
+	c.Must(len(f.Scopes) <= mostScopes, "scopes", fmt.Sprintf("%d at most", mostScopes), len(f.Scopes))
+	for i, s := range f.Scopes {
+		c.Must(s != "" && len(s) <= distribution.MaxName && !strings.Contains(strings.TrimSuffix(s, "*"), "*"), fmt.Sprintf("scopes.%d", i),
+			fmt.Sprintf("a scope of up to %d bytes, with a star at its end alone", distribution.MaxName), fmt.Sprintf("%q", s))
+	}
+}
+
+func (o *OriginConfig) check(c *tomlfile.Complaints) {
+	c.Must(o.Discovery != "" || o.Configuration != "", "origin", "discovery, configuration or both", "neither")
+	every, err := usualEvery, error(nil)
+	if o.Every != "" {
+		every, err = time.ParseDuration(o.Every)
+		c.Must(err == nil && every >= leastEvery && every <= mostEvery, "origin.every", "a time from 50ms to 1h", fmt.Sprintf("%q", o.Every))
+	}
+	o.EveryNs = int64(every)
+	if o.Discovery == "" {
+		return
+	}
+	address(c, "origin.discovery", o.Discovery, false)
+	s := &o.Scope
+	c.Must((s.Service == "") != (s.ServiceFrom == ""), "origin.scope.service", "a name, or service_from in its place", fmt.Sprintf("%q and %q", s.Service, s.ServiceFrom))
+	c.Must(s.ServiceFrom == "" || s.ServiceFrom == fromHost, "origin.scope.service_from", "host", fmt.Sprintf("%q", s.ServiceFrom))
+	c.Must(s.Region != "" || len(s.Regions) > 0, "origin.scope.region", "a region, or regions with their sites", "neither")
+	s.sites = map[string]string{}
+	for region, sites := range s.Regions {
+		for _, site := range sites {
+			c.Must(s.sites[site] == "", "origin.scope.regions."+region, "sites of one region each", fmt.Sprintf("%q, which is also of %s", site, s.sites[site]))
+			s.sites[site] = region
+		}
+	}
+	for key, name := range map[string]string{"service": s.Service, "region": s.Region} {
+		c.Must(len(name) <= longestName/2 && !strings.ContainsAny(name, "/*"), "origin.scope."+key, fmt.Sprintf("a name of up to %d bytes without / and *", longestName/2), fmt.Sprintf("%q", name))
+	}
+	for region := range s.Regions {
+		c.Must(region != "" && len(region) <= longestName/2 && !strings.ContainsAny(region, "/*"), "origin.scope.regions", fmt.Sprintf("names of up to %d bytes without / and *", longestName/2), fmt.Sprintf("%q", region))
+	}
+}
+
+// of is the scope of a host; empty: none.
+func (s *Scope) of(host, site string) string {
+	region, ok := s.sites[site]
+	if !ok {
+		region = s.Region
+	}
+	service := s.Service
+	if s.ServiceFrom == fromHost {
+		service = ""
+		if i := strings.LastIndexByte(host, '-'); i > 0 {
+			service = host[:i]
+		}
+	}
+	if region == "" || service == "" {
+		return ""
+	}
+	return region + "/" + service
+}
--- /dev/null
+++ b/internal/relay/follower.go
@@ -0,0 +1,130 @@
+package relay
+
+// This file owns what a client feeds: a subscriber, or the relay that a server hands out. It must never call back under a lock that
+// the callback may want.
+
+import (
+	"strings"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"fawnglade/internal/distribution"
+)
+
+// Selectors reads scopes as they stand in a file: a star at the end stands for all that begin so.
+func Selectors(scopes []string) []distribution.Selector {
+	out := make([]distribution.Selector, len(scopes))
+	for i, scope := range scopes {
+		name, prefix := strings.CutSuffix(scope, "*")
+		out[i] = distribution.Selector{Scope: name, Prefix: prefix}
+	}
+	return out
+}
+
+// Follower is a subscriber as a client's sink.
+type Follower struct {
+	scopes  []string // exact ones, whose ages are asked; prefixes have none
+	changed func(now int64, changes []distribution.Change)
+	told    rarely
+	log     *zap.Logger
+
+	mu     sync.Mutex
+	core   *distribution.Subscriber
+	spoilt int64
+	looked int64 // when the ages were last looked at
+	behind int64
+}
+
+// lookEvery is how often the ages of all scopes are looked at, ns.
+const lookEvery = int64(1e9)
+
+// NewFollower makes one. The callback is called after each frame that was taken in, also where nothing has changed, by the client's
+// goroutine; it may call Look.
+func NewFollower(core *distribution.Subscriber, scopes []string, changed func(now int64, changes []distribution.Change), log *zap.Logger) *Follower {
+	f := &Follower{core: core, changed: changed, log: log}
+	for _, s := range Selectors(scopes) {
+		if !s.Prefix {
+			f.scopes = append(f.scopes, s.Scope)
+		}
+	}
+	return f
+}
+
+// Look has the subscriber looked at between two frames.
+func (f *Follower) Look(what func(*distribution.Subscriber)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	what(f.core)
+}
+
+// Hello is what a new connection begins with.
+func (f *Follower) Hello(int64) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.Hello()
+}
+
+// Take takes a frame in. What it brought counts, also where it ends the connection.
+func (f *Follower) Take(now int64, frame []byte) error {
+	f.mu.Lock()
+	changes, err := f.core.Take(now, frame)
+	stats := f.core.Stats()
+	spoilt := stats.Spoilt - f.spoilt
+	f.spoilt = stats.Spoilt
+	f.mu.Unlock()
+	if spoilt > 0 {
+		f.told.warn(f.log, "spoilt", "records passed over", zap.Int64("records", spoilt), zap.String("last", stats.LastSpoilt))
+	}
+	if f.changed != nil {
+		f.changed(now, changes)
+	}
+	return err
+}
+
+// Behind is the age of the oldest scope, as far as it is known.
+func (f *Follower) Behind(now int64) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now-f.looked < lookEvery {
+		return f.behind
+	}
+	f.looked, f.behind = now, 0
+	for _, scope := range f.scopes {
+		if age, known := f.core.Age(now, scope); known {
+			f.behind = max(f.behind, age)
+		}
+	}
+	return f.behind
+}
+
+// upstream is a relay as the sink of its own client.
+type upstream struct {
+	server *Server
+	core   *distribution.Relay
+	told   rarely
+	spoilt int64
+}
+
+func (u *upstream) Hello(int64) (hello []byte) {
+	u.server.Do(func(now int64) { hello = u.core.Upstream(now) })
+	return hello
+}
+
+func (u *upstream) Take(_ int64, frame []byte) (err error) {
+	var stats distribution.Stats
+	u.server.Do(func(now int64) {
+		err = u.core.Take(now, frame)
+		stats = u.core.Stats()
+	})
+	if n := stats.Spoilt - u.spoilt; n > 0 {
+		u.spoilt = stats.Spoilt
+		u.told.warn(u.server.log, "spoilt", "records passed over", zap.Int64("records", n), zap.String("last", stats.LastSpoilt))
+	}
+	return err
+}
+
+func (u *upstream) Behind(int64) (ns int64) {
+	u.server.Do(func(now int64) { ns, _ = u.core.Age(now) })
+	return ns
+}
