--- a/cmd/fawnglade/main.go
+++ b/cmd/fawnglade/main.go
@@ -22,7 +22,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serve(), check(), version(), migrate(), storeCommands(), fleetCommands())
+	root.AddCommand(serve(), check(), version(), migrate(), storeCommands(), fleetCommands(), relayCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "fawnglade:", err)
 		os.Exit(1)
@@ -61,10 +61,7 @@
 		if err != nil {
 			return err
 		}
-		logging := zap.NewProductionConfig()
-		logging.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-		logging.DisableStacktrace = true // a panic brings its own
-		log, err := logging.Build()
+		log, err := newLog()
 		if err != nil {
 			return err
 		}
@@ -78,6 +75,13 @@
 	return c
 }
 
+func newLog() (*zap.Logger, error) {
+	logging := zap.NewProductionConfig()
+	logging.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	logging.DisableStacktrace = true // a panic brings its own
+	return logging.Build()
+}
+
 func check() *cobra.Command {
 	c := &cobra.Command{Use: "check", Short: "Check a configuration without starting", Args: cobra.NoArgs}
 	path, features := configFlag(c), featuresFlag(c)
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -20,6 +20,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+
+	"fawnglade/internal/distribution"
 )
 
 // Sink is what a client feeds: a subscriber, or a relay that has an upstream. It is called by the client's goroutine alone and must
@@ -53,7 +55,7 @@
 }
 
 const (
-	usualMaxFrame      = 64 << 10
+	usualMaxFrame      = distribution.MaxFrame
 	usualConnectWithin = 700 * time.Millisecond
 	usualSilence       = 2500 * time.Millisecond
 	usualFrameWithin   = 5 * time.Second
--- /dev/null
+++ b/internal/relay/endpoints.go
@@ -0,0 +1,118 @@
+package relay
+
+// This file owns how discovery's list becomes records: no I/O. It must never take a host away that discovery has not said is gone.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"fawnglade/internal/distribution"
+	"fawnglade/internal/listing"
+)
+
+// KindEndpoint begins the keys of endpoints' records: endpoint/<host>.
+const KindEndpoint = "endpoint"
+
+const (
+	healthDraining = "draining"
+	healthRemoved  = "removed"
+	healthUp       = "up"
+)
+
+// EndpointKey is the key of a host's record, HostOf the host of a key.
+func EndpointKey(host string) string { return KindEndpoint + "/" + host }
+
+// HostOf is the host that a record is of; false: it is no endpoint's.
+func HostOf(key string) (string, bool) { return strings.CutPrefix(key, KindEndpoint+"/") }
+
+// endpoints are the hosts as the origin has them.
+type endpoints struct {
+	scope *Scope
+	hosts map[string]distribution.Record
+}
+
+func newEndpoints(scope *Scope) *endpoints {
+	return &endpoints{scope: scope, hosts: map[string]distribution.Record{}}
+}
+
+// record is a host's record. One that goes needs no scope of its own.
+func (e *endpoints) record(in listing.Entry) (distribution.Record, error) {
+	r := distribution.Record{Key: EndpointKey(in.Host), Class: distribution.Endpoint}
+	switch in.Health {
+	case healthUp:
+	case healthDraining:
+		r.Class = distribution.Withdrawal
+	case healthRemoved:
+		r.Gone = true
+	default:
+		return r, fmt.Errorf("health: expected up, draining or removed, got %q", in.Health)
+	}
+	if in.Host == "" || len(r.Key) > distribution.MaxName {
+		return r, fmt.Errorf("host: expected a name of up to %d bytes, got %d", distribution.MaxName-len(KindEndpoint)-1, len(in.Host))
+	}
+	if r.Gone {
+		return r, nil
+	}
+	if r.Scope = e.scope.of(in.Host, in.Site); r.Scope == "" {
+		return r, fmt.Errorf("host %q of site %q: expected a region and a service by origin.scope, got none", in.Host, in.Site)
+	}
+	var err error
+	r.Body, err = json.Marshal(struct {
+		Host   string  `json:"host"`
+		Dial   string  `json:"dial"`
+		Site   string  `json:"site"`
+		Block  int     `json:"block"`
+		Health string  `json:"health"`
+		Share  float64 `json:"share"`
+		Born   float64 `json:"born_ms"`
+	}{in.Host, in.Dial, in.Site, in.Block, in.Health, in.Share, in.Born})
+	return r, err
+}
+
+// take has an origin go by a line of the list. The first line that answers a call for the whole list is the list, also where entries
+// of it could not be read: these hosts stay as they were.
+func (e *endpoints) take(now int64, o *distribution.Origin, told []distribution.Record, whole, first bool) error {
+	if !whole && !first {
+		var errs []error
+		for _, r := range told {
+			errs = append(errs, e.put(now, o, r))
+		}
+		return errors.Join(errs...)
+	}
+	hosts := make(map[string]distribution.Record, len(told))
+	if !whole {
+		for key, r := range e.hosts {
+			hosts[key] = r
+		}
+	}
+	for _, r := range told {
+		if delete(hosts, r.Key); !r.Gone {
+			hosts[r.Key] = r
+		}
+	}
+	all := make([]distribution.Record, 0, len(hosts))
+	for _, r := range hosts {
+		all = append(all, r)
+	}
+	e.hosts = hosts
+	_, err := o.Replace(now, KindEndpoint, all)
+	return err
+}
+
+func (e *endpoints) put(now int64, o *distribution.Origin, r distribution.Record) error {
+	had, held := e.hosts[r.Key]
+	if held && (r.Gone || had.Scope != r.Scope) {
+		o.Remove(now, had.Scope, had.Key)
+		delete(e.hosts, r.Key)
+	}
+	if r.Gone {
+		return nil
+	}
+	if _, err := o.Put(now, r.Scope, r.Key, r.Class, r.Body); err != nil {
+		return err
+	}
+	e.hosts[r.Key] = r
+	return nil
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"fawnglade/internal/distribution"
 )
 
 // Feed is what a server hands out; *distribution.Relay is one. Times are nanoseconds of the server's clock.
@@ -32,7 +34,7 @@
 	Pace        int           // bytes a second and subscriber; 0: no bound
 	Connections int           // at once, with those that have not said hello; 1,024
 	Hellos      int           // of them without a hello; 512
-	HelloSize   int           // bytes; 1 MiB
+	HelloSize   int           // bytes; distribution.MaxHello
 	HelloWithin time.Duration // 3 s
 	WriteWithin time.Duration // for one frame: a subscriber that takes longer is ended; 5 s
 	Clock       func() int64
@@ -42,7 +44,7 @@
 const (
 	usualConnections = 1024
 	usualHellos      = 512
-	usualHelloSize   = 1 << 20
+	usualHelloSize   = distribution.MaxHello
 	usualHelloWithin = 3 * time.Second
 	usualWriteWithin = 5 * time.Second
 	longestIdle      = time.Second // a writer looks again so often, whatever the feed said
