--- /dev/null
+++ b/internal/relay/process_test.go
@@ -0,0 +1,577 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"fawnglade/internal/distribution"
+)
+
+// standIn is a discovery: it answers each watch with the whole list, then with what changes.
+type standIn struct {
+	at      string
+	mu      sync.Mutex
+	version int
+	hosts   map[string]string // the entry of each
+	silent  bool              // it takes calls and says nothing
+	lines   []chan string
+}
+
+func hostEntry(host, site, health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":"10.0.0.1:80","site":%q,"block":1,"health":%q,"share":1,"born_ms":5}`, host, site, health)
+}
+
+func newStandIn(t *testing.T) *standIn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	d := &standIn{at: l.Addr().String(), hosts: map[string]string{}, version: 1}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go d.serve(c)
+		}
+	}()
+	return d
+}
+
+func (d *standIn) serve(c net.Conn) {
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	lines := make(chan string, 100)
+	d.mu.Lock()
+	silent := d.silent
+	all := make([]string, 0, len(d.hosts))
+	for _, e := range d.hosts {
+		all = append(all, e)
+	}
+	slices.Sort(all)
+	lines <- fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[%s]}`, d.version, strings.Join(all, ","))
+	d.lines = append(d.lines, lines)
+	d.mu.Unlock()
+	if silent {
+		time.Sleep(time.Minute)
+		return
+	}
+	fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	beat := time.NewTicker(300 * time.Millisecond)
+	defer beat.Stop()
+	for {
+		text := "\n"
+		select {
+		case line, more := <-lines:
+			if !more {
+				return
+			}
+			text = line + "\n"
+		case <-beat.C:
+		}
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
+			return
+		}
+	}
+}
+
+// set changes a host; health "removed" takes it off, as the protocol has it.
+func (d *standIn) set(host, site, health string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version++
+	d.hosts[host] = hostEntry(host, site, health)
+	line := fmt.Sprintf(`{"seq":%d,"whole":false,"hosts":[%s]}`, d.version, d.hosts[host])
+	if health == "removed" {
+		delete(d.hosts, host)
+	}
+	for _, l := range d.lines {
+		select {
+		case l <- line:
+		default:
+		}
+	}
+}
+
+// cut ends all watches; silent: from now on it takes calls and says nothing.
+func (d *standIn) cut(silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent = silent
+	for _, l := range d.lines {
+		close(l)
+	}
+	d.lines = nil
+}
+
+// running is a process under test.
+type running struct {
+	*Process
+	signals chan os.Signal
+	done    chan error
+	logs    *observer.ObservedLogs
+}
+
+func (r *running) end(t *testing.T) {
+	t.Helper()
+	select {
+	case r.signals <- syscall.SIGTERM:
+	default:
+	}
+	select {
+	case err := <-r.done:
+		r.done <- err
+		if err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("did not end")
+	}
+}
+
+func start(t *testing.T, text string) *running {
+	t.Helper()
+	config, err := ParseConfig("test.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, logs := observer.New(zapcore.InfoLevel)
+	p, err := NewProcess(config, zap.New(core))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &running{Process: p, signals: make(chan os.Signal, 1), done: make(chan error, 1), logs: logs}
+	go func() { r.done <- p.Run(r.signals) }()
+	t.Cleanup(func() { r.end(t) })
+	return r
+}
+
+func originText(listen, discovery, directory, more string) string {
+	return fmt.Sprintf("name = \"o\"\nrole = \"origin\"\nlisten = %q\n[origin]\ndiscovery = %q\nconfiguration = %q\nevery = \"50ms\"\n%s\n[origin.scope]\nservice = \"cart\"\n"+
+		"[origin.scope.regions]\neu1 = [\"a\", \"b\"]\nus1 = [\"c\"]\n", listen, discovery, directory, more)
+}
+
+func relayText(name, listen string, scopes []string, upstream ...string) string {
+	list := func(all []string) string { text, _ := json.Marshal(append([]string{}, all...)); return string(text) }
+	return fmt.Sprintf("name = %q\nrole = \"relay\"\nlisten = %q\nupstream = %s\nscopes = %s\n", name, listen, list(upstream), list(scopes))
+}
+
+// held is what a subscriber holds, and every change that it was told.
+type held struct {
+	*Follower
+	client  *Client
+	mu      sync.Mutex
+	changes []distribution.Change
+}
+
+func subscribe(t *testing.T, name string, scopes []string, set ClientSettings) *held {
+	t.Helper()
+	core, err := distribution.NewSubscriber(Selectors(scopes), distribution.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &held{}
+	h.Follower = NewFollower(core, scopes, func(_ int64, changes []distribution.Change) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.changes = append(h.changes, changes...)
+	}, zap.NewNop())
+	set.Name = name
+	h.client = NewClient(set, h, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		h.client.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return h
+}
+
+func (h *held) keys() (keys []string, complete bool) {
+	h.Look(func(s *distribution.Subscriber) {
+		s.Each(func(r distribution.Record) { keys = append(keys, r.Scope+" "+r.Key) })
+		complete = s.Complete()
+	})
+	slices.Sort(keys)
+	return keys, complete
+}
+
+func (h *held) gone() (n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.changes {
+		if c.Gone {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *held) wait(t *testing.T, what string, keys ...string) {
+	t.Helper()
+	var found []string
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		var complete bool
+		if found, complete = h.keys(); complete && slices.Equal(found, keys) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%s: found %q, expected %q", what, found, keys)
+		}
+	}
+}
+
+func put(t *testing.T, dir, file string, lines ...string) {
+	t.Helper()
+	path := filepath.Join(dir, file)
+	if err := os.WriteFile(path+".new", []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestFromDiscoveryThroughTwoLevelsToANode(t *testing.T) {
+	d, dir := newStandIn(t), t.TempDir()
+	d.set("h1", "a", "up")
+	d.set("h2", "b", "up")
+	d.set("h3", "c", "up")
+	put(t, dir, "routes.jsonl", `{"scope":"eu1/cart","key":"route/x","body":{"to": "cart"}}`)
+	o := start(t, originText("127.0.0.1:0", d.at, dir, ""))
+	top := start(t, relayText("top", "127.0.0.1:0", nil, o.Address()))
+	low := start(t, relayText("low", "127.0.0.1:0", []string{"eu1/*"}, top.Address()))
+	h := subscribe(t, "n1", []string{"eu1/cart"}, ClientSettings{Upstreams: []string{low.Address()}})
+	h.wait(t, "at first", "eu1/cart endpoint/h1", "eu1/cart endpoint/h2", "eu1/cart route/x")
+	d.set("h1", "a", "draining")
+	d.set("h2", "b", "removed")
+	d.set("h4", "a", "up")
+	put(t, dir, "more.jsonl", `{"scope":"eu1/cart","key":"route/y","body":1}`)
+	h.wait(t, "after changes", "eu1/cart endpoint/h1", "eu1/cart endpoint/h4", "eu1/cart route/x", "eu1/cart route/y")
+	d.set("h4", "c", "up") // another site: another region
+	put(t, dir, "routes.jsonl", "")
+	h.wait(t, "after a move", "eu1/cart endpoint/h1", "eu1/cart route/y")
+	h.Look(func(s *distribution.Subscriber) {
+		s.Each(func(r distribution.Record) {
+			if r.Key == "endpoint/h1" && (r.Class != distribution.Withdrawal || !strings.Contains(string(r.Body), `"health":"draining"`)) {
+				t.Errorf("a draining host came as %+v %s", r, r.Body)
+			}
+		})
+	})
+}
+
+// While discovery is away nothing is withdrawn, and an origin that starts without a list takes nothing from anybody.
+func TestDiscoveryAwayTakesNothingAway(t *testing.T) {
+	d := newStandIn(t)
+	d.set("h1", "a", "up")
+	dir := t.TempDir()
+	put(t, dir, "r.jsonl", `{"scope":"eu1/cart","key":"route/x","body":1}`)
+	text := originText("127.0.0.1:0", d.at, dir, "")
+	o := start(t, text)
+	at := o.Address()
+	r := start(t, relayText("r", "127.0.0.1:0", nil, at))
+	h := subscribe(t, "n1", []string{"eu1/*"}, ClientSettings{Upstreams: []string{r.Address()}})
+	h.wait(t, "at first", "eu1/cart endpoint/h1", "eu1/cart route/x")
+	d.cut(true)
+	soon(t, "a second call", 5*time.Second, func() bool { return o.watch.calls.Load() >= 2 })
+	o.end(t)
+	again := start(t, strings.Replace(text, "127.0.0.1:0", at, 1))
+	soon(t, "the relay at the origin's second life", 10*time.Second, func() bool { return again.server.Stats().Subscribers == 1 })
+	put(t, dir, "s.jsonl", `{"scope":"eu1/cart","key":"route/y","body":1}`) // what it does know comes through
+	soon(t, "a record of the second life", 10*time.Second, func() bool {
+		keys, _ := h.keys()
+		return slices.Contains(keys, "eu1/cart route/y")
+	})
+	if keys, _ := h.keys(); !slices.Contains(keys, "eu1/cart endpoint/h1") || h.gone() != 0 {
+		t.Fatalf("an origin without a list took something away: %q, %d gone", keys, h.gone())
+	}
+	d.mu.Lock()
+	delete(d.hosts, "h1")
+	d.hosts["h2"] = hostEntry("h2", "a", "up")
+	d.version += 10
+	d.mu.Unlock()
+	d.cut(false) // calls that are out end by themselves
+	h.wait(t, "with discovery back", "eu1/cart endpoint/h2", "eu1/cart route/x", "eu1/cart route/y")
+}
+
+// A relay that starts anew with nothing brings no removals, and nothing twice, while its upstream is away.
+func TestARelayStartedAnewTakesNothingAway(t *testing.T) {
+	d, dir := newStandIn(t), t.TempDir()
+	for i := range 50 {
+		d.set(fmt.Sprintf("h%02d", i), "a", "up")
+	}
+	o := start(t, originText("127.0.0.1:0", d.at, dir, ""))
+	r := start(t, relayText("r", "127.0.0.1:0", nil, o.Address()))
+	at := r.Address()
+	h := subscribe(t, "n1", []string{"eu1/cart"}, ClientSettings{Upstreams: []string{at}})
+	soon(t, "all fifty", 10*time.Second, func() bool { keys, complete := h.keys(); return complete && len(keys) == 50 })
+	r.end(t)
+	originAt := o.Address()
+	o.end(t)
+	empty := start(t, relayText("r", at, nil, originAt))
+	soon(t, "the node at the empty relay", 10*time.Second, func() bool { return empty.server.Stats().Subscribers == 1 })
+	soon(t, "frames of the empty relay", 10*time.Second, func() bool { return empty.server.Stats().Frames >= 2 })
+	if keys, _ := h.keys(); len(keys) != 50 || h.gone() != 0 {
+		t.Fatalf("an empty relay took something away: %d left, %d gone", len(keys), h.gone())
+	}
+	d.set("h00", "a", "removed")
+	start(t, originText(originAt, d.at, dir, ""))
+	soon(t, "what is left", 15*time.Second, func() bool { keys, _ := h.keys(); return len(keys) == 49 })
+	if h.gone() != 1 {
+		t.Errorf("%d records gone, expected 1", h.gone())
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.changes) != 51 {
+		t.Errorf("%d changes told, expected 51: fifty that came, one that went", len(h.changes))
+	}
+}
+
+// Two relays: one dies, one is frozen, and the node goes on with what the origin has.
+func TestTwoRelays(t *testing.T) {
+	d, dir := newStandIn(t), t.TempDir()
+	d.set("h0", "a", "up")
+	o := start(t, originText("127.0.0.1:0", d.at, dir, ""))
+	a := start(t, relayText("a", "127.0.0.1:0", nil, o.Address()))
+	b := start(t, relayText("b", "127.0.0.1:0", nil, o.Address()))
+	soon(t, "both relays whole", 10*time.Second, func() bool {
+		whole := true
+		for _, r := range []*running{a, b} {
+			r.server.Do(func(now int64) { whole = whole && r.fresh(now) })
+		}
+		return whole
+	})
+	way, freeze := freezing(t, b.Address())
+	h := subscribe(t, "n1", []string{"eu1/cart"}, ClientSettings{Upstreams: []string{a.Address(), way, b.Address()}})
+	h.wait(t, "at first", "eu1/cart endpoint/h0")
+	a.end(t)
+	began := time.Now()
+	d.set("h1", "a", "up")
+	h.wait(t, "by the second", "eu1/cart endpoint/h0", "eu1/cart endpoint/h1")
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("told %v after the first one's death, expected a second at most", took)
+	}
+	freeze()
+	began = time.Now()
+	d.set("h2", "a", "up")
+	h.wait(t, "by the third way", "eu1/cart endpoint/h0", "eu1/cart endpoint/h1", "eu1/cart endpoint/h2")
+	if took := time.Since(began); took > 6*time.Second {
+		t.Errorf("told %v after the second one froze, expected 6 s at most", took)
+	}
+	if h.gone() != 0 || len(h.changes) != 3 {
+		t.Errorf("%d changes, %d of them gone; expected 3 and none", len(h.changes), h.gone())
+	}
+}
+
+func TestTheEndIsOrderly(t *testing.T) {
+	d, dir := newStandIn(t), t.TempDir()
+	o := start(t, originText("127.0.0.1:0", d.at, dir, ""))
+	subscribe(t, "n1", []string{"eu1/cart"}, ClientSettings{Upstreams: []string{o.Address()}})
+	soon(t, "a subscriber", 10*time.Second, func() bool { return o.server.Stats().Subscribers == 1 })
+	o.signals <- syscall.SIGUSR1
+	soon(t, "the counters", 5*time.Second, func() bool { return o.logs.FilterMessage("counters asked for").Len() == 1 })
+	o.end(t)
+	if o.logs.FilterMessage("counters at exit").Len() != 1 || o.server.Stats().Subscribers != 0 {
+		t.Errorf("no counters at the end, or subscribers left: %+v", o.server.Stats())
+	}
+}
+
+func TestEpochsGrow(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "epoch")
+	var last uint64
+	for _, now := range []int64{1000, 2000, 500, 501, 3000} { // the clock goes back once
+		epoch, err := nextEpoch(path, now)
+		if err != nil || epoch <= last {
+			t.Fatalf("at %d: epoch %d, %v after %d", now, epoch, err, last)
+		}
+		last = epoch
+	}
+	if err := os.WriteFile(path, []byte("what"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := nextEpoch(path, 4000); err == nil || !strings.Contains(err.Error(), "expected a number") {
+		t.Errorf("a spoilt file: %v", err)
+	}
+	if _, err := nextEpoch(filepath.Join(path, "none"), 1); err == nil {
+		t.Error("a file that can't be written gave an epoch")
+	}
+}
+
+// An origin whose clock went back, without a file that keeps the epoch, is not believed; one with it is.
+func TestAnOriginWhoseClockWentBack(t *testing.T) {
+	newer, older := distribution.NewOrigin(2000, distribution.Limits{}), distribution.NewOrigin(1000, distribution.Limits{})
+	newer.Put(0, "eu1/cart", "route/x", distribution.Configuration, []byte("new"))
+	older.Put(0, "eu1/cart", "route/x", distribution.Configuration, []byte("old"))
+	serve := func(o *distribution.Origin) (string, *Server) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := NewServer(o.Relay(), ServerSettings{}, zap.NewNop())
+		go s.Serve(l)
+		t.Cleanup(func() { l.Close(); s.Close(context.Background()) })
+		return l.Addr().String(), s
+	}
+	a, first := serve(newer)
+	b, second := serve(older)
+	h := subscribe(t, "n1", []string{"eu1/cart"}, ClientSettings{Upstreams: []string{a, b}})
+	h.wait(t, "at first", "eu1/cart route/x")
+	first.Close(context.Background())
+	soon(t, "frames of the older", 10*time.Second, func() bool { return second.Stats().Frames >= 2 })
+	h.Look(func(s *distribution.Subscriber) {
+		s.Each(func(r distribution.Record) {
+			if string(r.Body) != "new" {
+				t.Errorf("went back to %s", r.Body)
+			}
+		})
+	})
+}
+
+func TestConfigurationFilesCountWholeOrNotAtAll(t *testing.T) {
+	dir := t.TempDir()
+	core, logs := observer.New(zapcore.WarnLevel)
+	d := newDirectory(dir, zap.New(core))
+	look := func(what string, whole bool, expected ...string) {
+		t.Helper()
+		changes, is := d.look()
+		found := []string{}
+		for _, c := range changes {
+			sign := "+"
+			if c.record.Gone {
+				sign = "-"
+			}
+			found = append(found, sign+c.record.Key+string(c.record.Body))
+		}
+		slices.Sort(found)
+		if is != whole || !slices.Equal(found, append([]string{}, expected...)) {
+			t.Errorf("%s: %v %q, expected %v %q", what, is, found, whole, expected)
+		}
+	}
+	look("nothing there", true)
+	put(t, dir, "a.jsonl", `{"scope":"s","key":"route/1","body":{"b": 1}}`, "", `{"scope":"s","key":"route/2","body":2}`)
+	put(t, dir, "b.txt", "not ours")
+	look("a file", true, `+route/1{"b":1}`, "+route/22")
+	look("the same", true)
+	put(t, dir, "a.jsonl", `{"scope":"s","key":"route/1","body":{"b":1}}`, `{"scope":"s","key":"route/2","body":3}`)
+	look("one changed", true, "+route/23")
+	for i, bad := range []string{`{"scope":"s","key":"route/1"`, `[]`, `{"scope":"","key":"route/1","body":1}`, `{"scope":"s","key":"endpoint/1","body":1}`,
+		`{"scope":"s","key":"route/1","body":1,"extra":2}`, `{"scope":"s","key":"route/1","body":1} {}`, `{"scope":"s","key":"route/1"}`,
+		`{"scope":"s","key":"route","body":1}`, `{"scope":"s","key":"route/1","body":"` + strings.Repeat("x", distribution.MaxBody) + `"}`,
+		`{"scope":"s","key":"route/1","body":1}` + "\n" + `{"scope":"s","key":"route/1","body":2}`, strings.Repeat("x", longestRecord+1)} {
+		put(t, dir, "a.jsonl", bad)
+		before := logs.Len()
+		look(fmt.Sprintf("bad %d", i), true)
+		look(fmt.Sprintf("bad %d again", i), true)
+		if n := logs.Len() - before; n != 1 {
+			t.Errorf("bad %d: %d complaints, expected one", i, n)
+		}
+		if e := logs.All()[logs.Len()-1].ContextMap()["error"].(string); !strings.Contains(e, "a.jsonl: line ") || !strings.Contains(e, ": expected ") {
+			t.Errorf("bad %d: complaint without file, line and what was expected: %s", i, e)
+		}
+	}
+	put(t, dir, "c.jsonl", `{"scope":"s","key":"route/2","body":9}`)
+	look("a record that another file has", true)
+	put(t, dir, "a.jsonl", `{"scope":"s","key":"route/1","body":{"b":1}}`)
+	look("the other lets go", true, "+route/29", "-route/2")
+	if err := os.Remove(filepath.Join(dir, "a.jsonl")); err != nil {
+		t.Fatal(err)
+	}
+	look("a file that went", true, "-route/1")
+	if err := os.Remove(filepath.Join(dir, "c.jsonl")); err != nil {
+		t.Fatal(err)
+	}
+	look("an empty directory", false)
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	look("no directory", false)
+}
+
+func TestAllComplaintsAtOnce(t *testing.T) {
+	_, err := ParseConfig("r.toml", []byte("name = \"\"\nrole = \"relay\"\nlisten = \"here\"\nupstream = [\"x\", \"127.0.0.1:1\", \"127.0.0.1:1\"]\nscopes = [\"a*b\"]\npace = 5\nwhat = 1\n[limits]\nrecords = -1\n[origin]\n"))
+	if err == nil {
+		t.Fatal("no complaint")
+	}
+	for _, part := range []string{
+		"r.toml: what: expected a key of docs/operate/relay.md, found an unknown one in line 7",
+		`r.toml: name: expected a name of up to 255 bytes, found ""`,
+		`r.toml: listen: expected an address and a port, found "here"`,
+		`r.toml: upstream.0: expected an address and a port, found "x"`,
+		`r.toml: upstream.2: expected an address that is not there twice, found "127.0.0.1:1" again`,
+		`r.toml: scopes.0: expected a scope of up to 256 bytes, with a star at its end alone, found "a*b"`,
+		"r.toml: pace: expected 0, or at least 1024 bytes a second, found 5",
+		"r.toml: limits.records: expected a number from 0, which stands for the default, found -1",
+		"r.toml: origin: expected none, as role is not origin, found a table",
+	} {
+		if !strings.Contains(err.Error(), part) {
+			t.Errorf("lacks %q in\n%v", part, err)
+		}
+	}
+	_, err = ParseConfig("o.toml", []byte("name = \"o\"\nrole = \"origin\"\nlisten = \"127.0.0.1:1\"\nupstream = [\"127.0.0.1:2\"]\n[origin]\ndiscovery = \"d\"\nevery = \"1ms\"\n"+
+		"[origin.scope]\nservice_from = \"moon\"\nregion = \"a/b\"\n[origin.scope.regions]\nx = [\"1\"]\ny = [\"1\"]\n"))
+	if err == nil {
+		t.Fatal("no complaint")
+	}
+	for _, part := range []string{
+		"o.toml: upstream: expected none, as role is origin, found 1",
+		`o.toml: origin.discovery: expected an address and a port, found "d"`,
+		`o.toml: origin.every: expected a time from 50ms to 1h, found "1ms"`,
+		`o.toml: origin.scope.service_from: expected host, found "moon"`,
+		`o.toml: origin.scope.region: expected a name of up to 127 bytes without / and *, found "a/b"`,
+		"expected sites of one region each, found \"1\"",
+	} {
+		if !strings.Contains(err.Error(), part) {
+			t.Errorf("lacks %q in\n%v", part, err)
+		}
+	}
+	if _, err := ParseConfig("o.toml", []byte("name = [")); err == nil || !strings.Contains(err.Error(), "o.toml: line 1: expected TOML, found: ") {
+		t.Errorf("no TOML: %v", err)
+	}
+}
+
+// A host's scope comes from its site and its name; one that has none is passed over and takes nothing else with it.
+func TestScopesOfHosts(t *testing.T) {
+	s := Scope{ServiceFrom: "host", sites: map[string]string{"a": "eu1"}}
+	for in, expected := range map[[2]string]string{{"svc-12-h7", "a"}: "eu1/svc-12", {"h7", "a"}: "", {"svc-1", "z"}: "", {"-1", "a"}: ""} {
+		if got := s.of(in[0], in[1]); got != expected {
+			t.Errorf("%q: %q, expected %q", in, got, expected)
+		}
+	}
+	s = Scope{Service: "cart", Region: "far", sites: map[string]string{"a": "eu1"}}
+	if a, z := s.of("h", "a"), s.of("h", "z"); a != "eu1/cart" || z != "far/cart" {
+		t.Errorf("%q, %q", a, z)
+	}
+	d, dir := newStandIn(t), t.TempDir()
+	d.set("h1", "a", "up")
+	d.set("h2", "unknown", "up")
+	o := start(t, originText("127.0.0.1:0", d.at, dir, ""))
+	h := subscribe(t, "n1", []string{"*"}, ClientSettings{Upstreams: []string{o.Address()}})
+	h.wait(t, "at first", "eu1/cart endpoint/h1")
+	if o.watch.passed.Load() != 1 {
+		t.Errorf("%d entries passed over, expected 1", o.watch.passed.Load())
+	}
+	d.set("h1", "a", "removed")
+	h.wait(t, "after that")
+}
