--- /dev/null
+++ b/internal/sources/sources_test.go
@@ -0,0 +1,318 @@
+package sources
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	second  = int64(1e9)
+	silence = 4 * second
+)
+
+type server = Server[int]
+
+// node goes by what it is told, as the loop does.
+type node struct {
+	s     *Sources[int]
+	now   int64
+	force map[string]server
+}
+
+func newNode() *node {
+	return &node{s: New[int](0, silence), force: map[string]server{}}
+}
+
+func (n *node) by(t Told[int]) Told[int] {
+	if t.Whole {
+		clear(n.force)
+	}
+	for _, e := range t.Servers {
+		if e.State == Gone {
+			delete(n.force, e.Name)
+		} else {
+			n.force[e.Name] = e
+		}
+	}
+	return t
+}
+
+// servers reads "a b- c+3": a and c up, b draining, c started at 3; d! is gone.
+func servers(text string) (out []server) {
+	for word := range strings.FieldsSeq(text) {
+		e := server{Name: word[:1]}
+		if i := strings.IndexByte(word, '+'); i > 0 {
+			fmt.Sscan(word[i+1:], &e.Started)
+		}
+		if strings.Contains(word, "-") {
+			e.State = Draining
+		}
+		if strings.Contains(word, "!") {
+			e.State = Gone
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func (n *node) String() string {
+	var words []string
+	for _, name := range slices.Sorted(maps.Keys(n.force)) {
+		e := n.force[name]
+		if e.State == Draining {
+			name += "-"
+		}
+		words = append(words, name)
+	}
+	return strings.Join(words, " ")
+}
+
+func (n *node) relays(text string, stands bool, version int64) {
+	n.by(n.s.RelaysTold(n.now, servers(text), true, stands, version))
+}
+
+func (n *node) discovery(text string, whole bool, version int64) {
+	n.by(n.s.DiscoveryTold(n.now, servers(text), whole, version))
+}
+
+func (n *node) pass(ns int64) {
+	n.now += ns
+	n.by(n.s.Beat(n.now))
+}
+
+func (n *node) expect(t *testing.T, what string, by Teller, force string, watch bool) {
+	t.Helper()
+	if n.s.By() != by || n.String() != force || n.s.Watch(n.now) != watch {
+		t.Errorf("%s: by %v %q, discovery watched: %v; expected %v %q, %v", what, n.s.By(), n, n.s.Watch(n.now), by, force, watch)
+	}
+}
+
+func TestRelaysAloneWhileTheyAnswer(t *testing.T) {
+	n := newNode()
+	n.expect(t, "at first", Nobody, "", false)
+	n.by(n.s.RelaysTold(n.now, servers("a"), false, true, 1))
+	n.expect(t, "half of it", Nobody, "", false)
+	n.relays("b", true, 7)
+	n.expect(t, "whole", Relays, "a b", false)
+	n.pass(3 * second)
+	n.relays("a- c", true, 8)
+	n.expect(t, "changes", Relays, "a- b c", false)
+	n.relays("a!", true, 9)
+	n.expect(t, "one that went", Relays, "b c", false)
+}
+
+func TestDiscoveryIsWatchedWhereNoRelayAnswers(t *testing.T) {
+	n := newNode()
+	n.pass(StartWait)
+	n.expect(t, "a second without a word", Nobody, "", true)
+	n.discovery("a b", true, 5)
+	n.expect(t, "the list", Discovery, "a b", true)
+	n.discovery("a!", false, 6)
+	n.expect(t, "a change", Discovery, "b", true)
+	n = newNode()
+	n.by(n.s.RelaysLost(n.now))
+	n.expect(t, "no relay to be reached", Nobody, "", true)
+}
+
+func TestDiscoveryTakesOverFromSilentRelaysAndHandsBack(t *testing.T) {
+	n := newNode()
+	n.relays("a b c-", true, 10)
+	n.pass(silence)
+	n.expect(t, "silence", Relays, "a b c-", true)
+	n.discovery("a d", true, 12) // b and c went
+	n.expect(t, "discovery, which knows more", Discovery, "a d", true)
+	n.pass(second)
+	n.relays("", true, 11)
+	n.expect(t, "relays that have not caught up", Discovery, "a d", true)
+	n.relays("b! c! d", true, 12)
+	n.expect(t, "relays that have", Relays, "a d", false)
+	if n.s.Moves != 2 {
+		t.Errorf("%d moves, expected 2", n.s.Moves)
+	}
+}
+
+// Relays that are told to lack something, as the origin does not hear discovery, are no reason not to watch it.
+func TestAnOriginThatDoesNotHearDiscovery(t *testing.T) {
+	n := newNode()
+	n.relays("a b", true, 10)
+	n.pass(second)
+	n.relays("", false, 10)
+	n.expect(t, "an origin without a watch", Relays, "a b", true)
+	n.discovery("a", true, 11)
+	n.expect(t, "discovery", Discovery, "a", true)
+}
+
+func TestATellerThatKnowsLessTakesNothingOff(t *testing.T) {
+	n := newNode()
+	n.relays("a b c- d", true, 10)
+	n.relays("d!", true, 11)
+	n.pass(silence)
+	n.discovery("a c d", true, 8) // before b came, before c drained, before d went
+	n.expect(t, "an older list", Discovery, "a b c-", true)
+	n.discovery("c+3", false, 9) // it started anew: another life
+	n.expect(t, "a later start", Discovery, "a b c", true)
+	n.discovery("d b", false, 11)
+	n.expect(t, "it has caught up", Discovery, "a b c d", true)
+
+	n = newNode()
+	n.relays("a b", true, 10)
+	n.pass(silence)
+	n.discovery("a", true, 3)
+	n.expect(t, "a count that began anew", Discovery, "a b", true)
+	n.pass(OverFor)
+	n.expect(t, "and goes on alone", Discovery, "a", true)
+}
+
+// Relays come back while discovery is gone: what it had told to drain does not serve again by their older word.
+func TestStaleRelaysBringNothingBack(t *testing.T) {
+	n := newNode()
+	n.relays("a b c", true, 10)
+	n.pass(silence)
+	n.discovery("a b- c", true, 12)
+	n.discovery("c!", false, 13)
+	n.by(n.s.DiscoveryStands(n.now, false))
+	n.relays("", true, 10)
+	n.expect(t, "stale relays", Relays, "a b-", false)
+	n.relays("e", true, 11)
+	n.expect(t, "one that may have gone since", Relays, "a b-", false)
+	n.relays("b", true, 13)
+	n.expect(t, "they have caught up", Relays, "a b c e", false)
+}
+
+// truth is a discovery's history: version by version.
+type truth struct {
+	versions []map[string]server
+	births   int64
+}
+
+func (w *truth) now() map[string]server { return w.versions[len(w.versions)-1] }
+
+func (w *truth) change(t *rapid.T) {
+	next := maps.Clone(w.now())
+	name := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "server")
+	e, there := next[name]
+	switch {
+	case !there || rapid.IntRange(0, 3).Draw(t, "restart") == 0:
+		w.births++
+		next[name] = server{Name: name, Started: w.births}
+	case e.State == Up:
+		e.State = Draining
+		next[name] = e
+	default:
+		delete(next, name)
+	}
+	w.versions = append(w.versions, next)
+}
+
+func all(of map[string]server) (out []server) {
+	for _, name := range slices.Sorted(maps.Keys(of)) {
+		out = append(out, of[name])
+	}
+	return out
+}
+
+func changes(from, to map[string]server) (out []server) {
+	for _, name := range slices.Sorted(maps.Keys(from)) {
+		if _, stays := to[name]; !stays {
+			out = append(out, server{Name: name, State: Gone})
+		}
+	}
+	for _, e := range all(to) {
+		if from[e.Name] != e {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Whatever the tellers know and however they come and go: a server that the node was told to drain, or to be gone, does not serve
+// again in the same life; one that serves in all that anybody could still tell is never taken off; and in the end all is as it is.
+func TestNothingComesBackAndNothingIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &truth{versions: []map[string]server{{}}}
+		for range 4 {
+			w.change(t)
+		}
+		n := newNode()
+		at := map[Teller]int{Relays: 0, Discovery: 0}
+		told := map[Teller]map[string]server{Relays: {}, Discovery: {}}
+		withdrawn := map[string]int64{} // the last life of which the node knew that it drains
+		known := 0                      // the highest version that a teller in force has had
+		tell := func(who Teller, to int) {
+			if to < at[who] {
+				to = at[who]
+			}
+			if who == Relays {
+				n.by(n.s.RelaysTold(n.now, changes(told[who], w.versions[to]), true, true, int64(to)))
+			} else if rapid.Bool().Draw(t, "whole") || at[who] == 0 {
+				n.by(n.s.DiscoveryTold(n.now, all(w.versions[to]), true, int64(to)))
+			} else {
+				n.by(n.s.DiscoveryTold(n.now, changes(told[who], w.versions[to]), false, int64(to)))
+			}
+			at[who], told[who] = to, w.versions[to]
+		}
+		check := func() {
+			known = max(known, at[n.s.By()])
+			for _, e := range n.force {
+				if e.State == Up && e.Started <= withdrawn[e.Name] {
+					t.Fatalf("%s of life %d serves again, which was told to drain: by %v at %v", e.Name, e.Started, n.s.By(), at)
+				}
+				if was, there := w.versions[known][e.Name]; e.State == Up && (!there || was.State == Draining) && e.Started <= max(was.Started, w.births) &&
+					!slices.ContainsFunc(w.versions[known:], func(v map[string]server) bool { return v[e.Name] == e }) {
+					t.Fatalf("%s of life %d serves again, which was gone at %d: by %v at %v", e.Name, e.Started, known, n.s.By(), at)
+				}
+				if e.State == Draining {
+					withdrawn[e.Name] = max(withdrawn[e.Name], e.Started)
+				}
+			}
+			if n.s.By() == Nobody {
+				return
+			}
+			steady := maps.Clone(w.now())
+			low := at[n.s.By()]
+			for _, v := range w.versions[low:] {
+				maps.DeleteFunc(steady, func(name string, e server) bool { return v[name] != e || e.State != Up })
+			}
+			for name := range steady {
+				if n.force[name].State != Up || n.force[name].Name == "" {
+					t.Fatalf("%s serves in all versions since %d, and is off: by %v at %v, %v", name, low, n.s.By(), at, n)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				w.change(t)
+			case 2:
+				tell(Relays, rapid.IntRange(1, len(w.versions)-1).Draw(t, "relays at"))
+			case 3:
+				if n.s.Watch(n.now) {
+					tell(Discovery, rapid.IntRange(1, len(w.versions)-1).Draw(t, "discovery at"))
+				}
+			case 4:
+				n.pass(rapid.Int64Range(0, silence+second).Draw(t, "pass"))
+			case 5:
+				n.by(n.s.DiscoveryStands(n.now, false))
+			case 6:
+				n.by(n.s.RelaysLost(n.now))
+			}
+			if n.now < OverFor/2 {
+				check()
+			}
+		}
+		n.pass(silence)
+		tell(Discovery, len(w.versions)-1)
+		tell(Relays, len(w.versions)-1)
+		n.pass(OverFor)
+		tell(Discovery, len(w.versions)-1)
+		tell(Relays, len(w.versions)-1)
+		if !maps.Equal(n.force, w.now()) {
+			t.Fatalf("in the end %v, expected %v", n.force, w.now())
+		}
+	})
+}
