--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -224,6 +224,9 @@
 	if in.Scope == "" || len(in.Scope) > distribution.MaxName || strings.Contains(in.Scope, "*") {
 		return r, fmt.Errorf("scope: 1 to %d bytes without a star, found %.80q", distribution.MaxName, in.Scope)
 	}
+	if in.Scope == ScopeOrigin {
+		return r, fmt.Errorf("scope: another than %q, which is the origin's own", ScopeOrigin)
+	}
 	kind, rest, _ := strings.Cut(in.Key, "/")
 	if kind == "" || rest == "" || len(in.Key) > distribution.MaxName || kind == KindEndpoint || kind == kindConfiguration {
 		return r, fmt.Errorf("key: a kind, a slash and a name, such as route/checkout, up to %d bytes, and another kind than endpoint and configuration, found %.80q",
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -27,6 +27,22 @@
 // HostOf is the host that a record is of; false: it is no endpoint's.
 func HostOf(key string) (string, bool) { return strings.CutPrefix(key, KindEndpoint+"/") }
 
+// What an origin tells of itself: a scope that every node and relay follows, and the record of how far it hears discovery.
+const (
+	ScopeOrigin = "origin"
+	KeyList     = "list/discovery"
+)
+
+// List is how far the origin hears discovery. It is changed after the endpoints that it speaks of, and goes out after them.
+type List struct {
+	Version int64 `json:"seq"`    // of discovery's list, that the origin has at least
+	Stands  bool  `json:"stands"` // the origin's watch does
+}
+
+func (l List) body() []byte {
+	return fmt.Appendf(nil, `{"seq":%d,"stands":%t}`, l.Version, l.Stands)
+}
+
 // endpoints are the hosts as the origin has them.
 type endpoints struct {
 	scope *Scope
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -4,6 +4,7 @@
 // the callback may want.
 
 import (
+	"slices"
 	"strings"
 	"sync"
 
@@ -22,6 +23,16 @@
 	return out
 }
 
+// WithOrigin adds what the origin tells of itself to scopes that lack it.
+func WithOrigin(scopes []string) []string {
+	for _, s := range scopes {
+		if prefix, ok := strings.CutSuffix(s, "*"); s == ScopeOrigin || ok && strings.HasPrefix(ScopeOrigin, prefix) {
+			return scopes
+		}
+	}
+	return append(slices.Clone(scopes), ScopeOrigin)
+}
+
 // Follower is a subscriber as a client's sink.
 type Follower struct {
 	scopes  []string // exact ones, whose ages are asked; prefixes have none
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -72,7 +72,7 @@
 		p.log.Info("origin", zap.Uint64("epoch", epoch))
 	} else {
 		p.core = distribution.NewRelay(limits)
-		if err := p.core.Follow(Selectors(config.Scopes)); err != nil {
+		if err := p.core.Follow(Selectors(WithOrigin(config.Scopes))); err != nil {
 			return nil, err
 		}
 	}
@@ -112,7 +112,7 @@
 	if set.Discovery != "" {
 		p.origin.Await(KindEndpoint)
 		hosts := newEndpoints(&set.Scope)
-		p.watch = &watch{address: set.Discovery, limits: listing.For(int64(p.config.Limits.Bytes)), silence: watchSilence, log: p.log, record: hosts.record,
+		p.watch = &watch{first: make(chan struct{}), address: set.Discovery, limits: listing.For(int64(p.config.Limits.Bytes)), silence: watchSilence, clock: p.server.set.Clock, log: p.log, record: hosts.record,
 			take: func(told []distribution.Record, whole, first bool) {
 				p.server.Do(func(now int64) { p.complain(hosts.take(now, p.origin, told, whole, first)) })
 			}}
@@ -130,6 +130,32 @@
 	}
 }
 
+// tellEveryList is how often the origin says how far it hears discovery, if that has changed.
+const tellEveryList = time.Second
+
+// tellList has every node know how far the origin hears discovery.
+func (p *Process) tellList(ctx context.Context) {
+	ticks := time.NewTicker(tellEveryList)
+	defer ticks.Stop()
+	var stands standing
+	for first := p.watch.first; ; {
+		if version := p.watch.had.Load(); version > 0 {
+			p.server.Do(func(now int64) {
+				body := List{version, stands.look(now, p.watch.word.Load())}.body()
+				_, err := p.origin.Put(now, ScopeOrigin, KeyList, distribution.Configuration, body)
+				p.complain(err)
+			})
+		}
+		select {
+		case <-ticks.C:
+		case <-first:
+			first = nil
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // configure looks at the directory once in a while.
 func (p *Process) configure(ctx context.Context) {
 	ticks := time.NewTicker(time.Duration(p.config.Origin.EveryNs))
@@ -191,6 +217,7 @@
 	}
 	if p.watch != nil {
 		parts.Go(func() { p.watch.run(ctx) })
+		parts.Go(func() { p.tellList(ctx) })
 	}
 	if p.directory != nil {
 		parts.Go(func() { p.configure(ctx) })
--- a/internal/relay/process_test.go
+++ b/internal/relay/process_test.go
@@ -568,10 +568,10 @@
 	d.set("h2", "unknown", "up")
 	o := start(t, originText("127.0.0.1:0", d.at, dir, ""))
 	h := subscribe(t, "n1", []string{"*"}, ClientSettings{Upstreams: []string{o.Address()}})
-	h.wait(t, "at first", "eu1/cart endpoint/h1")
+	h.wait(t, "at first", "eu1/cart endpoint/h1", "origin list/discovery")
 	if o.watch.passed.Load() != 1 {
 		t.Errorf("%d entries passed over, expected 1", o.watch.passed.Load())
 	}
 	d.set("h1", "a", "removed")
-	h.wait(t, "after that")
+	h.wait(t, "after that", "origin list/discovery")
 }
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -39,8 +39,12 @@
 	record  func(listing.Entry) (distribution.Record, error)
 	take    func(told []distribution.Record, whole, first bool)
 
-	version                      int64
+	version                      int64   // of run alone
+	had                          counter // the version that the origin has, once it has it
+	word                         counter // when the watch last said anything, by the server's clock; 0: none stands
 	calls, failed, lines, passed counter
+	clock                        func() int64
+	first                        chan struct{} // closed once the origin has a list
 }
 
 func (w *watch) run(ctx context.Context) {
@@ -84,7 +88,8 @@
 	if answer.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("discovery answered %s", answer.Status)
 	}
-	lines := listing.New(&living{c, answer.Body, w.silence}, w.limits)
+	defer w.word.Store(0)
+	lines := listing.New(&living{c, answer.Body, w}, w.limits)
 	for first := w.version == 0; ; first = false {
 		var told []distribution.Record
 		line, err := lines.Next(func() { told = told[:0] }, func(e listing.Entry) error {
@@ -106,18 +111,38 @@
 		}
 		w.take(told, line.Whole, first)
 		w.version, stood = line.Version, true
+		if w.had.Swap(line.Version) == 0 {
+			close(w.first)
+		}
 		w.lines.Add(1)
 	}
 }
 
 // living is a watch's body; without a byte for a while it ends.
 type living struct {
-	c       net.Conn
-	body    io.Reader
-	silence time.Duration
+	c    net.Conn
+	body io.Reader
+	of   *watch
 }
 
 func (l *living) Read(p []byte) (int, error) {
-	l.c.SetDeadline(time.Now().Add(l.silence))
-	return l.body.Read(p)
+	l.c.SetDeadline(time.Now().Add(l.of.silence))
+	n, err := l.body.Read(p)
+	if n > 0 {
+		l.of.word.Store(l.of.clock())
+	}
+	return n, err
+}
+
+// standing tells whether a watch stands, or has a moment ago.
+type standing struct{ since int64 }
+
+// graceNs is how long an origin is without a watch before it says so: one that ends is most often opened anew at once.
+const graceNs = int64(2e9)
+
+func (s *standing) look(now, word int64) bool {
+	if word != 0 {
+		s.since = now
+	}
+	return s.since != 0 && now-s.since < graceNs
 }
--- a/internal/sources/sources_test.go
+++ b/internal/sources/sources_test.go
@@ -13,6 +13,7 @@
 const (
 	second  = int64(1e9)
 	silence = 4 * second
+	began   = 1000 * second // after all that ever started, where a test does not say otherwise
 )
 
 type server = Server[int]
@@ -25,7 +26,7 @@
 }
 
 func newNode() *node {
-	return &node{s: New[int](0, silence), force: map[string]server{}}
+	return &node{s: New[int](began, silence), now: began, force: map[string]server{}}
 }
 
 func (n *node) by(t Told[int]) Told[int] {
@@ -301,7 +302,7 @@
 			case 6:
 				n.by(n.s.RelaysLost(n.now))
 			}
-			if n.now < OverFor/2 {
+			if n.now-began < OverFor/2 {
 				check()
 			}
 		}
