Node: relays tell the list where the features file names them; discovery is watched where they fail

internal/node/distribution.go is the shell of internal/following (client, subscriber, choice) and internal/sources (the choice, pure).

--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -226,7 +226,8 @@
 func (s *console) call(r *http.Request) callReply {
 	method, known := consoleMethods[r.URL.Path]
 	switch {
-	case !known || r.URL.Path == pathMembers && s.node.members == nil || r.URL.Path == pathState && s.node.state == nil:
+	case !known || r.URL.Path == pathMembers && s.node.members == nil || r.URL.Path == pathState && s.node.state == nil ||
+		r.URL.Path == pathRelays && s.node.relayed == nil:
 		return callReply{status: http.StatusNotFound, text: "no such call"}
 	case r.Method != method:
 		return callReply{status: http.StatusMethodNotAllowed, text: "expected " + method, allow: method}
@@ -244,11 +245,12 @@
 		}
 		return callReply{status: http.StatusOK, text: text}
 	}
-	if r.URL.Path == pathState {
-		return callReply{status: http.StatusOK, text: s.node.state.text()}
-	}
 	var change func(*standingOrders) string
 	switch r.URL.Path {
+	case pathState:
+		return callReply{status: http.StatusOK, text: s.node.state.text()}
+	case pathRelays:
+		return callReply{status: http.StatusOK, text: s.node.relayed.Text()}
 	case pathDrain:
 		change = func(o *standingOrders) string { o.drained = true; return "drained" }
 	case pathUndrain:
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -36,7 +36,7 @@
 type discovery struct {
 	node    *Node
 	version int64
-	of      context.Context // the place that told the version
+	of      string // the address that told the version
 	calls   chan struct{}
 	silence time.Duration // after which a watch is taken to be dead
 	head    time.Duration // after which a call that has not been answered has another beside it
@@ -51,6 +51,7 @@
 	address string
 	place   context.Context // done once the address is another
 	leave   context.CancelFunc
+	paused  bool // relays tell the list
 }
 
 func newDiscovery(n *Node) *discovery {
@@ -60,7 +61,7 @@
 		d.wait = max(min(d.wait, within/waitPart), leastWait)
 	}
 	d.place, d.leave = context.WithCancel(context.Background())
-	d.of = d.place
+	d.of = d.address
 	return d
 }
 
@@ -72,10 +73,8 @@
 	if d.address == address {
 		return
 	}
-	d.leave()
 	d.address = address
-	d.place, d.leave = context.WithCancel(context.Background())
-	d.call()
+	d.open()
 }
 
 func (d *discovery) where() (string, context.Context) {
@@ -84,6 +83,22 @@
 	return d.address, d.place
 }
 
+// pause leaves the watch while relays tell the list, or takes it up again, after the version that it had.
+func (d *discovery) pause(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.paused = on
+	d.open()
+}
+
+// open leaves the place that was, and calls the one that is, unless relays tell the list.
+func (d *discovery) open() {
+	if d.leave(); !d.paused {
+		d.place, d.leave = context.WithCancel(context.Background())
+		d.call()
+	}
+}
+
 // call asks for a watch; one that is already asked for is enough.
 func (d *discovery) call() {
 	select {
@@ -101,10 +116,15 @@
 	for range d.calls {
 		began := time.Now()
 		address, place := d.where()
+		if place.Err() != nil {
+			continue // relays tell the list; whoever ends that calls
+		}
 		stood, err := d.watch(address, place)
 		if place.Err() != nil {
 			// Guards against a watch that was left being told as one that failed, which would put off the next call.
-			d.node.log.Info("watch of the list left for another address", zap.String("from", address))
+			if now, _ := d.where(); now != address {
+				d.node.log.Info("watch of the list left for another address", zap.String("from", address))
+			}
 			d.anew = false
 			continue
 		}
@@ -143,8 +163,8 @@
 // watch follows the list until it ends, and returns why, and whether it had begun.
 func (d *discovery) watch(address string, place context.Context) (stood bool, err error) {
 	defer d.node.caught("discovery", func() { err = errors.New("panic") })
-	if d.of != place {
-		d.of, d.version = place, 0
+	if d.of != address {
+		d.of, d.version = address, 0
 	}
 	how := discover.Call{Address: address, Head: watchHead(address, d.version), Connect: listConnect, First: d.head, Gap: d.head, Again: d.wait,
 		Silence: d.silence, Called: func() { d.node.counters.add(listCalls) }, Failed: func() { d.node.counters.add(listCallsFailed) },
@@ -178,14 +198,7 @@
 		d.long = 0
 		d.node.log.Info("the list can be held again", zap.Int("entries", len(entries)))
 	}
-	entries = d.node.state.listed(entries, l.Version, l.Whole)
-	if d.node.hearing == nil {
-		d.node.loop.enterList(entries, l.Whole)
-	} else {
-		d.node.hearing.listed(entries, l.Version, l.Whole)
-	}
-	d.node.listed.Store(true)
-	d.once.Do(func() { close(d.heard) })
+	d.node.told(entries, l.Version, l.Whole)
 }
 
 // list reads a line. An entry that makes no sense is passed over; the others still count.
--- /dev/null
+++ b/internal/node/distribution.go
@@ -0,0 +1,69 @@
+package node
+
+// This file owns the shell of the list by relays' word. Who is followed and which teller's list holds is internal/following's. It must
+// never have the loop go by a list but by the way that discovery's own takes.
+
+import (
+	"cmp"
+
+	"fawnglade/internal/following"
+	"fawnglade/internal/listing"
+	"fawnglade/internal/sources"
+	"fawnglade/policy"
+)
+
+// relayed is nil where no relays are followed.
+type relayed = following.Following[entry]
+
+func newRelayed(n *Node) (*relayed, error) {
+	if n.config.features == nil || n.config.features.Distribution == nil {
+		return nil, nil
+	}
+	set := n.config.features.Distribution
+	n.discovery.pause(true) // until there is no word of a relay
+	return following.New(following.Settings[entry]{Name: n.config.Name, Relays: set.Relays, Scopes: set.Scopes, Silence: set.SilenceNs,
+		Clock: n.clock.now, Log: n.log, Caught: n.caught, Entry: func(in listing.Entry) (sources.Server[entry], error) {
+			e, err := entryOf(in, n.settings.Zones)
+			return sourced(e), err
+		}, Tell: func(servers []sources.Server[entry], version int64, whole bool) {
+			entries := make([]entry, len(servers))
+			for i, s := range servers {
+				entries[i] = s.Value
+				entries[i].State = policy.State(s.State)
+			}
+			n.goBy(entries, version, whole)
+		}, Watch: func(on bool) { n.discovery.pause(!on) }, Stands: func() bool { return n.discovery.word.Load() != 0 },
+		Passed: func(records int) { n.counters[listLinesPassedOver].Add(int64(records)) }})
+}
+
+func sourced(e entry) sources.Server[entry] {
+	return sources.Server[entry]{Name: e.name, State: sources.State(e.State), Started: e.Started, Value: e}
+}
+
+// told takes in a line of discovery's watch.
+func (n *Node) told(entries []entry, version int64, whole bool) {
+	if n.relayed == nil {
+		n.goBy(entries, version, whole)
+		return
+	}
+	servers := make([]sources.Server[entry], len(entries))
+	for i, e := range entries {
+		servers[i] = sourced(e)
+	}
+	n.relayed.Discovery(servers, version, whole)
+}
+
+// goBy has the loop go by a list, or by what has changed in it, whoever told it.
+func (n *Node) goBy(entries []entry, version int64, whole bool) {
+	entries = n.state.listed(entries, version, whole)
+	if n.hearing == nil {
+		n.loop.enterList(entries, whole)
+	} else {
+		n.hearing.listed(entries, version, whole)
+	}
+	n.listed.Store(true)
+	n.discovery.once.Do(func() { close(n.discovery.heard) })
+}
+
+// listWord is when the list that holds was last known to be told; 0: it is not.
+func (n *Node) listWord() int64 { return cmp.Or(n.relayed.Word(), n.discovery.word.Load()) }
--- a/internal/node/hearsay.go
+++ b/internal/node/hearsay.go
@@ -95,7 +95,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if all := s.core.Beat(s.node.clock.now(), s.node.discovery.word.Load()); all != nil {
+	if all := s.core.Beat(s.node.clock.now(), s.node.listWord()); all != nil {
 		s.node.loop.enterList(s.entries(all), true)
 	}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -16,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"fawnglade/internal/learned"
+	"fawnglade/internal/timers"
 	"fawnglade/policy"
 )
 
@@ -32,23 +32,6 @@
 
 func (c clock) at(ns int64) time.Time { return c.start.Add(time.Duration(ns - c.start.UnixNano())) }
 
-type timer struct {
-	at     int64
-	cookie uint64
-}
-
-type timers []timer
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
 // listedAs is what the list calls a server, and where it is.
 type listedAs struct {
 	name, address string
@@ -60,7 +43,7 @@
 	policy *policy.Policy
 	events chan func()
 	now    int64
-	timers timers
+	timers timers.Queue
 	tasks  map[policy.TaskID]*exchange
 	fleet  map[policy.ServerID]listedAs
 	over   bool // the process is about to end
@@ -81,15 +64,10 @@
 	wake := time.NewTimer(time.Hour)
 	for {
 		l.now = l.node.clock.now()
-		for len(l.timers) > 0 && l.timers[0].at <= l.now {
-			due := heap.Pop(&l.timers).(timer)
-			l.handle(nil, func() { l.policy.Woken(l.now, due.cookie) })
-		}
-		wait := time.Hour
-		if len(l.timers) > 0 {
-			wait = time.Duration(l.timers[0].at - l.now)
+		for cookie, due := l.timers.Due(l.now); due; cookie, due = l.timers.Due(l.now) {
+			l.handle(nil, func() { l.policy.Woken(l.now, cookie) })
 		}
-		wake.Reset(wait)
+		wake.Reset(time.Duration(l.timers.Wait(l.now, int64(time.Hour))))
 		select {
 		case event := <-l.events:
 			l.now = l.node.clock.now()
@@ -336,7 +314,7 @@
 	}
 }
 
-func (l *loop) WakeAt(at int64, cookie uint64) { heap.Push(&l.timers, timer{at, cookie}) }
+func (l *loop) WakeAt(at int64, cookie uint64) { l.timers.Set(at, cookie) }
 
 func (l *loop) Subscribe() { l.node.discovery.call() }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"fawnglade/internal/datagram"
 	"fawnglade/internal/features"
 	"fawnglade/internal/members"
 )
@@ -50,7 +51,7 @@
 		n.log.Warn("members are off, as limits.peer_messages is not true in the settings")
 		return nil, nil
 	}
-	socket, err := listenNews(f.Members.Bind.String())
+	socket, err := datagram.Listen(f.Members.Bind.String())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/names.go
+++ b/internal/node/names.go
@@ -4,17 +4,15 @@
 // internal/listing's. It must never decide anything; no other file of the node holds a protocol name.
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"math"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"strings"
 
 	"fawnglade/internal/listing"
+	"fawnglade/internal/report"
 	"fawnglade/policy"
 )
 
@@ -37,6 +35,7 @@
 	pathUndrain = "/undrain"
 	pathMembers = "/members"
 	pathState   = "/state"
+	pathRelays  = "/relays"
 	queryTarget = "target"
 
 	pathList = "/v1/endpoints"
@@ -50,7 +49,7 @@
 var consoleMethods = map[string]string{
 	pathReady: http.MethodGet, pathDisable: http.MethodPut, pathEnable: http.MethodPut, pathDrain: http.MethodPut,
 	pathUndrain: http.MethodPut, pathMembers: http.MethodGet,
-	pathState: http.MethodGet,
+	pathState: http.MethodGet, pathRelays: http.MethodGet,
 }
 
 // ownHeaders are written by the node itself or end at it: a connection's own, and those that tell of one hand-off.
@@ -108,26 +107,7 @@
 	return policy.Error
 }
 
-// reportOf reads a load report and skips what it does not know or cannot be a load.
-func reportOf(text string) policy.Report {
-	r := policy.Report{Utilisation: -1, Queue: -1, ServiceTime: -1}
-	for pair := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(pair, "=")
-		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
-			continue
-		}
-		switch strings.TrimSpace(name) {
-		case "util":
-			r.Utilisation = v
-		case "queue":
-			r.Queue = v
-		case "latency_ms":
-			r.ServiceTime = v
-		}
-	}
-	return r
-}
+func reportOf(text string) policy.Report { return report.Parse(text) }
 
 // entry is one server of the list, with the address that this node is to use for it.
 type entry struct {
@@ -166,33 +146,15 @@
 
 // wholeList is a list in discovery's form.
 func wholeList(version int64, entries []entry, zones []string) []byte {
-	type line struct {
-		Host   string  `json:"host"`
-		Dial   string  `json:"dial"`
-		Site   string  `json:"site"`
-		Block  int     `json:"block"`
-		Health string  `json:"health"`
-		Share  float64 `json:"share"`
-		Born   float64 `json:"born_ms"`
-	}
-	list := struct {
-		Version int64  `json:"seq"`
-		Whole   bool   `json:"whole"`
-		Entries []line `json:"hosts"`
-	}{version, true, make([]line, len(entries))}
+	list := make([]listing.Entry, len(entries))
 	for i, e := range entries {
-		l := line{Host: e.name, Dial: e.address, Block: e.Pod, Share: e.Weight, Born: float64(e.Started) / 1e6,
+		list[i] = listing.Entry{Host: e.name, Dial: e.address, Block: e.Pod, Share: e.Weight, Born: float64(e.Started) / 1e6,
 			Health: [...]string{policy.Active: "up", policy.Draining: "draining", policy.Gone: "removed"}[e.State]}
 		if e.Zone >= 0 && e.Zone < len(zones) {
-			l.Site = zones[e.Zone]
+			list[i].Site = zones[e.Zone]
 		}
-		list.Entries[i] = l
-	}
-	text, err := json.Marshal(list)
-	if err != nil {
-		return nil // no list is what a plain start begins with
 	}
-	return text
+	return listing.Text(version, list)
 }
 
 // serverID makes the number that the decisions know a server by. It comes from the name alone, so that all nodes
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -200,6 +200,7 @@
 	handover  *handover
 	members   *membership // nil: off
 	hearing   *hearing    // nil: off
+	relayed   *relayed    // nil: off
 	first     firstList   // of start, then of hearing
 	listed    atomic.Bool // some list has come, or was there
 	state     *state      // nil: no memory
@@ -213,6 +214,10 @@
 	n.orders = newOrders(n)
 	n.state = openState(n)
 	n.loop, n.servers, n.discovery = newLoop(n), newServers(n), newDiscovery(n)
+	var err error
+	if n.relayed, err = newRelayed(n); err != nil {
+		return nil, err
+	}
 	listener, err := n.listener()
 	if err != nil {
 		return nil, err
@@ -372,6 +377,7 @@
 	go n.console.run()
 	go n.clients.empty()
 	go n.discovery.run()
+	go n.relayed.Run(context.Background())
 	go n.peers.run()
 	if !n.settings.Policy.MustAsk && n.heritage == nil {
 		// What is pushed counts as told from the first moment of a new process, so it is heard before the first task.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,23 +5,21 @@
 // on the list of peers, and decides nothing on what is told.
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
-	"syscall"
 
 	"go.uber.org/zap"
 
+	"fawnglade/internal/datagram"
 	"fawnglade/internal/news"
 	"fawnglade/policy"
 )
 
 const (
-	mostPeers   = 4096
-	soReusePort = 0xf // on Linux; package syscall lacks it
-	mostTold    = 64  // news that wait to be sent; what comes beyond is dropped
+	mostPeers = 4096
+	mostTold  = 64 // news that wait to be sent; what comes beyond is dropped
 )
 
 // peers holds the node's socket for news; without one nothing is told and nothing heard.
@@ -63,7 +61,7 @@
 	if n.config.News.Listen == "" {
 		return p, nil
 	}
-	socket, err := listenNews(n.config.News.Listen)
+	socket, err := datagram.Listen(n.config.News.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("news.listen: %w", err)
 	}
@@ -77,22 +75,6 @@
 	return p, nil
 }
 
-// listenNews binds the socket for news. Another process of this node may hold the same address during an upgrade; who hears
-// which message then is left to the machine, as news may be lost.
-func listenNews(address string) (*net.UDPConn, error) {
-	how := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		broken := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, soReusePort, 1)
-		})
-		return errors.Join(broken, err)
-	}}
-	socket, err := how.ListenPacket(context.Background(), "udp", address)
-	if err != nil {
-		return nil, err
-	}
-	return socket.(*net.UDPConn), nil
-}
-
 // tell queues news for every peer; it never waits.
 func (p *peers) tell(n policy.News) {
 	select {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -74,6 +74,7 @@
 	Upstream  string // "" : none
 	Connected bool
 	Why       string // it was left, or could not be reached
+	Round     bool   // so it is with all of them, one after another
 }
 
 // ClientStats only ever grow.
@@ -185,8 +186,8 @@
 			break
 		}
 		c.count(err)
-		c.tell(State{Upstream: address, Why: err.Error()})
 		failed++
+		c.tell(State{Upstream: address, Why: err.Error(), Round: failed >= len(c.order)})
 		at = (at + 1) % len(c.order)
 		c.pause(ctx, failed)
 	}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -3,7 +3,6 @@
 // This file owns how discovery's list becomes records: no I/O. It must never take a host away that discovery has not said is gone.
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -75,15 +74,7 @@
 		return r, fmt.Errorf("host %q of site %q: expected a region and a service by origin.scope, got none", in.Host, in.Site)
 	}
 	var err error
-	r.Body, err = json.Marshal(struct {
-		Host   string  `json:"host"`
-		Dial   string  `json:"dial"`
-		Site   string  `json:"site"`
-		Block  int     `json:"block"`
-		Health string  `json:"health"`
-		Share  float64 `json:"share"`
-		Born   float64 `json:"born_ms"`
-	}{in.Host, in.Dial, in.Site, in.Block, in.Health, in.Share, in.Born})
+	r.Body, err = listing.Body(in)
 	return r, err
 }
 
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -78,14 +78,17 @@
 
 // Take takes a frame in. What it brought counts, also where it ends the connection.
 func (f *Follower) Take(now int64, frame []byte) error {
-	f.mu.Lock()
-	changes, err := f.core.Take(now, frame)
-	stats := f.core.Stats()
-	spoilt := stats.Spoilt - f.spoilt
-	f.spoilt = stats.Spoilt
-	f.mu.Unlock()
+	var changes []distribution.Change
+	var err error
+	spoilt, last := int64(0), ""
+	f.Look(func(core *distribution.Subscriber) {
+		changes, err = core.Take(now, frame)
+		stats := core.Stats()
+		spoilt, last = stats.Spoilt-f.spoilt, stats.LastSpoilt
+		f.spoilt = stats.Spoilt
+	})
 	if spoilt > 0 {
-		f.told.warn(f.log, "spoilt", "records passed over", zap.Int64("records", spoilt), zap.String("last", stats.LastSpoilt))
+		f.told.warn(f.log, "spoilt", "records passed over", zap.Int64("records", spoilt), zap.String("last", last))
 	}
 	if f.changed != nil {
 		f.changed(now, changes)
--- /dev/null
+++ b/internal/relay/hosts.go
@@ -0,0 +1,101 @@
+package relay
+
+// This file owns how records become hosts again at a node: no I/O. It must never take a host off that another scope still has.
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"fawnglade/internal/distribution"
+	"fawnglade/internal/listing"
+)
+
+// Hosts is what a node's scopes say of hosts, and of how far the origin hears discovery.
+type Hosts struct {
+	of   map[string][]scoped
+	list List
+	seen bool // the origin says how far
+}
+
+type scoped struct {
+	scope string
+	entry listing.Entry
+}
+
+// NewHosts makes one that knows of none.
+func NewHosts() *Hosts { return &Hosts{of: map[string][]scoped{}} }
+
+// List is how far the origin hears discovery; false: it has not said, so nothing of it is a list.
+func (h *Hosts) List() (List, bool) { return h.list, h.seen }
+
+// Take tells the hosts that are other than they were; one that no scope has any more is "removed". Records that are no endpoints are
+// somebody else's. Those that make no sense are passed over, and the error names the last of them.
+func (h *Hosts) Take(changes []distribution.Change) (told []listing.Entry, passed int, err error) {
+	for _, c := range changes {
+		if c.Scope == ScopeOrigin && c.Key == KeyList && !c.Gone {
+			var list List
+			if wrong := json.Unmarshal(c.Body, &list); wrong != nil || list.Version <= 0 {
+				passed, err = passed+1, fmt.Errorf("scope %q, key %q: expected a version of the list, found %.80q", c.Scope, c.Key, c.Body)
+				continue
+			}
+			h.list, h.seen = list, true
+			continue
+		}
+		host, is := HostOf(c.Key)
+		if !is {
+			continue
+		}
+		all := h.of[host]
+		at := slices.IndexFunc(all, func(s scoped) bool { return s.scope == c.Scope })
+		if c.Gone {
+			if at < 0 {
+				continue
+			}
+			if all = slices.Delete(all, at, at+1); len(all) > 0 {
+				h.of[host] = all
+				told = append(told, best(all))
+				continue
+			}
+			delete(h.of, host)
+			told = append(told, listing.Entry{Host: host, Health: healthRemoved})
+			continue
+		}
+		var e listing.Entry
+		if wrong := decode(c.Body, &e); wrong != nil || e.Host != host {
+			passed, err = passed+1, fmt.Errorf("scope %q, key %q: expected an endpoint of that name, found %.80q", c.Scope, c.Key, c.Body)
+			continue // what was known of it stays
+		}
+		if at < 0 {
+			all = append(all, scoped{c.Scope, e})
+		} else {
+			all[at].entry = e
+		}
+		h.of[host] = all
+		told = append(told, best(all))
+	}
+	return told, passed, err
+}
+
+func decode(body []byte, e *listing.Entry) error {
+	var in struct {
+		Host, Dial, Site, Health string
+		Block                    int
+		Share                    float64
+		Born                     float64 `json:"born_ms"`
+	}
+	err := json.Unmarshal(body, &in)
+	*e = listing.Entry(in)
+	return err
+}
+
+// best is the entry that counts of a host that several scopes have: the latest start's, the first scope's of these.
+func best(all []scoped) listing.Entry {
+	at := all[0]
+	for _, s := range all[1:] {
+		if s.entry.Born > at.entry.Born || s.entry.Born == at.entry.Born && s.scope < at.scope {
+			at = s
+		}
+	}
+	return at.entry
+}
