--- /dev/null
+++ b/internal/following/following_test.go
@@ -0,0 +1,121 @@
+package following
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fawnglade/internal/distribution"
+	"fawnglade/internal/listing"
+	"fawnglade/internal/relay"
+	"fawnglade/internal/sources"
+)
+
+// node is a node's part in it.
+type node struct {
+	panics atomic.Int64
+	watch  atomic.Bool
+	mu     sync.Mutex
+	told   map[string]string
+}
+
+func (n *node) caught(string, func()) {
+	if recover() != nil {
+		n.panics.Add(1)
+	}
+}
+
+func (n *node) has(name string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.told[name]
+}
+
+func (n *node) tell(servers []sources.Server[string], _ int64, whole bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if whole {
+		n.told = map[string]string{}
+	}
+	for _, s := range servers {
+		n.told[s.Name] = s.Value
+	}
+}
+
+func soon(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+func endpoint(host string) []byte { return fmt.Appendf(nil, `{"host":%q,"health":"up"}`, host) }
+
+func TestAPanicCostsTheRelaysWordAlone(t *testing.T) {
+	o := distribution.NewOrigin(1, distribution.Limits{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := relay.NewServer(o.Relay(), relay.ServerSettings{}, zap.NewNop())
+	go s.Serve(l)
+	t.Cleanup(func() { l.Close(); s.Close(context.Background()) })
+	s.Do(func(now int64) {
+		o.Put(now, "eu1/cart", "endpoint/good", distribution.Endpoint, endpoint("good"))
+		o.Put(now, relay.ScopeOrigin, relay.KeyList, distribution.Configuration, []byte(`{"seq":3,"stands":true}`))
+	})
+	n := &node{told: map[string]string{}}
+	f, err := New(Settings[string]{Name: "n", Relays: []string{l.Addr().String()}, Scopes: []string{"eu1/cart"}, Silence: 1e9, Clock: relay.NewClock(), Log: zap.NewNop(),
+		Entry: func(e listing.Entry) (sources.Server[string], error) {
+			if e.Host == "bad" {
+				panic("bad")
+			}
+			return sources.Server[string]{Name: e.Host, Value: "by relays"}, nil
+		}, Tell: n.tell, Watch: n.watch.Store, Stands: func() bool { return n.watch.Load() }, Passed: func(int) {}, Caught: n.caught})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.Run(ctx)
+	soon(t, "the list by relays", func() bool { return n.has("good") == "by relays" })
+	s.Do(func(now int64) { o.Put(now, "eu1/cart", "endpoint/bad", distribution.Endpoint, endpoint("bad")) })
+	soon(t, "the panic", func() bool { return n.panics.Load() > 0 })
+	soon(t, "a watch of discovery", n.watch.Load)
+	f.Discovery([]sources.Server[string]{{Name: "good", Value: "by discovery"}}, 4, true)
+	soon(t, "discovery's list", func() bool { return n.has("good") == "by discovery" })
+	if f.Word() != 0 {
+		t.Error("relays still count as heard")
+	}
+	if text := f.Text(); text == "" {
+		t.Error("no view")
+	}
+}
+
+// A host that two scopes have stays until neither has it, in whatever order that is told.
+func TestAHostInTwoScopes(t *testing.T) {
+	put := func(scope, host string, gone bool) distribution.Change {
+		return distribution.Change{Record: distribution.Record{Scope: scope, Key: relay.EndpointKey(host), Gone: gone, Body: endpoint(host)}}
+	}
+	h := relay.NewHosts()
+	for i, step := range []struct {
+		change distribution.Change
+		health string
+	}{{put("a", "h", false), "up"}, {put("b", "h", false), "up"}, {put("a", "h", true), "up"}, {put("b", "h", true), "removed"}, {put("b", "h", true), ""}} {
+		told, passed, err := h.Take([]distribution.Change{step.change})
+		if step.health == "" && len(told) == 0 {
+			continue
+		}
+		if err != nil || passed != 0 || len(told) != 1 || told[0].Health != step.health {
+			t.Errorf("step %d: %+v, %d, %v; expected %q", i, told, passed, err, step.health)
+		}
+	}
+}
