--- a/internal/following/following_test.go
+++ b/internal/following/following_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -73,13 +74,17 @@
 		o.Put(now, relay.ScopeOrigin, relay.KeyList, distribution.Configuration, []byte(`{"seq":3,"stands":true}`))
 	})
 	n := &node{told: map[string]string{}}
+	var passed atomic.Int64
 	f, err := New(Settings[string]{Name: "n", Relays: []string{l.Addr().String()}, Scopes: []string{"eu1/cart"}, Silence: 1e9, Clock: relay.NewClock(), Log: zap.NewNop(),
 		Entry: func(e listing.Entry) (sources.Server[string], error) {
+			if e.Host == "spoilt" {
+				return sources.Server[string]{}, errors.New("spoilt")
+			}
 			if e.Host == "bad" {
 				panic("bad")
 			}
 			return sources.Server[string]{Name: e.Host, Value: "by relays"}, nil
-		}, Tell: n.tell, Watch: n.watch.Store, Stands: func() bool { return n.watch.Load() }, Passed: func(int) {}, Caught: n.caught})
+		}, Tell: n.tell, Watch: n.watch.Store, Stands: func() bool { return n.watch.Load() }, Passed: func(n int) { passed.Add(int64(n)) }, Caught: n.caught})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -87,6 +92,16 @@
 	defer cancel()
 	go f.Run(ctx)
 	soon(t, "the list by relays", func() bool { return n.has("good") == "by relays" })
+	s.Do(func(now int64) {
+		o.Put(now, "eu1/cart", "endpoint/spoilt", distribution.Endpoint, endpoint("spoilt"))
+		o.Put(now, "eu1/cart", "endpoint/another", distribution.Endpoint, endpoint("another"))
+	})
+	soon(t, "the one beside the spoilt one", func() bool { return n.has("another") == "by relays" })
+	n.mu.Lock()
+	if len(n.told) != 2 || passed.Load() != 1 {
+		t.Errorf("%q told, %d passed over; expected two and one", n.told, passed.Load())
+	}
+	n.mu.Unlock()
 	s.Do(func(now int64) { o.Put(now, "eu1/cart", "endpoint/bad", distribution.Endpoint, endpoint("bad")) })
 	soon(t, "the panic", func() bool { return n.panics.Load() > 0 })
 	soon(t, "a watch of discovery", n.watch.Load)
--- a/internal/node/relayed_test.go
+++ b/internal/node/relayed_test.go
@@ -61,12 +61,14 @@
 	})
 }
 
-func withRelays(discovery string, relays ...string) func(*Config) {
+func withRelays(discovery string, relays ...string) func(*Config) { return withRelaysSilent("1s", discovery, relays...) }
+
+func withRelaysSilent(silence, discovery string, relays ...string) func(*Config) {
 	return func(c *Config) {
 		c.Known = nil
 		c.Discovery = discovery
 		list, _ := json.Marshal(relays)
-		f, err := features.Parse("f.toml", c.Name, fmt.Appendf(nil, "[distribution]\nrelays = %s\nscopes = [%q]\nsilence = \"1s\"\n", list, testScope))
+		f, err := features.Parse("f.toml", c.Name, fmt.Appendf(nil, "[distribution]\nrelays = %s\nscopes = [%q]\nsilence = %q\n", list, testScope, silence))
 		if err != nil {
 			panic(err)
 		}
@@ -192,7 +194,7 @@
 		}
 		return listText(int(version.Load()), true, listEntry("a", a, "up"), listEntry("b", b, "up"))
 	})
-	n := nodeWith(t, withRelays(discovery, first))
+	n := nodeWith(t, withRelaysSilent("20s", discovery, first)) // that no relay can be reached is known sooner
 	soon(t, "ready", func() bool { return n.notReady() == "" })
 	if !answers(t, n, "one", "b") {
 		t.Fatal("not served by what relays told")
--- a/internal/relay/tcp_test.go
+++ b/internal/relay/tcp_test.go
@@ -434,6 +434,23 @@
 	}
 }
 
+func TestSubscribersAreBoundedWithoutAWordFromTheFeed(t *testing.T) {
+	s := newStation(t, ServerSettings{Connections: 3})
+	for range 10 {
+		c, err := net.Dial("tcp", s.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		writeFrame(c, make([]byte, 8))
+	}
+	soon(t, "that all were looked at", 5*time.Second, func() bool { return s.Stats().Accepted == 10 })
+	soon(t, "three subscribers", 5*time.Second, func() bool { return s.Stats().Subscribers == 3 })
+	if st := s.Stats(); st.Refused != 7 {
+		t.Errorf("%+v: expected seven refused", st)
+	}
+}
+
 func TestASubscriberThatSpeaksAfterItsHelloIsEnded(t *testing.T) {
 	s := newStation(t, ServerSettings{})
 	c, err := net.Dial("tcp", s.at)
--- a/internal/sources/sources_test.go
+++ b/internal/sources/sources_test.go
@@ -169,6 +169,20 @@
 	n.expect(t, "and goes on alone", Discovery, "a", true)
 }
 
+// What was laid over goes on to count when the tellers change again.
+func TestAThirdChangeOfTellersForgetsNothing(t *testing.T) {
+	n := newNode()
+	n.relays("a b-", true, 10)
+	n.pass(silence)
+	n.discovery("a b", true, 8)
+	n.expect(t, "an older list", Discovery, "a b-", true)
+	n.by(n.s.DiscoveryStands(n.now, false))
+	n.relays("b", true, 9) // of another origin, which is behind the first
+	n.expect(t, "relays that are behind what relays had told", Relays, "a b-", false)
+	n.relays("", true, 10)
+	n.expect(t, "they have caught up", Relays, "a b", false)
+}
+
 // Relays come back while discovery is gone: what it had told to drain does not serve again by their older word.
 func TestStaleRelaysBringNothingBack(t *testing.T) {
 	n := newNode()
