--- a/internal/node/relayed_test.go
+++ b/internal/node/relayed_test.go
@@ -61,7 +61,9 @@
 	})
 }
 
-func withRelays(discovery string, relays ...string) func(*Config) { return withRelaysSilent("1s", discovery, relays...) }
+func withRelays(discovery string, relays ...string) func(*Config) {
+	return withRelaysSilent("1s", discovery, relays...)
+}
 
 func withRelaysSilent(silence, discovery string, relays ...string) func(*Config) {
 	return func(c *Config) {
