Relay: who is told anew at a pace is not behind, who is told nothing is; the origin's calls are kept while they wait

Cause: an age that was not known counted as none, so a subscriber stayed with a relay that had nothing for ever; and one that was still being told a whole scope at its pace counted as behind after 4 s and left, to begin anew elsewhere. Both now count from when records last came. The origin's watch gave calls up after 6 s, to begin again at the queue's end; it goes by internal/discover now.

--- a/internal/following/following.go
+++ b/internal/following/following.go
@@ -33,12 +33,14 @@
 	Clock   func() int64 // ns, monotone
 	Log     *zap.Logger
 
-	Entry  func(listing.Entry) (sources.Server[V], error)
-	Tell   func(servers []sources.Server[V], version int64, whole bool) // what the node is to go by; in order, one call at a time
-	Watch  func(on bool)                                                // whether discovery is to be watched; off at first
-	Stands func() bool                                                  // whether a watch of it stands
-	Passed func(records int)                                            // counts what is passed over
-	Caught func(where string, then func())                              // deferred in each goroutine: it stops a panic there
+	Entry  func(listing.Entry) (V, error)
+	Of     func(V) sources.Server[V]                    // how the choice sees an entry
+	As     func(V, sources.State) V                     // an entry in another state
+	Tell   func(entries []V, version int64, whole bool) // what the node is to go by; in order, one call at a time
+	Watch  func(on bool)                                // whether discovery is to be watched; off at first
+	Stands func() bool                                  // whether a watch of it stands
+	Passed func(records int)                            // counts what is passed over
+	Caught func(where string, then func())              // deferred in each goroutine: it stops a panic there
 }
 
 // Following is one node's.
@@ -110,7 +112,11 @@
 // tell has the node go by what was chosen, and watch discovery or not.
 func (f *Following[V]) tell(t sources.Told[V]) {
 	if t.Any {
-		f.set.Tell(t.Servers, t.Version, t.Whole)
+		entries := make([]V, len(t.Servers))
+		for i, s := range t.Servers {
+			entries[i] = f.set.As(s.Value, s.State)
+		}
+		f.set.Tell(entries, t.Version, t.Whole)
 	}
 	if by := f.choice.By(); by != f.by {
 		f.set.Log.Info("the list is told by another", zap.Stringer("by", by), zap.Stringer("before", f.by), zap.Int64("version", t.Version))
@@ -141,7 +147,7 @@
 			passed, err = passed+1, wrong
 			continue // what was known of it stays
 		}
-		servers = append(servers, one)
+		servers = append(servers, f.set.Of(one))
 	}
 	if passed > 0 {
 		f.set.Passed(passed)
@@ -166,7 +172,11 @@
 }
 
 // Discovery takes in a line of the node's own watch.
-func (f *Following[V]) Discovery(servers []sources.Server[V], version int64, whole bool) {
+func (f *Following[V]) Discovery(entries []V, version int64, whole bool) {
+	servers := make([]sources.Server[V], len(entries))
+	for i, e := range entries {
+		servers[i] = f.set.Of(e)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.stood = true
--- a/internal/following/following_test.go
+++ b/internal/following/following_test.go
@@ -38,14 +38,22 @@
 	return n.told[name]
 }
 
-func (n *node) tell(servers []sources.Server[string], _ int64, whole bool) {
+// entry is one as the node under test has it.
+type entry struct {
+	name, by string
+	state    sources.State
+}
+
+func (n *node) tell(entries []entry, _ int64, whole bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if whole {
 		n.told = map[string]string{}
 	}
-	for _, s := range servers {
-		n.told[s.Name] = s.Value
+	for _, e := range entries {
+		if n.told[e.name] = e.by; e.state == sources.Gone {
+			delete(n.told, e.name)
+		}
 	}
 }
 
@@ -75,16 +83,19 @@
 	})
 	n := &node{told: map[string]string{}}
 	var passed atomic.Int64
-	f, err := New(Settings[string]{Name: "n", Relays: []string{l.Addr().String()}, Scopes: []string{"eu1/cart"}, Silence: 1e9, Clock: relay.NewClock(), Log: zap.NewNop(),
-		Entry: func(e listing.Entry) (sources.Server[string], error) {
+	f, err := New(Settings[entry]{Name: "n", Relays: []string{l.Addr().String()}, Scopes: []string{"eu1/cart"}, Silence: 1e9, Clock: relay.NewClock(), Log: zap.NewNop(),
+		Entry: func(e listing.Entry) (entry, error) {
 			if e.Host == "spoilt" {
-				return sources.Server[string]{}, errors.New("spoilt")
+				return entry{}, errors.New("spoilt")
 			}
 			if e.Host == "bad" {
 				panic("bad")
 			}
-			return sources.Server[string]{Name: e.Host, Value: "by relays"}, nil
-		}, Tell: n.tell, Watch: n.watch.Store, Stands: func() bool { return n.watch.Load() }, Passed: func(n int) { passed.Add(int64(n)) }, Caught: n.caught})
+			return entry{name: e.Host, by: "by relays", state: map[bool]sources.State{true: sources.Gone}[e.Health == "removed"]}, nil
+		}, Of: func(e entry) sources.Server[entry] {
+			return sources.Server[entry]{Name: e.name, State: e.state, Value: e}
+		},
+		As: func(e entry, s sources.State) entry { e.state = s; return e }, Tell: n.tell, Watch: n.watch.Store, Stands: func() bool { return n.watch.Load() }, Passed: func(n int) { passed.Add(int64(n)) }, Caught: n.caught})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,7 +116,7 @@
 	s.Do(func(now int64) { o.Put(now, "eu1/cart", "endpoint/bad", distribution.Endpoint, endpoint("bad")) })
 	soon(t, "the panic", func() bool { return n.panics.Load() > 0 })
 	soon(t, "a watch of discovery", n.watch.Load)
-	f.Discovery([]sources.Server[string]{{Name: "good", Value: "by discovery"}}, 4, true)
+	f.Discovery([]entry{{name: "good", by: "by discovery"}}, 4, true)
 	soon(t, "discovery's list", func() bool { return n.has("good") == "by discovery" })
 	if f.Word() != 0 {
 		t.Error("relays still count as heard")
--- a/internal/node/distribution.go
+++ b/internal/node/distribution.go
@@ -22,35 +22,23 @@
 	set := n.config.features.Distribution
 	n.discovery.pause(true) // until there is no word of a relay
 	return following.New(following.Settings[entry]{Name: n.config.Name, Relays: set.Relays, Scopes: set.Scopes, Silence: set.SilenceNs,
-		Clock: n.clock.now, Log: n.log, Caught: n.caught, Entry: func(in listing.Entry) (sources.Server[entry], error) {
-			e, err := entryOf(in, n.settings.Zones)
-			return sourced(e), err
-		}, Tell: func(servers []sources.Server[entry], version int64, whole bool) {
-			entries := make([]entry, len(servers))
-			for i, s := range servers {
-				entries[i] = s.Value
-				entries[i].State = policy.State(s.State)
-			}
-			n.goBy(entries, version, whole)
-		}, Watch: func(on bool) { n.discovery.pause(!on) }, Stands: func() bool { return n.discovery.word.Load() != 0 },
+		Clock: n.clock.now, Log: n.log, Caught: n.caught, Tell: n.goBy, Watch: func(on bool) { n.discovery.pause(!on) },
+		Entry: func(in listing.Entry) (entry, error) { return entryOf(in, n.settings.Zones) },
+		Of: func(e entry) sources.Server[entry] {
+			return sources.Server[entry]{Name: e.name, State: sources.State(e.State), Started: e.Started, Value: e}
+		},
+		As:     func(e entry, s sources.State) entry { e.State = policy.State(s); return e },
+		Stands: func() bool { return n.discovery.word.Load() != 0 },
 		Passed: func(records int) { n.counters[listLinesPassedOver].Add(int64(records)) }})
 }
 
-func sourced(e entry) sources.Server[entry] {
-	return sources.Server[entry]{Name: e.name, State: sources.State(e.State), Started: e.Started, Value: e}
-}
-
 // told takes in a line of discovery's watch.
 func (n *Node) told(entries []entry, version int64, whole bool) {
 	if n.relayed == nil {
 		n.goBy(entries, version, whole)
-		return
-	}
-	servers := make([]sources.Server[entry], len(entries))
-	for i, e := range entries {
-		servers[i] = sourced(e)
+	} else {
+		n.relayed.Discovery(entries, version, whole)
 	}
-	n.relayed.Discovery(servers, version, whole)
 }
 
 // goBy has the loop go by a list, or by what has changed in it, whoever told it.
--- a/internal/node/hearsay.go
+++ b/internal/node/hearsay.go
@@ -47,11 +47,7 @@
 			gone = append(gone, e.name)
 			continue
 		}
-		zone := ""
-		if e.Zone >= 0 && e.Zone < len(s.node.settings.Zones) {
-			zone = s.node.settings.Zones[e.Zone]
-		}
-		lines = append(lines, hearsay.Line{Name: e.name, Address: e.address, Zone: zone, Pod: e.Pod, Weight: e.Weight,
+		lines = append(lines, hearsay.Line{Name: e.name, Address: e.address, Zone: e.zone(s.node.settings.Zones), Pod: e.Pod, Weight: e.Weight,
 			Draining: e.State == policy.Draining, Started: e.Started})
 	}
 	return lines, gone
--- a/internal/node/names.go
+++ b/internal/node/names.go
@@ -116,6 +116,13 @@
 	address string
 }
 
+func (e *entry) zone(zones []string) string {
+	if e.Zone < 0 || e.Zone >= len(zones) {
+		return ""
+	}
+	return zones[e.Zone]
+}
+
 // entryOf takes in one server of a list. A server that wants nothing new needs no address.
 func entryOf(in listing.Entry, zones []string) (entry, error) {
 	e := entry{name: in.Host, address: in.Dial, Listed: policy.Listed{
@@ -148,11 +155,8 @@
 func wholeList(version int64, entries []entry, zones []string) []byte {
 	list := make([]listing.Entry, len(entries))
 	for i, e := range entries {
-		list[i] = listing.Entry{Host: e.name, Dial: e.address, Block: e.Pod, Share: e.Weight, Born: float64(e.Started) / 1e6,
+		list[i] = listing.Entry{Host: e.name, Dial: e.address, Site: e.zone(zones), Block: e.Pod, Share: e.Weight, Born: float64(e.Started) / 1e6,
 			Health: [...]string{policy.Active: "up", policy.Draining: "draining", policy.Gone: "removed"}[e.State]}
-		if e.Zone >= 0 && e.Zone < len(zones) {
-			list[i].Site = zones[e.Zone]
-		}
 	}
 	return listing.Text(version, list)
 }
--- a/internal/node/relayed_test.go
+++ b/internal/node/relayed_test.go
@@ -18,6 +18,8 @@
 	"fawnglade/internal/distribution"
 	"fawnglade/internal/features"
 	"fawnglade/internal/relay"
+	"fawnglade/internal/sources"
+	"fawnglade/policy"
 )
 
 // serveOrigin serves an origin; stop ends it as a process does that is killed.
@@ -179,6 +181,14 @@
 	return v.Seq
 }
 
+func TestStatesOfServersAreTheSameEverywhere(t *testing.T) {
+	for here, there := range map[policy.State]sources.State{policy.Active: sources.Up, policy.Draining: sources.Draining, policy.Gone: sources.Gone} {
+		if policy.State(there) != here {
+			t.Errorf("%v and %v differ, and are turned into one another", here, there)
+		}
+	}
+}
+
 // Relays go, discovery is watched; they come back, and it is left. Neither takes off or brings back what the other knew better.
 func TestANodeWithoutRelaysWatchesDiscovery(t *testing.T) {
 	a, tasksA := naming(t, "a")
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -312,11 +312,7 @@
 func (s *state) layBy(entries []entry, do func([]memory.Server), by func([]memory.Server) []memory.Server) []entry {
 	lines := make([]memory.Server, len(entries))
 	for i, e := range entries {
-		zone := ""
-		if e.Zone >= 0 && e.Zone < len(s.node.settings.Zones) {
-			zone = s.node.settings.Zones[e.Zone]
-		}
-		lines[i] = memory.Server{Name: e.name, Address: e.address, Zone: zone, Pod: e.Pod, Weight: e.Weight, Started: e.Started,
+		lines[i] = memory.Server{Name: e.name, Address: e.address, Zone: e.zone(s.node.settings.Zones), Pod: e.Pod, Weight: e.Weight, Started: e.Started,
 			State: [...]memory.State{policy.Active: memory.Up, policy.Draining: memory.Draining, policy.Gone: memory.Removed}[e.State]}
 	}
 	s.mu.Lock()
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -45,6 +45,26 @@
 	spoilt int64
 	looked int64 // when the ages were last looked at
 	behind int64
+	coming progress
+}
+
+// progress notes when records last came: who is told anew, at a pace, is behind and yet well served.
+type progress struct{ records, at int64 }
+
+func (p *progress) begin(now int64) { p.at = now }
+
+func (p *progress) look(now int64, s *distribution.Stats) {
+	if n := s.Applied + s.Repeated; n != p.records {
+		p.records, p.at = n, now
+	}
+}
+
+// of is an age, as far as it counts: no more than since records last came. What is not known is as old as that.
+func (p *progress) of(now, age int64, known bool) int64 {
+	if !known {
+		return now - p.at
+	}
+	return min(age, now-p.at)
 }
 
 // lookEvery is how often the ages of all scopes are looked at, ns.
@@ -70,9 +90,10 @@
 }
 
 // Hello is what a new connection begins with.
-func (f *Follower) Hello(int64) []byte {
+func (f *Follower) Hello(now int64) []byte {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.coming.begin(now)
 	return f.core.Hello()
 }
 
@@ -86,6 +107,7 @@
 		stats := core.Stats()
 		spoilt, last = stats.Spoilt-f.spoilt, stats.LastSpoilt
 		f.spoilt = stats.Spoilt
+		f.coming.look(now, &stats)
 	})
 	if spoilt > 0 {
 		f.told.warn(f.log, "spoilt", "records passed over", zap.Int64("records", spoilt), zap.String("last", last))
@@ -96,7 +118,7 @@
 	return err
 }
 
-// Behind is the age of the oldest scope, as far as it is known.
+// Behind is the age of the oldest scope, but no more than since records last came.
 func (f *Follower) Behind(now int64) int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -105,9 +127,8 @@
 	}
 	f.looked, f.behind = now, 0
 	for _, scope := range f.scopes {
-		if age, known := f.core.Age(now, scope); known {
-			f.behind = max(f.behind, age)
-		}
+		age, known := f.core.Age(now, scope)
+		f.behind = max(f.behind, f.coming.of(now, age, known))
 	}
 	return f.behind
 }
@@ -118,10 +139,14 @@
 	core   *distribution.Relay
 	told   rarely
 	spoilt int64
+	coming progress
 }
 
 func (u *upstream) Hello(int64) (hello []byte) {
-	u.server.Do(func(now int64) { hello = u.core.Upstream(now) })
+	u.server.Do(func(now int64) {
+		u.coming.begin(now)
+		hello = u.core.Upstream(now)
+	})
 	return hello
 }
 
@@ -130,6 +155,7 @@
 	u.server.Do(func(now int64) {
 		err = u.core.Take(now, frame)
 		stats = u.core.Stats()
+		u.coming.look(now, &stats)
 	})
 	if n := stats.Spoilt - u.spoilt; n > 0 {
 		u.spoilt = stats.Spoilt
@@ -139,6 +165,9 @@
 }
 
 func (u *upstream) Behind(int64) (ns int64) {
-	u.server.Do(func(now int64) { ns, _ = u.core.Age(now) })
+	u.server.Do(func(now int64) {
+		age, known := u.core.Age(now)
+		ns = u.coming.of(now, age, known)
+	})
 	return ns
 }
--- a/internal/relay/process_test.go
+++ b/internal/relay/process_test.go
@@ -385,6 +385,26 @@
 	}
 }
 
+// A relay that has nothing, and gets nothing, is left for one that has; one that sends what there is, slowly, is not.
+func TestARelayThatBringsNothingIsLeft(t *testing.T) {
+	d, dir := newStandIn(t), t.TempDir()
+	for i := range 150 {
+		d.set(fmt.Sprintf("h%03d", i), "a", "up")
+	}
+	o := start(t, originText("127.0.0.1:0", d.at, dir, ""))
+	empty := start(t, relayText("empty", "127.0.0.1:0", nil, "127.0.0.1:1"))
+	slow := start(t, relayText("slow", "127.0.0.1:0", nil, "127.0.0.1:1")+"pace = 4000\n")
+	h := subscribe(t, "n1", []string{"eu1/cart"}, ClientSettings{Upstreams: []string{empty.Address(), slow.Address()}, BehindAfter: 500 * time.Millisecond, Back: time.Hour})
+	soon(t, "the first relay left", 10*time.Second, func() bool { return h.client.Stats().Behind >= 2 })
+	at := slow.Address()
+	slow.end(t)
+	slow = start(t, relayText("slow", at, nil, o.Address())+"pace = 8000\n")
+	soon(t, "what the slow one has", 20*time.Second, func() bool { _, complete := h.keys(); return complete })
+	if s := slow.server.Stats(); s.Accepted > 3 {
+		t.Errorf("%d connections to the slow one, which sent all the time", s.Accepted)
+	}
+}
+
 func TestTheEndIsOrderly(t *testing.T) {
 	d, dir := newStandIn(t), t.TempDir()
 	o := start(t, originText("127.0.0.1:0", d.at, dir, ""))
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -4,25 +4,23 @@
 // fell silent, for a list.
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"fawnglade/internal/discover"
 	"fawnglade/internal/distribution"
 	"fawnglade/internal/listing"
 )
 
 const (
 	watchConnect = time.Second
-	watchHead    = 6 * time.Second         // discovery works through calls in turn
+	watchHead    = 3 * time.Second         // a call that waits so long has another beside it, not in its place: calls are worked in turn
 	watchSilence = 3200 * time.Millisecond // an empty line comes every 2 s while nothing changes
 	leastPause   = 200 * time.Millisecond  // between calls
 	mostPause    = 2 * time.Second         // a change is told 6 s after discovery can be reached: pause, connect and head leave room
@@ -49,7 +47,6 @@
 
 func (w *watch) run(ctx context.Context) {
 	for pause := leastPause; ctx.Err() == nil; {
-		w.calls.Add(1)
 		stood, err := w.once(ctx)
 		if ctx.Err() != nil {
 			return
@@ -68,28 +65,18 @@
 	}
 }
 
-// once makes a call and follows it until it ends; it tells whether a line came.
+// once opens a watch and follows it until it ends; it tells whether a line came.
 func (w *watch) once(ctx context.Context) (stood bool, err error) {
-	dialer := net.Dialer{Timeout: watchConnect}
-	c, err := dialer.DialContext(ctx, "tcp", w.address)
+	how := discover.Call{Address: w.address, Head: fmt.Sprintf("GET %s?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", pathList, w.version, w.address),
+		Connect: watchConnect, First: watchHead, Gap: watchHead, Again: leastPause, Silence: w.silence, Called: func() { w.calls.Add(1) },
+		Failed: func() { w.failed.Add(1) }, Said: func() { w.word.Store(w.clock()) }}
+	said, err := how.Answered(ctx)
 	if err != nil {
 		return false, err
 	}
-	defer c.Close()
-	defer context.AfterFunc(ctx, func() { c.Close() })()
-	c.SetDeadline(time.Now().Add(watchHead))
-	if _, err := fmt.Fprintf(c, "GET %s?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", pathList, w.version, w.address); err != nil {
-		return false, err
-	}
-	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return false, err
-	}
-	if answer.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("discovery answered %s", answer.Status)
-	}
 	defer w.word.Store(0)
-	lines := listing.New(&living{c, answer.Body, w}, w.limits)
+	defer said.Close()
+	lines := listing.New(said, w.limits)
 	for first := w.version == 0; ; first = false {
 		var told []distribution.Record
 		line, err := lines.Next(func() { told = told[:0] }, func(e listing.Entry) error {
@@ -118,22 +105,6 @@
 	}
 }
 
-// living is a watch's body; without a byte for a while it ends.
-type living struct {
-	c    net.Conn
-	body io.Reader
-	of   *watch
-}
-
-func (l *living) Read(p []byte) (int, error) {
-	l.c.SetDeadline(time.Now().Add(l.of.silence))
-	n, err := l.body.Read(p)
-	if n > 0 {
-		l.of.word.Store(l.of.clock())
-	}
-	return n, err
-}
-
 // standing tells whether a watch stands, or has a moment ago.
 type standing struct{ since int64 }
 
