--- a/internal/relay/process_test.go
+++ b/internal/relay/process_test.go
@@ -385,23 +385,57 @@
 	}
 }
 
-// A relay that has nothing, and gets nothing, is left for one that has; one that sends what there is, slowly, is not.
+// A relay that has nothing, and gets nothing, is left for one that has.
 func TestARelayThatBringsNothingIsLeft(t *testing.T) {
 	d, dir := newStandIn(t), t.TempDir()
-	for i := range 150 {
-		d.set(fmt.Sprintf("h%03d", i), "a", "up")
-	}
+	d.set("h", "a", "up")
 	o := start(t, originText("127.0.0.1:0", d.at, dir, ""))
 	empty := start(t, relayText("empty", "127.0.0.1:0", nil, "127.0.0.1:1"))
-	slow := start(t, relayText("slow", "127.0.0.1:0", nil, "127.0.0.1:1")+"pace = 4000\n")
-	h := subscribe(t, "n1", []string{"eu1/cart"}, ClientSettings{Upstreams: []string{empty.Address(), slow.Address()}, BehindAfter: 500 * time.Millisecond, Back: time.Hour})
+	other := start(t, relayText("other", "127.0.0.1:0", nil, "127.0.0.1:1"))
+	h := subscribe(t, "n1", []string{"eu1/cart"}, ClientSettings{Upstreams: []string{empty.Address(), other.Address()}, BehindAfter: 500 * time.Millisecond, Back: time.Hour})
 	soon(t, "the first relay left", 10*time.Second, func() bool { return h.client.Stats().Behind >= 2 })
-	at := slow.Address()
-	slow.end(t)
-	slow = start(t, relayText("slow", at, nil, o.Address())+"pace = 8000\n")
-	soon(t, "what the slow one has", 20*time.Second, func() bool { _, complete := h.keys(); return complete })
-	if s := slow.server.Stats(); s.Accepted > 3 {
-		t.Errorf("%d connections to the slow one, which sent all the time", s.Accepted)
+	at := other.Address()
+	other.end(t)
+	start(t, relayText("other", at, nil, o.Address()))
+	h.wait(t, "what the other has", "eu1/cart endpoint/h")
+}
+
+// A relay that sends what there is, slowly, is not left, whether all is told or a burst of changes.
+func TestARelayThatSendsAtItsPaceIsNotLeft(t *testing.T) {
+	const hosts = 150
+	d, dir := newStandIn(t), t.TempDir()
+	set := func(health string) {
+		for i := range hosts {
+			d.set(fmt.Sprintf("h%03d", i), "a", health)
+		}
+	}
+	set("up")
+	o := start(t, originText("127.0.0.1:0", d.at, dir, ""))
+	one := start(t, relayText("one", "127.0.0.1:0", nil, o.Address())+"pace = 6000\n")
+	two := start(t, relayText("two", "127.0.0.1:0", nil, o.Address())+"pace = 6000\n")
+	soon(t, "both relays whole", 10*time.Second, func() bool {
+		whole := true
+		for _, r := range []*running{one, two} {
+			r.server.Do(func(now int64) { whole = whole && r.fresh(now) && r.core.Stats().Records > hosts })
+		}
+		return whole
+	})
+	h := subscribe(t, "n1", []string{"eu1/cart"}, ClientSettings{Upstreams: []string{one.Address(), two.Address()}, BehindAfter: 500 * time.Millisecond})
+	soon(t, "all of it", 20*time.Second, func() bool { keys, complete := h.keys(); return complete && len(keys) == hosts })
+	set("draining")
+	soon(t, "the burst", 20*time.Second, func() bool {
+		drains := 0
+		h.Look(func(s *distribution.Subscriber) {
+			s.Each(func(r distribution.Record) {
+				if r.Class == distribution.Withdrawal {
+					drains++
+				}
+			})
+		})
+		return drains == hosts
+	})
+	if s := h.client.Stats(); s.Behind != 0 || s.Connects != 1 {
+		t.Errorf("%+v: left a relay that sent all the time", s)
 	}
 }
 
