--- a/internal/relay/process_test.go
+++ b/internal/relay/process_test.go
@@ -62,7 +62,7 @@
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
-	lines := make(chan string, 100)
+	lines := make(chan string, 1000) // more than a test ever sets at once
 	d.mu.Lock()
 	silent := d.silent
 	all := make([]string, 0, len(d.hosts))
