The lab judges what is told in any case, attempts for clients that have gone, and readiness

Cause: design/lab.md said it: the six seconds after which a change counts as told were not judged (ours was milder), nor an attempt that begins over 0.1 s after its client closed, nor how soon processes started again are ready.

Measured: go test ./internal/lab/ledger ./internal/lab/world pass.

--- a/internal/lab/ledger/judge.go
+++ b/internal/lab/ledger/judge.go
@@ -44,6 +44,7 @@
 	rules      Rules
 	byTask     map[string][]*HandOff
 	lives      map[lifeKey]*NodeLife
+	afterGone  []Break // attempts for clients that had gone; the first few are let pass
 	breaks     []Break
 }
 
@@ -70,9 +71,12 @@
 	for _, t := range l.Tries {
 		j.answer(t)
 		j.effects(t)
+		j.forGone(t)
 	}
 	j.drains()
 	j.falls()
+	j.gone()
+	j.readiness()
 	slices.SortStableFunc(j.breaks, func(a, b Break) int { return cmp.Compare(a.At, b.At) })
 	return j.breaks
 }
@@ -248,7 +252,11 @@
 		words[k] = append(words[k], word{t.At, t.Health})
 	}
 	for _, n := range j.Lives {
+		anyway := j.toldAnyway(n, words)
 		j.unasked(n, words)
+		for k, list := range anyway {
+			words[k] = append(words[k], list...)
+		}
 	}
 	for k, list := range words {
 		slices.SortStableFunc(list, func(a, b word) int { return cmp.Compare(a.at, b.at) })
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -41,6 +41,10 @@
 type Rules struct {
 	StopSending, AskWithin, AnswerGrace int64
 	MayDuplicate                        bool
+	ToldWithin                          int64                // a change counts as told so long after discovery had it and could be reached; 0: not judged
+	GoneWithin                          int64                // an attempt that begins so long after its client closed is one too late; 0: not judged
+	ReadyWithin, ReadyShort             int64                // for processes started again, the second where the day ends before the first; 0: not judged
+	End                                 int64                // of the day
 	ByOthers                            bool                 // nodes may hear the list from one another
 	Slack                               int64                // that every time limit is longer on sockets
 	Late                                func(at int64) int64 // how late the rig itself ran round a moment
@@ -101,7 +105,8 @@
 	Node, Life  int
 	From, Until int64
 	Excused     []Span
-	Remembers   bool // it knows what its life before was told, but in that life's last moment
+	Remembers   bool  // it knows what its life before was told, but in that life's last moment
+	Ready       int64 // when it first said that it takes requests; Never if it did not
 }
 
 // Span is a time from and to, the end not included.
@@ -124,6 +129,12 @@
 	At     int64
 }
 
+// Outage is a time in which discovery could not be reached: by one node, or by all of them.
+type Outage struct {
+	Node int // -1: all
+	Span
+}
+
 // Fall is a cold server that was pushed over.
 type Fall struct {
 	Server, Life int
@@ -140,6 +151,7 @@
 	Lives    []*NodeLife
 	Watches  []*Watch
 	Listings []Listing
+	Outages  []*Outage
 	Falls    []Fall
 	closed   bool
 }
@@ -185,10 +197,16 @@
 
 // Live records a node's start.
 func (l *Ledger) Live(n *NodeLife) {
-	n.Until = Never
+	n.Until, n.Ready = Never, Never
 	l.change(func() { l.Lives = append(l.Lives, n) })
 }
 
+// OutOfReach records that discovery can't be reached from a moment on; its end is set when it comes.
+func (l *Ledger) OutOfReach(o *Outage) {
+	o.To = Never
+	l.change(func() { l.Outages = append(l.Outages, o) })
+}
+
 // Watched records the beginning of a watch, or a call that failed.
 func (l *Ledger) Watched(w *Watch) { l.change(func() { l.Watches = append(l.Watches, w) }) }
 
--- /dev/null
+++ b/internal/lab/ledger/terms_test.go
@@ -0,0 +1,171 @@
+package ledger
+
+import (
+	"strings"
+	"testing"
+
+	"fawnglade/internal/lab/model"
+)
+
+// terms are the rules with the standing test's later terms.
+func terms() Rules {
+	r := rules
+	r.ToldWithin, r.GoneWithin, r.ReadyWithin, r.ReadyShort, r.End = 6000*ms, 100*ms, 10000*ms, 6000*ms, 60000*ms
+	return r
+}
+
+// TestToldInAnyCase has a drain at 2 s and an attempt at that server later; settings that ask allow far longer than six seconds, and
+// four times that after a failed call.
+func TestToldInAnyCase(t *testing.T) {
+	none := func(*Ledger) {}
+	outage := func(node int, from, to int64) func(*Ledger) {
+		return func(l *Ledger) {
+			o := &Outage{Node: node, Span: Span{From: from * ms}}
+			l.OutOfReach(o)
+			o.To = to * ms
+		}
+	}
+	for name, c := range map[string]struct {
+		change func(*Ledger)
+		sent   int64
+		want   bool
+	}{
+		"six seconds and the grace":            {none, 8560, true},
+		"not yet":                              {none, 8540, false},
+		"discovery down before":                {outage(-1, 1000, 4000), 10540, false},
+		"six seconds after its return":         {outage(-1, 1000, 4000), 10560, true},
+		"down in the midst of them":            {outage(-1, 7900, 9000), 15540, false},
+		"down twice":                           {func(l *Ledger) { outage(-1, 3000, 4000)(l); outage(-1, 9000, 9500)(l) }, 15990, false},
+		"and six seconds after":                {func(l *Ledger) { outage(-1, 3000, 4000)(l); outage(-1, 9000, 9500)(l) }, 16060, true},
+		"down only later":                      {outage(-1, 8001, 30000), 8560, true},
+		"cut off from it alone":                {outage(0, 1000, 4000), 10540, false},
+		"another cut off from it":              {outage(1, 1000, 4000), 8560, true},
+		"never back":                           {func(l *Ledger) { l.OutOfReach(&Outage{Node: -1, Span: Span{From: 1000 * ms}}) }, 30000, false},
+		"the node itself stood still":          {func(l *Ledger) { l.Excuse(l.Lives[0], Span{1000 * ms, 5000 * ms}) }, 11540, false},
+		"and no longer":                        {func(l *Ledger) { l.Excuse(l.Lives[0], Span{1000 * ms, 5000 * ms}) }, 11560, true},
+		"told that it is up again":             {func(l *Ledger) { l.List(Listing{0, model.Up, 3000 * ms}); l.Tell(told(3100, model.Up)) }, 8800, false},
+		"up again on the list, and not told":   {func(l *Ledger) { l.List(Listing{0, model.Up, 3000 * ms}) }, 9600, false},
+		"told before the change that it is up": {func(l *Ledger) { l.Tell(told(1900, model.Up)) }, 8560, true},
+		"up and draining again, neither told": {func(l *Ledger) {
+			l.List(Listing{0, model.Up, 3000 * ms})
+			l.List(Listing{0, model.Draining, 4000 * ms})
+		}, 10560, true},
+		"told up, then draining again, not told": {func(l *Ledger) {
+			l.List(Listing{0, model.Up, 3000 * ms})
+			l.Tell(told(3100, model.Up))
+			l.List(Listing{0, model.Draining, 4000 * ms})
+		}, 10560, true},
+	} {
+		for _, asked := range []bool{true, false} {
+			l := &Ledger{}
+			l.Live(&NodeLife{Life: 1})
+			for at := int64(0); at < 30000; at += 1000 {
+				l.Watched(&Watch{Life: 1, From: at * ms, To: at * ms, Failed: true})
+			}
+			l.List(Listing{Health: model.Draining, At: 2000 * ms})
+			c.change(l)
+			l.hand(c.sent, nil).try(0, func(t *Try) { t.Whole, t.Hard = c.sent*ms-1, 99000*ms; answered(c.sent+9, 200)(t) })
+			r := terms()
+			if !asked {
+				r.AskWithin = 0 // lists are pushed
+			}
+			got := l.Judge(categories, r)
+			if c.want != (len(got) == 1) || c.want && (got[0].Rule != 3 || got[0].At != c.sent*ms) {
+				t.Errorf("%s, asked %v: %v, want broken %v", name, asked, got, c.want)
+			}
+		}
+	}
+}
+
+// A process that starts with an old list has six seconds from its start.
+func TestToldInAnyCaseToANewProcess(t *testing.T) {
+	for sent, want := range map[int64]bool{12540: false, 12560: true} {
+		l := &Ledger{}
+		l.Live(&NodeLife{Life: 1})
+		l.Lives[0].Until = 5000 * ms
+		l.List(Listing{Health: model.Draining, At: 2000 * ms})
+		l.Live(&NodeLife{Life: 2, From: 6000 * ms})
+		l.hand(sent, nil).try(0, func(t *Try) { t.Life, t.Whole, t.Hard = 2, sent*ms-1, 99000*ms; answered(sent+9, 200)(t) })
+		r := terms()
+		r.ReadyWithin = 0
+		if got := l.Judge(categories, r); want != (len(got) == 1) {
+			t.Errorf("sent at %d ms: %v, want broken %v", sent, got, want)
+		}
+	}
+}
+
+// TestGone has attempts begin after their clients had gone.
+func TestGone(t *testing.T) {
+	for name, c := range map[string]struct {
+		late, excuse int64
+		cases, want  int
+	}{
+		"two":                  {200, 0, 2, 0},
+		"the third":            {200, 0, 3, 1},
+		"each after it":        {200, 0, 5, 3},
+		"just after the close": {140, 0, 5, 0},
+		"later than the slack": {160, 0, 5, 3},
+		"stood still then":     {200, 100, 5, 0},
+		"and began afterwards": {400, 100, 5, 3},
+	} {
+		l := day()
+		for i := range int64(c.cases) {
+			left := (1000 + 10*i) * ms
+			l.Sent(&Try{ID: string(rune('a' + i)), Life: 1, Whole: left - 10*ms, Hard: 9000 * ms})
+			l.Tries[i].Left = left
+			l.Began(&HandOff{Task: string(rune('a' + i)), First: left - 5*ms, Zone: "a"})
+			l.HandOffs[2*i].Last, l.HandOffs[2*i].Closed = left-5*ms, left
+			l.Began(&HandOff{Task: string(rune('a' + i)), First: left + c.late*ms, Zone: "a"})
+			l.HandOffs[2*i+1].Last = left + c.late*ms
+		}
+		if c.excuse > 0 {
+			l.Excuse(l.Lives[0], Span{990 * ms, (1000 + 10*int64(c.cases) + c.excuse) * ms})
+		}
+		got := l.Judge(categories, terms())
+		if len(got) != c.want || c.want > 0 && (got[0].Rule != 1 || got[0].Task != "c" || got[0].HandOff != 1 || !strings.Contains(got[0].What, "after its client had gone")) {
+			t.Errorf("%s: %v, want %d breaks from the third on", name, got, c.want)
+		}
+	}
+}
+
+// TestReadiness has ten processes started again at 20 s of a day, ready so many seconds later; 0 is never.
+func TestReadiness(t *testing.T) {
+	for name, c := range map[string]struct {
+		ready  []int64
+		length int64
+		ended  int64 // the last of them; 0: not
+		want   string
+	}{
+		"all at once":                     {[]int64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, 60, 0, ""},
+		"one never":                       {[]int64{1, 1, 1, 1, 9, 1, 1, 1, 1, 0}, 60, 0, ""},
+		"two never":                       {[]int64{1, 1, 1, 1, 1, 1, 1, 1, 0, 0}, 60, 0, "rule 5 at 30.050 s, node 9: 8 of 10 processes started again were ready in time"},
+		"two late":                        {[]int64{11, 1, 1, 1, 1, 1, 1, 1, 1, 12}, 60, 0, "rule 5 at 30.050 s, node 9: 8 of 10"},
+		"a shorter day":                   {[]int64{7, 7, 1, 1, 1, 1, 1, 1, 1, 1}, 29, 0, "rule 5 at 26.050 s, node 1: 8 of 10"},
+		"in a shorter day":                {[]int64{5, 5, 5, 1, 1, 1, 1, 1, 1, 1}, 29, 0, ""},
+		"too near the day's end":          {[]int64{0, 0, 0, 0, 0, 0, 0, 0, 0, 0}, 25, 0, ""},
+		"one of nine that were not ended": {[]int64{1, 1, 1, 1, 1, 1, 1, 1, 0, 0}, 60, 2, "rule 5 at 30.050 s, node 8: 8 of 9"},
+	} {
+		l := &Ledger{}
+		for node, ready := range c.ready {
+			l.Live(&NodeLife{Node: node, Life: 1})
+			l.Lives[2*node].Until = 20000 * ms
+			l.Live(&NodeLife{Node: node, Life: 2, From: 20000 * ms})
+			if ready > 0 {
+				l.Lives[2*node+1].Ready = (20 + ready) * 1000 * ms
+			}
+		}
+		if c.ended > 0 {
+			l.Lives[len(l.Lives)-1].Until = (20 + c.ended) * 1000 * ms
+		}
+		r := terms()
+		r.End = c.length * 1000 * ms
+		got := l.Judge(categories, r)
+		if c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || !strings.HasPrefix(got[0].String(), c.want)) {
+			t.Errorf("%s: %v, want %q", name, got, c.want)
+		}
+	}
+	l := day()
+	if got := l.Judge(categories, terms()); len(got) != 0 {
+		t.Errorf("a first life that was never ready: %v, want nothing broken: the day waits for these", got)
+	}
+}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -138,15 +138,24 @@
 	return repeat[c.Repeat], group[c.Group]
 }
 
+// The standing test's terms that hold whatever a day's settings allow.
+const (
+	toldWithin  = int64(6 * time.Second)
+	goneWithin  = int64(100 * time.Millisecond)
+	readyWithin = int64(10 * time.Second)
+	readyShort  = int64(6 * time.Second)
+)
+
 // RulesOf is what the nodes of a day are held to, with what each time limit is longer by: a slack, how late the rig ran, and what
-// the day's ways held up.
-func RulesOf(s *scenario.Scenario, ways *links.Schedule, slack int64, late func(int64) int64) ledger.Rules {
+// the day's ways held up. The day begins at base.
+func RulesOf(s *scenario.Scenario, ways *links.Schedule, base, slack int64, late func(int64) int64) ledger.Rules {
 	r := &s.Rules
 	within := int64(0)
 	if s.Discovery.Ask {
 		within = int64(r.AskWithin)
 	}
 	rules := ledger.Rules{StopSending: int64(r.StopSending), AskWithin: within, AnswerGrace: int64(r.AnswerGrace),
+		ToldWithin: toldWithin, GoneWithin: goneWithin, ReadyWithin: readyWithin, ReadyShort: readyShort, End: base + int64(s.Length),
 		MayDuplicate: r.MayDuplicate, ByOthers: s.Nodes.List, Slack: slack, Late: late}
 	if len(ways.Turns()) == 0 {
 		return rules
@@ -180,7 +189,8 @@
 	return b
 }
 
-// Excuse tells the ledger of cuts between clients and nodes: what is said over them reaches nobody.
+// Excuse tells the ledger of cuts between clients and nodes, as what is said over them reaches nobody, and of those between nodes and
+// discovery, over which nothing can be learned.
 func Excuse(s *scenario.Scenario, p *plan.Plan, l *ledger.Ledger) {
 	for i := range p.Faults {
 		way, ok := s.Way(&p.Faults[i].Fault)
@@ -195,6 +205,11 @@
 			}
 			return out
 		}
+		if len(of(links.Discovery)) > 0 {
+			for _, node := range of(links.Node) {
+				l.Outages = append(l.Outages, &ledger.Outage{Node: node, Span: ledger.Span{From: way.Begin, To: way.End}})
+			}
+		}
 		if len(of(links.Client)) == 0 {
 			continue
 		}
--- a/internal/lab/rig/day.go
+++ b/internal/lab/rig/day.go
@@ -493,7 +493,7 @@
 	d.clients.mu.Unlock()
 	record.Excuse(d.scenario, d.plan, d.ledger)
 	r.Reach = record.ReachOf(d.scenario, d.between.ways, d.base)
-	r.Breaks = d.ledger.Judge(record.Categories(d.scenario), record.RulesOf(d.scenario, d.between.ways, socketSlack, d.gauge.late))
+	r.Breaks = d.ledger.Judge(record.Categories(d.scenario), record.RulesOf(d.scenario, d.between.ways, d.base, socketSlack, d.gauge.late))
 	for i := range r.Breaks {
 		r.Breaks[i].At -= d.base
 	}
--- a/internal/lab/rig/discovery.go
+++ b/internal/lab/rig/discovery.go
@@ -30,6 +30,7 @@
 	ever    map[int]bool // servers listed at any time
 	first   [][]byte     // the list of the day's beginning, by node
 	down    bool
+	outage  *ledger.Outage
 	slow    float64
 	late    time.Duration // a change of the list shows so much later
 	places  []*place      // by node
@@ -374,6 +375,13 @@
 func (s *discovery) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.day.now()
+	if down && !s.down {
+		s.outage = &ledger.Outage{Node: -1, Span: ledger.Span{From: now}}
+		s.day.ledger.OutOfReach(s.outage)
+	} else if s.down && !down {
+		s.day.ledger.Update(func() { s.outage.To = now })
+	}
 	if s.down = down; down {
 		for _, p := range s.places {
 			for c := range p.conns {
--- a/internal/lab/rig/node.go
+++ b/internal/lab/rig/node.go
@@ -173,12 +173,12 @@
 	n.figures.Starts++
 	n.mu.Unlock()
 	n.day.group.Go(func() error { n.watch(p, life); return nil })
-	n.day.group.Go(func() error { n.admit(p); return nil })
+	n.day.group.Go(func() error { n.admit(p, life); return nil })
 	return nil
 }
 
 // admit has the front take the node in once it is ready.
-func (n *node) admit(p Proc) {
+func (n *node) admit(p Proc, life *ledger.NodeLife) {
 	for {
 		select {
 		case <-n.day.over:
@@ -188,6 +188,8 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		if ready(n.address) {
+			now := n.day.now()
+			n.day.ledger.Update(func() { life.Ready = now })
 			n.mu.Lock()
 			n.in = n.proc == p
 			n.mu.Unlock()
--- a/internal/lab/world/day.go
+++ b/internal/lab/world/day.go
@@ -144,7 +144,7 @@
 		Odd: d.oddities, Took: time.Since(began)}
 	r.Reach, r.Beliefs, r.Runs = record.ReachOf(d.scenario, d.ways, 0), d.beliefs, d.runs
 	record.Excuse(d.scenario, d.plan, d.ledger)
-	r.Breaks = d.ledger.Judge(record.Categories(d.scenario), record.RulesOf(d.scenario, d.ways, 0, nil))
+	r.Breaks = d.ledger.Judge(record.Categories(d.scenario), record.RulesOf(d.scenario, d.ways, 0, 0, nil))
 	for _, m := range d.machines {
 		r.Servers = append(r.Servers, m.spec.Name)
 	}
--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -25,6 +25,7 @@
 	known   map[int]bool
 	first   []model.Listed
 	down    bool
+	outage  *ledger.Outage
 	slow    float64
 	late    int64
 	busy    int64 // it works until then
@@ -259,9 +260,15 @@
 
 // setDown makes discovery go down: calls fail, watches end. Or brings it back.
 func (s *discovery) setDown(down bool) {
+	if s.down == down {
+		return
+	}
 	if s.down = down; !down {
+		s.outage.To = s.day.now
 		return
 	}
+	s.outage = &ledger.Outage{Node: -1, Span: ledger.Span{From: s.day.now}}
+	s.day.ledger.OutOfReach(s.outage)
 	for _, w := range append([]*watch(nil), s.watches...) {
 		w.failed()
 	}
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -100,7 +100,7 @@
 			d.at(max(d.now+int64(f.For), ended), func() {
 				if n.life == life && !n.alive {
 					n.start()
-					d.in(startsIn, func() { n.in = n.alive })
+					d.in(startsIn, n.admitted)
 				}
 			})
 		}
@@ -175,7 +175,7 @@
 			d.in(f.Back(f.NodesBack, f.Seed, i), func() {
 				if n.life == life && !n.alive {
 					n.start()
-					d.in(startsIn, func() { n.in = n.alive })
+					d.in(startsIn, n.admitted)
 				}
 			})
 		}
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -143,6 +143,13 @@
 	n.join(list)
 }
 
+// admitted has the front take the node in, as its process has said that it is ready.
+func (n *node) admitted() {
+	if n.in = n.alive; n.in {
+		n.life.Ready = n.day.now
+	}
+}
+
 // enter has something handled by the loop, in turn: each event takes the processor for a moment.
 func (n *node) enter(do func()) {
 	life := n.life
