--- a/internal/lab/ledger/judge.go
+++ b/internal/lab/ledger/judge.go
@@ -44,21 +44,27 @@
 	rules      Rules
 	byTask     map[string][]*HandOff
 	lives      map[lifeKey]*NodeLife
+	starts     map[start]int64
 	afterGone  []Break // attempts for clients that had gone; the first few are let pass
 	breaks     []Break
 }
 
+// filled has functions where a day has nothing to say.
+func (r Rules) filled() Rules {
+	if r.Late == nil {
+		r.Late = func(int64) int64 { return 0 }
+	}
+	if r.OnWay == nil {
+		r.OnWay = func(int64) int64 { return 0 }
+	}
+	return r
+}
+
 // Judge reads the closed ledger and returns every break, in order of time.
 func (l *Ledger) Judge(categories []Category, rules Rules) []Break {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if rules.Late == nil {
-		rules.Late = func(int64) int64 { return 0 }
-	}
-	if rules.OnWay == nil {
-		rules.OnWay = func(int64) int64 { return 0 }
-	}
-	j := &judge{Ledger: l, categories: categories, rules: rules, byTask: map[string][]*HandOff{}, lives: map[lifeKey]*NodeLife{}}
+	j := &judge{Ledger: l, categories: categories, rules: rules.filled(), byTask: map[string][]*HandOff{}, lives: map[lifeKey]*NodeLife{}}
 	for _, n := range l.Lives {
 		j.lives[lifeKey{n.Node, n.Life}] = n
 	}
@@ -384,10 +390,7 @@
 	for _, f := range j.Falls {
 		knowing, byNode, worst := 0.0, map[int]float64{}, -1
 		for _, p := range f.Pushes {
-			knew := slices.ContainsFunc(j.Told, func(t Told) bool {
-				return t.Node == p.Node && t.Life == j.lifeAt(p.Node, p.At) && t.Server == f.Server && t.Started == f.Started && t.At <= p.At
-			})
-			if knew {
+			if j.knew(f.Server, f.Started, p) {
 				knowing += p.Work
 			}
 			byNode[p.Node] += p.Work
--- a/internal/lab/ledger/judge_test.go
+++ b/internal/lab/ledger/judge_test.go
@@ -130,12 +130,12 @@
 		hears  bool
 		want   bool
 	}{
-		"up again":            {[]Listing{{0, model.Draining, 900 * ms}, {0, model.Up, 1200 * ms}}, true, false},
-		"and nodes don't ask": {[]Listing{{0, model.Up, 1200 * ms}}, false, true},
-		"up before alone":     {[]Listing{{0, model.Up, 900 * ms}}, true, true},
-		"up, and out again":   {[]Listing{{0, model.Up, 1200 * ms}, {0, model.Removed, 1500 * ms}}, true, true},
-		"up only later":       {[]Listing{{0, model.Up, 2001 * ms}}, true, true},
-		"another":             {[]Listing{{1, model.Up, 1200 * ms}}, true, true},
+		"up again":            {[]Listing{{Server: 0, Health: model.Draining, At: 900 * ms}, {Server: 0, Health: model.Up, At: 1200 * ms}}, true, false},
+		"and nodes don't ask": {[]Listing{{Server: 0, Health: model.Up, At: 1200 * ms}}, false, true},
+		"up before alone":     {[]Listing{{Server: 0, Health: model.Up, At: 900 * ms}}, true, true},
+		"up, and out again":   {[]Listing{{Server: 0, Health: model.Up, At: 1200 * ms}, {Server: 0, Health: model.Removed, At: 1500 * ms}}, true, true},
+		"up only later":       {[]Listing{{Server: 0, Health: model.Up, At: 2001 * ms}}, true, true},
+		"another":             {[]Listing{{Server: 1, Health: model.Up, At: 1200 * ms}}, true, true},
 	} {
 		l := day().hand(2000, nil).try(0, func(t *Try) { t.Whole, t.Hard = 1999*ms, 9000*ms; answered(2009, 200)(t) })
 		l.Tell(told(1000, model.Draining))
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -124,9 +124,10 @@
 
 // Listing is a change of the list itself, told or not.
 type Listing struct {
-	Server int
-	Health model.Health
-	At     int64
+	Server  int
+	Health  model.Health
+	At      int64
+	Started int64
 }
 
 // Outage is a time in which discovery could not be reached: by one node, or by all of them.
@@ -142,6 +143,15 @@
 	model.Fall
 }
 
+// Cold is a server's life that began cold, with all that came to it until it was warm.
+type Cold struct {
+	Server, Life int
+	Started      int64
+	MeanWork     float64 // of a request, seconds
+	Window       int64
+	Pushes       []model.Push
+}
+
 // Ledger collects. Its records may be written by any goroutine until Close.
 type Ledger struct {
 	mu       sync.Mutex
@@ -153,6 +163,7 @@
 	Listings []Listing
 	Outages  []*Outage
 	Falls    []Fall
+	Colds    []Cold
 	closed   bool
 }
 
@@ -212,3 +223,10 @@
 
 // Fell records a cold server's fall.
 func (l *Ledger) Fell(f Fall) { l.change(func() { l.Falls = append(l.Falls, f) }) }
+
+// Warmed records a life that began cold, once it has ended.
+func (l *Ledger) Warmed(c Cold) {
+	if len(c.Pushes) > 0 {
+		l.change(func() { l.Colds = append(l.Colds, c) })
+	}
+}
--- a/internal/lab/ledger/terms_test.go
+++ b/internal/lab/ledger/terms_test.go
@@ -43,17 +43,17 @@
 		"never back":                           {func(l *Ledger) { l.OutOfReach(&Outage{Node: -1, Span: Span{From: 1000 * ms}}) }, 30000, false},
 		"the node itself stood still":          {func(l *Ledger) { l.Excuse(l.Lives[0], Span{1000 * ms, 5000 * ms}) }, 11540, false},
 		"and no longer":                        {func(l *Ledger) { l.Excuse(l.Lives[0], Span{1000 * ms, 5000 * ms}) }, 11560, true},
-		"told that it is up again":             {func(l *Ledger) { l.List(Listing{0, model.Up, 3000 * ms}); l.Tell(told(3100, model.Up)) }, 8800, false},
-		"up again on the list, and not told":   {func(l *Ledger) { l.List(Listing{0, model.Up, 3000 * ms}) }, 9600, false},
+		"told that it is up again":             {func(l *Ledger) { l.List(Listing{Health: model.Up, At: 3000 * ms}); l.Tell(told(3100, model.Up)) }, 8800, false},
+		"up again on the list, and not told":   {func(l *Ledger) { l.List(Listing{Health: model.Up, At: 3000 * ms}) }, 9600, false},
 		"told before the change that it is up": {func(l *Ledger) { l.Tell(told(1900, model.Up)) }, 8560, true},
 		"up and draining again, neither told": {func(l *Ledger) {
-			l.List(Listing{0, model.Up, 3000 * ms})
-			l.List(Listing{0, model.Draining, 4000 * ms})
+			l.List(Listing{Health: model.Up, At: 3000 * ms})
+			l.List(Listing{Health: model.Draining, At: 4000 * ms})
 		}, 10560, true},
 		"told up, then draining again, not told": {func(l *Ledger) {
-			l.List(Listing{0, model.Up, 3000 * ms})
+			l.List(Listing{Health: model.Up, At: 3000 * ms})
 			l.Tell(told(3100, model.Up))
-			l.List(Listing{0, model.Draining, 4000 * ms})
+			l.List(Listing{Health: model.Draining, At: 4000 * ms})
 		}, 10560, true},
 	} {
 		for _, asked := range []bool{true, false} {
@@ -169,3 +169,55 @@
 		t.Errorf("a first life that was never ready: %v, want nothing broken: the day waits for these", got)
 	}
 }
+
+// TestPeaks has requests of a second of work come to a cold server with a budget of four: first five from a node that was not told, then
+// four from one that was, the last of them while one of the others is still within the window.
+func TestPeaks(t *testing.T) {
+	l := &Ledger{}
+	for node := range 2 {
+		l.Live(&NodeLife{Node: node, Life: 1, From: -10000 * ms})
+	}
+	l.Tell(Told{Node: 1, Life: 1, Server: 3, Started: 77, At: 1500 * ms}, Told{Node: 0, Life: 1, Server: 3, Started: 76, At: 0})
+	cold := Cold{Server: 3, Life: 2, Started: 77, MeanWork: 1, Window: 1000 * ms}
+	add := func(node int, at ...int64) {
+		for _, a := range at {
+			cold.Pushes = append(cold.Pushes, model.Push{At: a * ms, Work: 1, Node: node, Budget: 4})
+		}
+	}
+	add(0, 1000, 1001, 1002, 1600, 1700)
+	add(1, 2100, 2650, 2660, 2670)
+	l.Warmed(cold)
+	l.Warmed(Cold{Server: 4, MeanWork: 1, Window: 1000 * ms}) // nothing came to it
+	all, told := l.Peaks(terms())
+	if len(all) != 1 || all[0] != (Peak{Server: 3, At: 1700 * ms, Got: 5, Budget: 4, Over: 0.5}) {
+		t.Errorf("of all that came: %+v, want five at 1.7 s, half a root over, none from who was told", all)
+	}
+	if len(told) != 1 || told[0] != (Peak{Server: 3, At: 2670 * ms, Got: 5, Budget: 4, Over: 0.5, Told: 0.8}) {
+		t.Errorf("from nodes that were told: %+v, want five at 2.67 s, four of them from who was told", told)
+	}
+	// Six seconds after discovery listed the start whoever could reach it knows.
+	l.List(Listing{Server: 3, Health: model.Up, At: -4395 * ms, Started: 77})
+	l.List(Listing{Server: 3, Health: model.Up, At: -9000 * ms, Started: 76})
+	if _, told := l.Peaks(terms()); len(told) != 1 || told[0] != (Peak{Server: 3, At: 2670 * ms, Got: 5, Budget: 4, Over: 0.5, Told: 1}) {
+		t.Errorf("taken to know at 1.605 s: %+v, want all five of 2.67 s", told)
+	}
+	cold.Pushes = cold.Pushes[:5]
+	l = &Ledger{}
+	l.Live(&NodeLife{Life: 1})
+	l.Warmed(cold)
+	if all, told := l.Peaks(terms()); len(all) != 1 || len(told) != 0 {
+		t.Errorf("nobody was told: %+v and %+v", all, told)
+	}
+}
+
+// A fall is broken where those who pushed are taken to know of the start, though nobody told them.
+func TestFallsTakenToKnow(t *testing.T) {
+	for at, want := range map[int64]int{5900: 0, 6100: 1} {
+		l := day()
+		l.List(Listing{Server: 4, Health: model.Up, At: 0, Started: 77})
+		l.Fell(Fall{Server: 4, Started: 77, Fall: model.Fall{At: at * ms, Capacity: 0.5, Work: 1, Pushes: []model.Push{{At: at * ms, Work: 1}}}})
+		if got := l.Judge(categories, terms()); len(got) != want || want > 0 && got[0].Rule != 4 {
+			t.Errorf("pushed over at %d ms: %v, want %d broken", at, got, want)
+		}
+	}
+}
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -196,3 +196,33 @@
 		t.Errorf("after the newest: %v %v, want nothing", got, whole)
 	}
 }
+
+// A budget of N = 64 requests of mean work falls at the 83rd where chance counts, at a twentieth or two requests over it elsewhere; with
+// one of N = 6,250 a twentieth is more than chance.
+func TestFallsBeyondChance(t *testing.T) {
+	falls := func(work int64, chance bool) int {
+		k := kind()
+		k.MeanWork, k.ByChance, k.WarmFor = float64(work)/1e9, chance, 1e15 // as cold all through
+		s := NewServer(k, 0, 0, 1)
+		for n := 1; ; n++ {
+			if _, fall := s.Arrive(0, &Job{Work: work, Until: Never}); fall != nil {
+				if got := len(s.WhileCold()); got != n || s.WhileCold()[0].Budget != 1.5 {
+					t.Errorf("%d pushes kept with a budget of %v s, want all %d and 1.5 s", got, s.WhileCold()[0].Budget, n)
+				}
+				return n
+			}
+		}
+	}
+	for _, c := range []struct {
+		work   int64
+		chance bool
+		want   int
+	}{
+		{1.5e9 / 64, true, 64 + 16 + 2 + 1}, {1.5e9 / 64, false, 64 + 3 + 1}, {1.5e9 / 16, false, 16 + 2 + 1},
+		{240000, true, 6250 + 160 + 1}, {240000, false, 6250 + 160 + 1},
+	} {
+		if got := falls(c.work, c.chance); got != c.want {
+			t.Errorf("requests of %d ns, by chance %v: fell at the %d., want the %d.", c.work, c.chance, got, c.want)
+		}
+	}
+}
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -26,6 +26,8 @@
 	WarmFor      int64
 	FallMultiple float64
 	FallAfter    int64
+	MeanWork     float64 // seconds, of a request
+	ByChance     bool    // falls only beyond what the standing test puts down to chance; else also beyond a twentieth or two requests
 
 	PauseEvery, PauseFor int64
 	Connections          int
@@ -70,6 +72,7 @@
 	extra    float64 // work of connections and turning away, done before anything else
 
 	pushes []Push // of a cold server, within the window
+	cold   []Push // all that came to it while it was cold
 
 	done []Done
 
@@ -83,9 +86,10 @@
 
 // Push is work that came to a cold server.
 type Push struct {
-	At   int64
-	Work float64 // seconds
-	Node int
+	At     int64
+	Work   float64 // seconds
+	Node   int
+	Budget float64 // of the window that ends with it, seconds
 }
 
 // Figure is what a server says of itself.
@@ -318,14 +322,21 @@
 	s.extra += float64(s.ConnectionWork) / 1e9
 }
 
+// WhileCold is all that came in this life until the server was warm, or fell.
+func (s *Server) WhileCold() []Push { return s.cold }
+
 // push keeps the budget of a cold server: multiple times its present capacity times the window, with a little slack
-// for chance. All that reaches it counts, also what it turns away.
+// for chance. All that reaches it counts, also what it turns away. Of N requests of mean work the standing test puts 2 x root of N + 2
+// down to chance; where a day doesn't ask for just that, the slack is the lesser of this and a twentieth, or two requests.
 func (s *Server) push(node int, work float64) *Fall {
 	if s.Warmth() >= 1 {
 		s.pushes = nil
 		return nil
 	}
-	s.pushes = append(s.pushes, Push{s.now, work, node})
+	window := float64(s.FallAfter) / 1e9
+	budget := s.FallMultiple * s.Capacity() * window
+	s.pushes = append(s.pushes, Push{s.now, work, node, budget})
+	s.cold = append(s.cold, Push{s.now, work, node, budget})
 	from := 0
 	for s.pushes[from].At <= s.now-s.FallAfter {
 		from++
@@ -335,9 +346,14 @@
 	for _, p := range s.pushes {
 		sum += p.Work
 	}
-	window := float64(s.FallAfter) / 1e9
-	budget := s.FallMultiple * s.Capacity() * window
-	if sum <= budget+math.Max(0.05*budget, 2*work) {
+	slack := math.Max(0.05*budget, 2*work)
+	if s.MeanWork > 0 {
+		n := budget / s.MeanWork
+		if chance := (2*math.Sqrt(n) + 2) * s.MeanWork; s.ByChance || chance < slack {
+			slack = chance
+		}
+	}
+	if sum <= budget+slack {
 		return nil
 	}
 	return &Fall{At: s.now, Work: sum, Capacity: s.Capacity(), Pushes: s.pushes}
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -11,6 +11,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 
 	"fawnglade/internal/lab/links"
 	"fawnglade/internal/lab/scenario"
@@ -308,6 +309,41 @@
 	}
 }
 
+// Parts is how much of its zone's load each node gets, over the mean; nil where all get the same. It is drawn for itself, so that the
+// plan of a day without it stays what it was.
+func (p *Plan) Parts(s *scenario.Scenario) []float64 {
+	if s.Load.Uneven == 0 {
+		return nil
+	}
+	draw, out := source(p.Seed, "parts"), make([]float64, s.Nodes.Count)
+	for i := range out {
+		out[i] = math.Exp(s.Load.Uneven*draw.NormFloat64() - s.Load.Uneven*s.Load.Uneven/2)
+	}
+	return out
+}
+
+// Choice deals tasks out to nodes of a zone by their parts. Which gets a try hangs on the try alone.
+type Choice []float64
+
+// ChoiceOf is a choice among some nodes; nil where all parts are the same.
+func ChoiceOf(parts []float64, nodes []int) Choice {
+	if parts == nil {
+		return nil
+	}
+	c, sum := make(Choice, len(nodes)), 0.0
+	for i, n := range nodes {
+		sum += parts[n]
+		c[i] = sum
+	}
+	return c
+}
+
+// Place is the place in the list of the node that a try goes to.
+func (c Choice) Place(task *Task, try int) int {
+	x := rand.New(rand.NewPCG(task.Seed, 77+uint64(try))).Float64() * c[len(c)-1]
+	return min(sort.SearchFloat64s(c, x), len(c)-1)
+}
+
 func weights[T any](list []T, of func(*T) float64) []float64 {
 	out := make([]float64, len(list))
 	for i := range list {
--- a/internal/lab/plan/plan_test.go
+++ b/internal/lab/plan/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"fawnglade/internal/lab/scenario"
@@ -95,3 +96,36 @@
 		}
 	}
 }
+
+// Uneven days give some nodes several times what others get, a zone's mean stays, and the plan is no other for it.
+func TestUneven(t *testing.T) {
+	s, err := scenario.Read("../../../lab/scenarios/fleet/cold-uneven.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := Draw(s, 1)
+	parts := p.Parts(s)
+	least, most := slices.Min(parts), slices.Max(parts)
+	if len(parts) != s.Nodes.Count || most < 4 || most > 20 || least > 0.3 || least <= 0 {
+		t.Errorf("%d nodes get from %.2f to %.2f of the mean, want some several times it", len(parts), least, most)
+	}
+	nodes := []int{3, 6, 9}
+	parts[3], parts[6], parts[9] = 1, 3, 0.5
+	choice, got := ChoiceOf(parts, nodes), make([]float64, 3)
+	for i := range p.Tasks {
+		place := choice.Place(&p.Tasks[i], 0)
+		if place != choice.Place(&p.Tasks[i], 0) {
+			t.Fatal("a try goes elsewhere when asked again")
+		}
+		got[place] += 4.5 / float64(len(p.Tasks))
+	}
+	for i, n := range nodes {
+		if math.Abs(got[i]-parts[n]) > 0.1 {
+			t.Errorf("node %d got %.2f of 4.5, want %.2f", n, got[i], parts[n])
+		}
+	}
+	hash := p.Hash()
+	if s.Load.Uneven = 0; p.Parts(s) != nil || ChoiceOf(nil, nodes) != nil || Draw(s, 1).Hash() != hash {
+		t.Error("an even day deals tasks out in turn, and its plan is the same")
+	}
+}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -96,6 +96,7 @@
 	Outcomes []Outcome
 	Ledger   *ledger.Ledger
 	Breaks   []ledger.Break
+	Peaks    [2][]ledger.Peak // of servers while they were cold: of all that came, and of what came from nodes that knew
 	Nodes    []NodeFigures
 	Loads    []LoadSample
 	Together []Together    // by second
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -49,6 +49,7 @@
 	BadClients record.BadFigures    `json:"bad_clients"`
 	Odd        map[string]int       `json:"odd,omitempty"`
 	Faults     []Band               `json:"faults,omitempty"`
+	Cold       *Cold                `json:"cold,omitempty"`
 	Servers    []string             `json:"servers"`
 	Loads      []record.LoadSample  `json:"loads,omitempty"`
 	Virtual    bool                 `json:"virtual,omitempty"`
@@ -59,6 +60,41 @@
 	Runs       []record.Runs        `json:"runs,omitempty"`
 }
 
+// Cold tells what servers' lives that began cold got at most within a window, over their budget of N requests of mean work.
+type Cold struct {
+	Lives int       `json:"lives"`
+	Falls int       `json:"falls"`
+	All   ColdWorst `json:"all"`  // of all that came
+	Told  ColdWorst `json:"told"` // of moments at which over two thirds came from nodes that had been told of the start
+}
+
+// ColdWorst is the worst of some lives.
+type ColdWorst struct {
+	Lives  int     `json:"lives"`
+	Over   float64 `json:"over"` // in roots of N; under 0: within the budget
+	Got    float64 `json:"got"`  // requests of mean work
+	Budget float64 `json:"budget"`
+	Server int     `json:"server"`
+	AtS    float64 `json:"at_s"`
+}
+
+func worstOf(peaks []ledger.Peak, base int64) (w ColdWorst) {
+	for i, p := range peaks {
+		if i == 0 || p.Over > w.Over {
+			w = ColdWorst{Over: p.Over, Got: p.Got, Budget: p.Budget, Server: p.Server, AtS: float64(p.At-base) / 1e9}
+		}
+	}
+	w.Lives = len(peaks)
+	return w
+}
+
+func coldOf(r *record.Record) *Cold {
+	if len(r.Peaks[0]) == 0 {
+		return nil
+	}
+	return &Cold{len(r.Peaks[0]), len(r.Ledger.Falls), worstOf(r.Peaks[0], r.Base), worstOf(r.Peaks[1], r.Base)}
+}
+
 // Drawn is the same for the same scenario and seed.
 type Drawn struct {
 	Seed  uint64 `json:"seed"`
@@ -191,6 +227,7 @@
 		}
 		out.Faults = append(out.Faults, Band{f.Kind, from, from + time.Duration(f.For).Seconds(), whom})
 	}
+	out.Cold = coldOf(r)
 	out.judge(s, r)
 	return out
 }
@@ -299,6 +336,11 @@
 	if e.BackWithin > 0 {
 		miss(r.BackS >= 0 && r.BackS <= e.BackWithin.Std().Seconds(), "service back at %.2f of the earnings after %.0f s (-1: not by the end), expected %v at most", backPart, r.BackS, e.BackWithin.Std())
 	}
+	if e.ColdOver != nil && r.Cold != nil {
+		c := &r.Cold.Told
+		miss(c.Over <= *e.ColdOver, "a cold server got %.1f requests of mean work, over two thirds from nodes that had been told, where N = %.1f: %.2f times the root of N over it, expected %.2f at most",
+			c.Got, c.Budget, c.Over, *e.ColdOver)
+	}
 	miss(!e.Agree || r.Views != nil && r.Views.AgreeFromS >= 0, "at the end nodes believe wrongly which of them run, expected that all know")
 	switch {
 	case played.Void:
--- a/internal/lab/result/text.go
+++ b/internal/lab/result/text.go
@@ -42,6 +42,10 @@
 		fmt.Fprintf(w, "all nodes together: %d connections (%d in the worst second), %d calls for the list (%d), %d resends, %d copies, %d probes, %d messages\n",
 			sum.Connections, most.Connections, sum.Calls, most.Calls, sum.Resends, sum.Copies, sum.Probes, sum.News)
 	}
+	if c := r.Cold; c != nil {
+		fmt.Fprintf(w, "cold servers %d, %d pushed over: the worst got %.1f requests of mean work where N = %.1f, %+.2f times the root of N over it; of those pushed by nodes that were told %.1f where N = %.1f, %+.2f\n",
+			c.Lives, c.Falls, c.All.Got, c.All.Budget, c.All.Over, c.Told.Got, c.Told.Budget, c.Told.Over)
+	}
 	for _, n := range r.Nodes[:min(len(r.Nodes), mostNodes)] {
 		fmt.Fprintf(w, "node %d: %.2f s of CPU, %.0f MB and %d descriptors at most, started %d times\n", n.Node, n.CPUSeconds, n.MostMB, n.MostFiles, n.Starts)
 	}
--- a/internal/lab/rig/client.go
+++ b/internal/lab/rig/client.go
@@ -45,6 +45,7 @@
 	pools    []*pool
 	byZone   [][]*pool
 	turn     []int
+	choice   []plan.Choice // by zone; nil: in turn
 	outcomes []record.Outcome
 
 	mu    sync.Mutex
@@ -105,6 +106,7 @@
 		}
 		c.pools = append(c.pools, p)
 	}
+	parts := d.plan.Parts(d.scenario)
 	for zone := range c.byZone {
 		for _, p := range c.pools {
 			if p.node.zone == zone {
@@ -114,6 +116,11 @@
 		if len(c.byZone[zone]) == 0 {
 			c.byZone[zone] = c.pools
 		}
+		var indexes []int
+		for _, p := range c.byZone[zone] {
+			indexes = append(indexes, p.node.index)
+		}
+		c.choice = append(c.choice, plan.ChoiceOf(parts, indexes))
 	}
 	return c, nil
 }
@@ -169,6 +176,9 @@
 func (c *clients) send(t *try) {
 	t.rec = nil
 	zone := c.byZone[t.task.Zone]
+	if choice := c.choice[t.task.Zone]; choice != nil {
+		c.turn[t.task.Zone] = choice.Place(t.task, t.n) - 1 // who is next, if that one is not in
+	}
 	for range zone {
 		c.turn[t.task.Zone]++
 		if p := zone[c.turn[t.task.Zone]%len(zone)]; p.node.takes() {
--- a/internal/lab/rig/day.go
+++ b/internal/lab/rig/day.go
@@ -484,6 +484,11 @@
 	for _, n := range d.nodes {
 		n.sample()
 	}
+	for _, m := range d.machines() {
+		m.mu.Lock()
+		m.warmed()
+		m.mu.Unlock()
+	}
 	d.ledger.Close()
 	void, late := d.gauge.void()
 	r := &record.Record{Plan: d.plan, Hash: d.hash, Base: d.base, Ledger: d.ledger, Void: void, Late: time.Duration(late), Odd: map[string]int{}, Took: time.Duration(d.now() - d.base),
@@ -493,7 +498,9 @@
 	d.clients.mu.Unlock()
 	record.Excuse(d.scenario, d.plan, d.ledger)
 	r.Reach = record.ReachOf(d.scenario, d.between.ways, d.base)
-	r.Breaks = d.ledger.Judge(record.Categories(d.scenario), record.RulesOf(d.scenario, d.between.ways, d.base, socketSlack, d.gauge.late))
+	rules := record.RulesOf(d.scenario, d.between.ways, d.base, socketSlack, d.gauge.late)
+	r.Breaks = d.ledger.Judge(record.Categories(d.scenario), rules)
+	r.Peaks[0], r.Peaks[1] = d.ledger.Peaks(rules)
 	for i := range r.Breaks {
 		r.Breaks[i].At -= d.base
 	}
--- a/internal/lab/rig/discovery.go
+++ b/internal/lab/rig/discovery.go
@@ -362,7 +362,7 @@
 		s.roster.Set(l)
 		s.ever[l.Server] = true
 		s.mu.Unlock()
-		s.day.ledger.List(ledger.Listing{Server: l.Server, Health: l.Health, At: s.day.now()})
+		s.day.ledger.List(ledger.Listing{Server: l.Server, Health: l.Health, At: s.day.now(), Started: l.Started})
 	}
 	if notice <= 0 {
 		do()
--- a/internal/lab/rig/machine.go
+++ b/internal/lab/rig/machine.go
@@ -132,13 +132,14 @@
 func (m *machine) start(cold bool) error {
 	m.mu.Lock()
 	now := m.day.now()
+	m.warmed()
 	started := int64(math.MinInt64 / 2)
 	if m.started = 0; cold {
 		// What the list tells is in whole milliseconds.
 		started, m.started = now, m.day.epoch(now)/1e6*1e6
 	}
 	m.life++
-	m.model = model.NewServer(model.KindOf(m.fleet, &m.day.scenario.Rules, m.spec.Speed), started, now, m.spec.Seed+uint64(m.life))
+	m.model = model.NewServer(model.KindOf(m.day.scenario, m.fleet, m.spec.Speed), started, now, m.spec.Seed+uint64(m.life))
 	m.waiting, m.trouble, m.draining, m.reports, m.reported, m.conns = map[int64]*handling{}, trouble{}, false, nil, now, 0
 	m.mu.Unlock()
 	for _, d := range m.doors {
@@ -149,6 +150,14 @@
 	return nil
 }
 
+// warmed hands in what came to the life that ends while it was cold; the lock is held.
+func (m *machine) warmed() {
+	if m.model != nil {
+		m.day.ledger.Warmed(ledger.Cold{Server: m.spec.Index, Life: m.life, Started: m.started, MeanWork: m.model.MeanWork,
+			Window: m.model.FallAfter, Pushes: m.model.WhileCold()})
+	}
+}
+
 // stop ends a life as a process does that dies: connections are reset, new ones refused.
 func (m *machine) stop() {
 	m.mu.Lock()
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -222,6 +222,7 @@
 	c.positive("rules.fall_after", r.FallAfter)
 	c.positive("rules.connect_within", r.ConnectIn)
 	c.atLeast("rules.fall_multiple", r.FallMultiple, 1)
+	c.oneOf("rules.fall_slack", r.FallSlack, "tight", "chance")
 	c.must(r.MostHandOffs >= 1, "rules.most_hand_offs", "at least 1", r.MostHandOffs)
 	s.checkLoad(c)
 	for i := range s.Faults {
@@ -264,6 +265,7 @@
 	c.oneOf("load.shape", l.Shape, "steady", "wave", "burst", "month-end")
 	c.part("load.swing", l.Swing)
 	c.part("load.hot_key", l.HotKey)
+	c.must(l.Uneven >= 0 && l.Uneven <= 3, "load.uneven", "from 0 to 3", l.Uneven)
 	c.positive("load.period", l.Period)
 	c.must(l.Body >= 0 && l.Body <= 64<<10, "load.body", "0 to 65,536 bytes", l.Body)
 	c.must(len(l.ZoneShare) == 0 || len(l.ZoneShare) == len(s.Network.Zones), "load.zone_share", "one for each zone", l.ZoneShare)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -131,6 +131,7 @@
 	AskWithin    Duration `toml:"ask_within"`
 	FallMultiple float64  `toml:"fall_multiple"`
 	FallAfter    Duration `toml:"fall_after"`
+	FallSlack    string   `toml:"fall_slack"` // over the budget: tight, or chance as in the standing test
 	AnswerGrace  Duration `toml:"answer_grace"`
 	MostHandOffs int      `toml:"most_hand_offs"`
 	MayDuplicate bool     `toml:"may_duplicate"`
@@ -149,6 +150,7 @@
 	Keys      int       `toml:"keys"`       // number of keys; 0: tasks have none
 	HotKey    float64   `toml:"hot_key"`    // share of the tasks that have one and the same key
 	Body      int       `toml:"body"`       // bytes
+	Uneven    float64   `toml:"uneven"`     // spread over the nodes of a zone: the deviation of the logarithm of a node's part; 0: all alike
 }
 
 // Category of tasks.
@@ -227,6 +229,7 @@
 	SeeingPart     float64  `toml:"seeing_part_min"`    // of what a policy keeps that sees the true state late; the gate
 	Agree          bool     `toml:"agree"`              // at the end every node knows which nodes run
 	BackWithin     Duration `toml:"back_within"`        // from the last loss of power until service is back at 0.95 of the earnings; 0: not asked
+	ColdOver       *float64 `toml:"cold_over_max"`      // the most over a cold server's budget of N requests from nodes that were told, in roots of N
 	PlainLess      float64  `toml:"plain_less_max"`     // by how much less than random choice it may keep; the gate; 0: not asked
 }
 
@@ -246,7 +249,7 @@
 	s.Nodes = Nodes{Count: 1, MemoryMB: 192, Sockets: 1024, Notice: ms(1000), Round: ms(500)}
 	s.Reports = Reports{Fields: []string{"queue", "inflight"}, Period: ms(400), Delay: ms(100), Noise: 0.03}
 	s.Discovery = Discovery{Ask: true, Notice: ms(500), Period: ms(200), Call: ms(20), GiveUp: ms(2000)}
-	s.Rules = Rules{StopSending: ms(500), AskWithin: ms(10000), FallMultiple: 3, FallAfter: ms(1000), AnswerGrace: ms(20),
+	s.Rules = Rules{StopSending: ms(500), AskWithin: ms(10000), FallMultiple: 3, FallAfter: ms(1000), FallSlack: "tight", AnswerGrace: ms(20),
 		MostHandOffs: 4, MayRecall: true, MaxAdvice: ms(1500), ConnectIn: ms(75)}
 	s.Load = Load{Rate: 200, Shape: "steady", Swing: 0.3, Period: ms(5000), Body: 200}
 	s.Clients = Clients{Retries: 2, Backoff: ms(20), Honour: 0.8, TryShare: 1, MostConns: 200}
--- a/internal/lab/world/client.go
+++ b/internal/lab/world/client.go
@@ -30,6 +30,7 @@
 	day      *Day
 	byZone   [][]*node
 	turn     []int
+	choice   []plan.Choice // by zone; nil: in turn
 	outcomes []record.Outcome
 	left     int
 	leftAt   int64
@@ -38,6 +39,7 @@
 func newClients(d *Day) *clients {
 	c := &clients{day: d, outcomes: make([]record.Outcome, len(d.plan.Tasks)), left: len(d.plan.Tasks),
 		byZone: make([][]*node, len(d.scenario.Network.Zones)), turn: make([]int, len(d.scenario.Network.Zones))}
+	parts := d.plan.Parts(d.scenario)
 	for zone := range c.byZone {
 		for _, n := range d.nodes {
 			if n.zone == zone {
@@ -47,6 +49,11 @@
 		if len(c.byZone[zone]) == 0 {
 			c.byZone[zone] = d.nodes
 		}
+		var indexes []int
+		for _, n := range c.byZone[zone] {
+			indexes = append(indexes, n.index)
+		}
+		c.choice = append(c.choice, plan.ChoiceOf(parts, indexes))
 	}
 	c.next(0)
 	return c
@@ -70,6 +77,9 @@
 // send gives a try to the next node that the front believes in.
 func (c *clients) send(t *try) {
 	zone := c.byZone[t.task.Zone]
+	if choice := c.choice[t.task.Zone]; choice != nil {
+		c.turn[t.task.Zone] = choice.Place(t.task, t.n) - 1 // who is next, if that one is not in
+	}
 	for range zone {
 		c.turn[t.task.Zone]++
 		if n := zone[c.turn[t.task.Zone]%len(zone)]; n.in {
--- a/internal/lab/world/day.go
+++ b/internal/lab/world/day.go
@@ -139,12 +139,17 @@
 	if d.problem != nil {
 		return nil, d.problem
 	}
+	for _, m := range d.machines {
+		m.warmed()
+	}
 	d.ledger.Close()
 	r := &record.Record{Plan: d.plan, Hash: hash, Virtual: true, Outcomes: d.clients.outcomes, Ledger: d.ledger, Loads: d.loads, Together: d.together,
 		Odd: d.oddities, Took: time.Since(began)}
 	r.Reach, r.Beliefs, r.Runs = record.ReachOf(d.scenario, d.ways, 0), d.beliefs, d.runs
 	record.Excuse(d.scenario, d.plan, d.ledger)
-	r.Breaks = d.ledger.Judge(record.Categories(d.scenario), record.RulesOf(d.scenario, d.ways, 0, 0, nil))
+	rules := record.RulesOf(d.scenario, d.ways, 0, 0, nil)
+	r.Breaks = d.ledger.Judge(record.Categories(d.scenario), rules)
+	r.Peaks[0], r.Peaks[1] = d.ledger.Peaks(rules)
 	for _, m := range d.machines {
 		r.Servers = append(r.Servers, m.spec.Name)
 	}
--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -58,7 +58,7 @@
 			s.known[entry.Server] = true
 			s.ever = append(s.ever, entry.Server)
 		}
-		s.day.ledger.List(ledger.Listing{Server: entry.Server, Health: h, At: s.day.now})
+		s.day.ledger.List(ledger.Listing{Server: entry.Server, Health: h, At: s.day.now, Started: entry.Started})
 		for _, w := range s.watches {
 			w.ask()
 		}
--- a/internal/lab/world/machine.go
+++ b/internal/lab/world/machine.go
@@ -74,19 +74,28 @@
 
 func (m *machine) start(cold bool) {
 	now := m.day.now
+	m.warmed()
 	started := int64(math.MinInt64 / 2)
 	if m.started = 0; cold {
 		started, m.started = now, epoch(now)/1e6*1e6 // the list tells whole milliseconds
 	}
 	m.life++
 	m.up = true
-	m.model = model.NewServer(model.KindOf(m.fleet, &m.day.scenario.Rules, m.spec.Speed), started, now, m.spec.Seed+uint64(m.life))
+	m.model = model.NewServer(model.KindOf(m.day.scenario, m.fleet, m.spec.Speed), started, now, m.spec.Seed+uint64(m.life))
 	m.waiting, m.trouble, m.draining, m.reports, m.conns, m.next = map[int64]*handOff{}, trouble{}, false, nil, 0, model.Never
 	if len(m.day.scenario.Reports.Fields) > 0 {
 		m.figures(m.life)
 	}
 }
 
+// warmed hands in what came to the life that ends while it was cold.
+func (m *machine) warmed() {
+	if m.model != nil {
+		m.day.ledger.Warmed(ledger.Cold{Server: m.spec.Index, Life: m.life, Started: m.started, MeanWork: m.model.MeanWork,
+			Window: m.model.FallAfter, Pushes: m.model.WhileCold()})
+	}
+}
+
 // figures takes the figures of a load report, again and again in this life.
 func (m *machine) figures(life int) {
 	if !m.up || m.life != life {
