--- a/internal/lab/rig/node.go
+++ b/internal/lab/rig/node.go
@@ -142,7 +142,10 @@
 	}
 	n.mu.Unlock()
 	seed := n.day.plan.Seed*1000003 + uint64(n.index)*7919 + uint64(number)
-	known := n.day.discovery.known(n.index, number, n.day.scenario.Nodes.OldList && number > 1)
+	var known []byte
+	if number == 1 || !n.day.scenario.Nodes.NoList {
+		known = n.day.discovery.known(n.index, number, n.day.scenario.Nodes.OldList && number > 1)
+	}
 	if err := n.writeConfig(known, seed); err != nil {
 		return err
 	}
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -198,6 +198,7 @@
 	for _, z := range s.Nodes.Zones {
 		c.zone("nodes.zones", z)
 	}
+	c.must(!s.Nodes.NoList || !s.Nodes.OldList, "nodes.no_list", "not old_list beside it", "both")
 	c.must(s.Nodes.Sockets >= 32, "nodes.sockets", "at least 32", s.Nodes.Sockets)
 	c.must(s.Nodes.MemoryMB >= 16, "nodes.memory_mb", "at least 16", s.Nodes.MemoryMB)
 	c.must(s.Nodes.Round >= ms(50) && s.Nodes.Round <= ms(60000), "nodes.round", "a time from 50ms to 1m", s.Nodes.Round.Std())
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -65,6 +65,7 @@
 	Sockets  int      `toml:"sockets"`   // descriptors, set as the process's limit
 	Notice   Duration `toml:"notice"`    // until the front sees that one has died
 	OldList  bool     `toml:"old_list"`  // a node that comes back knows the list of the day's beginning
+	NoList   bool     `toml:"no_list"`   // a node that comes back knows no list, and is ready once it has one
 	Skew     Duration `toml:"skew"`      // clocks differ by up to this, either way; in virtual time alone
 	News     bool     `toml:"news"`      // nodes may tell one another what they find out
 	State    bool     `toml:"state"`     // nodes remember through a crash; on sockets alone
--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -15,7 +15,11 @@
 
 const (
 	mostCalls = 256
-	listHead  = int64(3 * time.Second) // a node waits no longer for a call's answer
+	listHead  = int64(3 * time.Second) // a call that waits so long has another beside it
+	listGap   = int64(4 * time.Second) // and that another, twice; then ever later
+	mostApart = int64(2 * time.Second) // between calls, whatever the decisions wait
+	// Calls for one watch. The last of them lie days apart.
+	mostBeside = 16
 )
 
 type discovery struct {
@@ -42,6 +46,8 @@
 	phase   int64
 	due     bool // a delivery has been asked for
 	over    bool
+	calls   int  // made for it
+	out     int  // and not answered yet
 	held    bool // something was to come over a way that is cut
 }
 
@@ -107,13 +113,18 @@
 
 // call asks for a watch; a node has one at a time.
 func (n *node) call() {
-	d := n.day
-	s, life := d.discovery, n.life
-	if n.watch != nil {
-		return
+	if n.watch == nil {
+		n.watch = &watch{node: n, life: n.life, version: n.version}
+		n.watch.open()
 	}
-	w := &watch{node: n, life: life, version: n.version}
-	n.watch = w
+}
+
+// open makes one call for a watch. One that waits is kept, and others beside it at gaps as the node's: each costs discovery a turn, whether
+// or not it is closed before that comes.
+func (w *watch) open() {
+	n := w.node
+	d := n.day
+	s := d.discovery
 	d.count(func(t *record.Together) { t.Calls++ })
 	place := links.End{Index: n.index}
 	if barred, refused := d.barred(place, discoveryEnd); barred {
@@ -121,14 +132,16 @@
 		if refused {
 			after = int64(time.Millisecond)
 		}
-		d.in(after, func() { w.failed() })
+		d.in(after, func() { w.ended(0) })
 		return
 	}
 	came := d.now
-	if s.waiting >= mostCalls {
-		d.in(int64(time.Millisecond), func() { w.failed() })
+	if s.down || s.waiting >= mostCalls { // as on sockets it takes no turn
+		d.in(int64(time.Millisecond), func() { w.ended(0) })
 		return
 	}
+	w.calls++
+	w.out++
 	s.waiting++
 	begin := max(d.now, s.busy)
 	lines := len(s.roster.Whole())
@@ -144,22 +157,36 @@
 	s.busy = begin + cost
 	d.at(s.busy+d.held(place, discoveryEnd)+d.held(discoveryEnd, place), func() {
 		s.waiting--
-		if w.over || n.life != life || !n.alive {
+		if w.over || w.rec != nil || n.life != w.life || !n.alive {
 			return
 		}
 		if s.down || begin-came+cost > int64(c.GiveUp) || cost == 0 && begin > came {
-			w.failed()
+			w.ended(1)
 			return
 		}
 		w.follow()
 	})
-	d.in(listHead, func() {
-		if w.rec == nil && !w.over {
-			w.failed()
+	gap := listHead
+	if w.calls > 1 {
+		gap = listGap << max(w.calls-3, 0)
+	}
+	if w.calls > mostBeside {
+		return
+	}
+	d.in(gap, func() {
+		if w.rec == nil && !w.over && n.life == w.life && n.alive {
+			w.open()
 		}
 	})
 }
 
+// ended is the end of a call that was not answered, or that could not be made; the watch has failed once none is out.
+func (w *watch) ended(out int) {
+	if w.out -= out; w.out == 0 && w.rec == nil {
+		w.failed()
+	}
+}
+
 // failed ends a call, or a watch, and has the node know.
 func (w *watch) failed() {
 	if w.over {
@@ -176,6 +203,11 @@
 	}
 	if n.set.Policy.MustAsk {
 		n.enter(func() { n.decider.ListFailed(n.clock()) })
+		d.in(mostApart, func() {
+			if n.alive && n.life == w.life {
+				n.call()
+			}
+		})
 		return
 	}
 	// Where nobody asks for calls the node makes them by itself.
@@ -244,6 +276,11 @@
 	w.version = s.roster.Version()
 	n.version = w.version
 	s.tell(n, entries, whole)
+	if !n.listed {
+		if n.listed = true; n.up {
+			n.admitted()
+		}
+	}
 	if n.hearing.listed(n, w.version, entries, whole) {
 		return
 	}
@@ -267,6 +304,12 @@
 		s.outage.To = s.day.now
 		return
 	}
+	s.busy = s.day.now
+	for _, n := range s.day.nodes {
+		if w := n.watch; w != nil && w.rec == nil && w.out > 0 {
+			w.failed() // its connection is reset
+		}
+	}
 	s.outage = &ledger.Outage{Node: -1, Span: ledger.Span{From: s.day.now}}
 	s.day.ledger.OutOfReach(s.outage)
 	for _, w := range append([]*watch(nil), s.watches...) {
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -51,6 +51,8 @@
 	life     *ledger.NodeLife
 	alive    bool
 	in       bool // the front sends to it
+	listed   bool // it has a list
+	up       bool // its process answers the front
 	stopping bool
 	frozen   int64 // stands still until then
 	busy     int64 // its processor is at work until then
@@ -131,8 +133,11 @@
 	n.tasks, n.order, n.idle = map[policy.TaskID]*exchange{}, nil, map[*machine][]*conn{}
 	n.decider = d.maker(n.index, n.set.Policy, d.plan.Seed*1000003+uint64(n.index)*7919+uint64(number), n, d)
 	list := d.discovery.roster.Whole()
+	n.up, n.listed = false, number == 1 || !d.scenario.Nodes.NoList
 	if stale := d.scenario.Nodes.OldList && number > 1; stale {
 		list = d.discovery.first
+	} else if !n.listed {
+		list = nil
 	} else {
 		d.discovery.tell(n, list, true)
 	}
@@ -143,9 +148,10 @@
 	n.join(list)
 }
 
-// admitted has the front take the node in, as its process has said that it is ready.
+// admitted has the front take the node in once its process says that it is ready, which it is when it runs and has a list.
 func (n *node) admitted() {
-	if n.in = n.alive; n.in {
+	n.up = n.alive
+	if n.in = n.alive && n.listed; n.in {
 		n.life.Ready = n.day.now
 	}
 }
