--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -41,6 +41,10 @@
 type Rules struct {
 	StopSending, AskWithin, AnswerGrace int64
 	MayDuplicate                        bool
+	ToldWithin                          int64                // a change counts as told so long after discovery had it and could be reached; 0: not judged
+	GoneWithin                          int64                // an attempt that begins so long after its client closed is one too late; 0: not judged
+	ReadyWithin, ReadyShort             int64                // for processes started again, the second where the day ends before the first; 0: not judged
+	End                                 int64                // of the day
 	ByOthers                            bool                 // nodes may hear the list from one another
 	Slack                               int64                // that every time limit is longer on sockets
 	Late                                func(at int64) int64 // how late the rig itself ran round a moment
@@ -101,7 +105,8 @@
 	Node, Life  int
 	From, Until int64
 	Excused     []Span
-	Remembers   bool // it knows what its life before was told, but in that life's last moment
+	Remembers   bool  // it knows what its life before was told, but in that life's last moment
+	Ready       int64 // when it first said that it takes requests; Never if it did not
 }
 
 // Span is a time from and to, the end not included.
@@ -119,9 +124,16 @@
 
 // Listing is a change of the list itself, told or not.
 type Listing struct {
-	Server int
-	Health model.Health
-	At     int64
+	Server  int
+	Health  model.Health
+	At      int64
+	Started int64
+}
+
+// Outage is a time in which discovery could not be reached: by one node, or by all of them.
+type Outage struct {
+	Node int // -1: all
+	Span
 }
 
 // Fall is a cold server that was pushed over.
@@ -131,6 +143,15 @@
 	model.Fall
 }
 
+// Cold is a server's life that began cold, with all that came to it until it was warm.
+type Cold struct {
+	Server, Life int
+	Started      int64
+	MeanWork     float64 // of a request, seconds
+	Window       int64
+	Pushes       []model.Push
+}
+
 // Ledger collects. Its records may be written by any goroutine until Close.
 type Ledger struct {
 	mu       sync.Mutex
@@ -140,7 +161,9 @@
 	Lives    []*NodeLife
 	Watches  []*Watch
 	Listings []Listing
+	Outages  []*Outage
 	Falls    []Fall
+	Colds    []Cold
 	closed   bool
 }
 
@@ -185,12 +208,25 @@
 
 // Live records a node's start.
 func (l *Ledger) Live(n *NodeLife) {
-	n.Until = Never
+	n.Until, n.Ready = Never, Never
 	l.change(func() { l.Lives = append(l.Lives, n) })
 }
 
+// OutOfReach records that discovery can't be reached from a moment on; its end is set when it comes.
+func (l *Ledger) OutOfReach(o *Outage) {
+	o.To = Never
+	l.change(func() { l.Outages = append(l.Outages, o) })
+}
+
 // Watched records the beginning of a watch, or a call that failed.
 func (l *Ledger) Watched(w *Watch) { l.change(func() { l.Watches = append(l.Watches, w) }) }
 
 // Fell records a cold server's fall.
 func (l *Ledger) Fell(f Fall) { l.change(func() { l.Falls = append(l.Falls, f) }) }
+
+// Warmed records a life that began cold, once it has ended.
+func (l *Ledger) Warmed(c Cold) {
+	if len(c.Pushes) > 0 {
+		l.change(func() { l.Colds = append(l.Colds, c) })
+	}
+}
--- a/internal/lab/rig/node.go
+++ b/internal/lab/rig/node.go
@@ -142,7 +142,10 @@
 	}
 	n.mu.Unlock()
 	seed := n.day.plan.Seed*1000003 + uint64(n.index)*7919 + uint64(number)
-	known := n.day.discovery.known(n.index, number, n.day.scenario.Nodes.OldList && number > 1)
+	var known []byte
+	if number == 1 || !n.day.scenario.Nodes.NoList {
+		known = n.day.discovery.known(n.index, number, n.day.scenario.Nodes.OldList && number > 1)
+	}
 	if err := n.writeConfig(known, seed); err != nil {
 		return err
 	}
@@ -173,12 +176,12 @@
 	n.figures.Starts++
 	n.mu.Unlock()
 	n.day.group.Go(func() error { n.watch(p, life); return nil })
-	n.day.group.Go(func() error { n.admit(p); return nil })
+	n.day.group.Go(func() error { n.admit(p, life); return nil })
 	return nil
 }
 
 // admit has the front take the node in once it is ready.
-func (n *node) admit(p Proc) {
+func (n *node) admit(p Proc, life *ledger.NodeLife) {
 	for {
 		select {
 		case <-n.day.over:
@@ -188,6 +191,8 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		if ready(n.address) {
+			now := n.day.now()
+			n.day.ledger.Update(func() { life.Ready = now })
 			n.mu.Lock()
 			n.in = n.proc == p
 			n.mu.Unlock()
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -198,6 +198,7 @@
 	for _, z := range s.Nodes.Zones {
 		c.zone("nodes.zones", z)
 	}
+	c.must(!s.Nodes.NoList || !s.Nodes.OldList, "nodes.no_list", "not old_list beside it", "both")
 	c.must(s.Nodes.Sockets >= 32, "nodes.sockets", "at least 32", s.Nodes.Sockets)
 	c.must(s.Nodes.MemoryMB >= 16, "nodes.memory_mb", "at least 16", s.Nodes.MemoryMB)
 	c.must(s.Nodes.Round >= ms(50) && s.Nodes.Round <= ms(60000), "nodes.round", "a time from 50ms to 1m", s.Nodes.Round.Std())
@@ -222,6 +223,7 @@
 	c.positive("rules.fall_after", r.FallAfter)
 	c.positive("rules.connect_within", r.ConnectIn)
 	c.atLeast("rules.fall_multiple", r.FallMultiple, 1)
+	c.oneOf("rules.fall_slack", r.FallSlack, "tight", "chance")
 	c.must(r.MostHandOffs >= 1, "rules.most_hand_offs", "at least 1", r.MostHandOffs)
 	s.checkLoad(c)
 	for i := range s.Faults {
@@ -264,6 +266,7 @@
 	c.oneOf("load.shape", l.Shape, "steady", "wave", "burst", "month-end")
 	c.part("load.swing", l.Swing)
 	c.part("load.hot_key", l.HotKey)
+	c.must(l.Uneven >= 0 && l.Uneven <= 3, "load.uneven", "from 0 to 3", l.Uneven)
 	c.positive("load.period", l.Period)
 	c.must(l.Body >= 0 && l.Body <= 64<<10, "load.body", "0 to 65,536 bytes", l.Body)
 	c.must(len(l.ZoneShare) == 0 || len(l.ZoneShare) == len(s.Network.Zones), "load.zone_share", "one for each zone", l.ZoneShare)
