--- /dev/null
+++ b/internal/lab/scale/probes.go
@@ -0,0 +1,8 @@
+package scale
+
+// This file owns which probes there are, in the order in which they run.
+
+// Probes are all that can be measured.
+func Probes() []Probe {
+	return []Probe{decisionsProbe(), tenantsProbe(), classesProbe(), servicesProbe()}
+}
