--- a/cmd/fawnglade-lab/scale.go
+++ b/cmd/fawnglade-lab/scale.go
@@ -70,6 +70,7 @@
 			design, limits = d, l
 		}
 		var r *scale.Result
+		var problems []error
 		if len(*from) > 0 {
 			for _, path := range *from {
 				text, err := os.ReadFile(path)
@@ -95,11 +96,11 @@
 			defer os.RemoveAll(dir)
 			r, err = scale.Run(c.Context(), scale.Options{Only: *only, Sizes: *sizes, Command: strings.Join(append([]string{"fawnglade-lab"}, os.Args[1:]...), " "),
 				Env: scale.Env{Node: words, Quick: *quick, Log: os.Stderr, Dir: dir}, Day: time.Now(), Design: design, Limits: limits, Machine: machine})
-			if err != nil {
+			if r == nil {
 				return err
 			}
+			problems = append(problems, err)
 		}
-		var problems []error
 		if *picture != "" {
 			problems = append(problems, scale.Plot(*picture, r))
 		}
--- a/internal/lab/scale/decisions.go
+++ b/internal/lab/scale/decisions.go
@@ -57,22 +57,22 @@
 // leastRequests give a quantile of 99 in 100.
 const leastRequests = 500
 
-// traffic has an instance do requests with 32 out at a time, and returns the processor time of each, seconds, in order: so many, or as
+// requests has an instance do requests with 32 out at a time, and returns the processor time of each, seconds, in order: so many, or as
 // many as fit into a time, but leastRequests.
-func traffic(p *policy.Policy, h *host, now int64, requests, tenants, classes int, long float64) []float64 {
+func requests(p *policy.Policy, h *host, now int64, n, tenants, classes int, long float64) []float64 {
 	type out struct {
 		id     policy.TaskID
 		server policy.ServerID
 		at     int64
 	}
 	var ring [32]out
-	ids := make([]policy.TaskID, requests)
+	ids := make([]policy.TaskID, n)
 	for i := range ids {
 		ids[i] = policy.TaskID(fmt.Sprint("t", i))
 	}
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	took, began := make([]float64, 0, requests), threadTime()
+	took, began := make([]float64, 0, n), threadTime()
 	for i, id := range ids {
 		if i >= leastRequests && threadTime()-began > long {
 			break
@@ -127,9 +127,9 @@
 		},
 		Measure: func(_ context.Context, e *Env, size float64) (map[string]float64, string, error) {
 			n, v := int(size), map[string]float64{}
-			long, requests := 0.5, 20000
+			long, many := 0.5, 20000
 			if e.Quick {
-				long, requests = 0.01, 2000
+				long, many = 0.01, 2000
 			}
 			before := heap()
 			h := &host{}
@@ -169,7 +169,7 @@
 				now += 1000 * ms
 				p.Woken(now, tickCookie)
 			})
-			took := traffic(p, h, now, requests, 0, 3, 4)
+			took := requests(p, h, now, many, 0, 3, 4)
 			sum := 0.0
 			for _, t := range took {
 				sum += t
@@ -219,9 +219,9 @@
 
 // instance measures one with classes and tenants.
 func instance(e *Env, servers, classes, tenants int) (map[string]float64, string, error) {
-	v, long, requests := map[string]float64{}, 0.3, 5000
+	v, long, many := map[string]float64{}, 0.3, 5000
 	if e.Quick {
-		servers, long, requests = 100, 0.01, 500
+		servers, long, many = 100, 0.01, 500
 	}
 	before := heap()
 	h := &host{}
@@ -233,7 +233,7 @@
 		now += 1000 * ms
 		p.Woken(now, tickCookie)
 	})
-	took := traffic(p, h, now, requests, tenants, classes, 8)
+	took := requests(p, h, now, many, tenants, classes, 8)
 	sum := 0.0
 	for _, t := range took {
 		sum += t
--- a/internal/lab/scale/process.go
+++ b/internal/lab/scale/process.go
@@ -150,14 +150,14 @@
 		Need: func(n float64) Need { return Need{Bytes: 30e6 + 8000*n, Processes: 1} },
 		Figures: []Figure{
 			{Name: "memory", What: "memory of a node before a list of servers", Unit: "bytes", Role: "node", Method: residentNow, Limit: limitBytes},
-			{Name: "peak", What: "memory at most, from start until ready", Unit: "bytes", Role: "node", Method: "VmHWM of the process", Limit: limitBytes},
+			{Name: "peak", What: "memory at most until it is ready", Unit: "bytes", Role: "node", Method: "VmHWM of the process", Limit: limitBytes},
 			{Name: "ready", What: "start from nothing until ready", Unit: "s", Role: "node", Method: byClock, Limit: limitReady},
 			{Name: "readycpu", What: "processor time until ready", Unit: "s", Role: "node", Method: rusage},
 			{Name: "idle", What: "while nothing happens", Unit: "% of a core", Role: "node", Method: "processor time of the process", Limit: limitCores},
 			{Name: "change", What: "one change told, singly", Unit: "ms", Role: "node", Method: rusage, Limit: limitChange},
 			{Name: "day", What: "an ordinary day's changes of servers, and idling", Unit: "% of a core", Role: "node", Method: "change x their rate + idle", Limit: limitCores},
-			{Name: "burst", What: "3,900 changes in one line (all servers, where there are fewer)", Unit: "s", Role: "node", Method: rusage, Limit: limitInForce},
-			{Name: "burstdone", What: "until they are taken in", Unit: "s", Role: "node", Method: "a clock, until the process is idle again", Limit: limitInForce},
+			{Name: "burst", What: "3,900 changes in one line; with fewer servers, all of them in a line, and so many times as much", Unit: "s", Role: "node", Method: rusage, Limit: limitInForce},
+			{Name: "burstdone", What: "until a line of 3,900 is taken in, or of all servers", Unit: "s", Role: "node", Method: "a clock, until the process is idle again", Limit: limitInForce},
 			{Name: "singly", What: "3,900 changes, a line each", Unit: "s", Role: "node", Method: rusage, Limit: limitInForce},
 			{Name: "list", What: "a whole list", Unit: "bytes", Role: "node", Method: onWire},
 			{Name: "changebytes", What: "one change told, singly", Unit: "bytes", Role: "node", Method: onWire},
@@ -246,6 +246,7 @@
 		return v, "", err
 	}
 	v["burst"], v["burstdone"] = p.quiet(before, from, idle, within)
+	v["burst"] *= e.Design.ZoneServers / float64(len(entries))
 	before, from = p.cpu(), time.Now()
 	for i := range many {
 		if err := d.tell(one(i)); err != nil {
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -7,6 +7,7 @@
 // machine has no room for.
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -168,7 +169,7 @@
 
 // Options of a run.
 type Options struct {
-	Only    []string // names of probes; empty: all
+	Only    []string // names of probes, or of single figures as probe.figure; empty: all
 	Sizes   []float64
 	Env     Env
 	Command string // as it was called, for the page
@@ -180,16 +181,23 @@
 
 // chosen are the probes by name, each with its sizes, checked before any work begins.
 func (o *Options) chosen() (probes []Probe, err error) {
-	var names []string
+	var names, all []string
 	for _, p := range Probes() {
-		names = append(names, p.Name)
-		if len(o.Only) == 0 || slices.Contains(o.Only, p.Name) {
+		names, all = append(names, p.Name), append(all, p.Name)
+		var figures []Figure
+		for _, f := range p.Figures {
+			all = append(all, p.Name+"."+f.Name)
+			if len(o.Only) == 0 || slices.Contains(o.Only, p.Name) || slices.Contains(o.Only, p.Name+"."+f.Name) {
+				figures = append(figures, f)
+			}
+		}
+		if p.Figures = figures; len(figures) > 0 {
 			probes = append(probes, p)
 		}
 	}
 	for _, name := range o.Only {
-		if !slices.Contains(names, name) {
-			return nil, fmt.Errorf("--only: expected some of %s, got %q", strings.Join(names, ", "), name)
+		if !slices.Contains(all, name) {
+			return nil, fmt.Errorf("--only: expected some of %s, or one figure as decisions.change, got %q", strings.Join(names, ", "), name)
 		}
 	}
 	for i := range probes {
@@ -207,7 +215,8 @@
 	return probes, nil
 }
 
-// Run measures what was chosen. A probe that fails at a size goes on with the others, and its slopes say so.
+// Run measures what was chosen. A probe that fails at a size goes on with the others, and its slopes say so. Where the context ends
+// first, what was measured until then comes with its error.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	probes, err := o.chosen()
 	if err != nil {
@@ -218,8 +227,9 @@
 	for n, p := range probes {
 		points, notes := map[string][]Point{}, []string(nil)
 		for _, size := range p.Sizes {
-			if err := ctx.Err(); err != nil {
-				return nil, err
+			if ctx.Err() != nil {
+				notes = append(notes, count(size)+" "+p.Size+": not measured, the run was ended")
+				continue
 			}
 			began := time.Now()
 			o.Env.say("%d of %d: %s, %s %s", n+1, len(probes), p.Name, count(size), p.Size)
@@ -242,21 +252,16 @@
 			out.Slopes = append(out.Slopes, slopeOf(&p, &f, points[f.Name], notes, &o))
 		}
 	}
-	return out, nil
+	return out, ctx.Err()
 }
 
 func slopeOf(p *Probe, f *Figure, points []Point, notes []string, o *Options) Slope {
 	s := Slope{Name: p.Name + "." + f.Name, What: f.What, Role: f.Role, Unit: f.Unit, SizeOf: p.Size, Method: f.Method, Missing: p.Missing, Points: points,
 		Notes: notes, Design: p.At(&o.Design), Command: o.Command, Day: o.Day.Format(time.DateOnly)}
-	s.Fit = FitOf(points)
-	s.At, s.How = s.Fit.at(points, s.Design)
 	if f.Limit != nil {
 		s.Limit = f.Limit(&o.Design, &o.Limits)
 	}
-	if s.Limit > 0 && len(points) > 0 {
-		s.Factor = s.At / s.Limit
-	}
-	return s
+	return s.fitted()
 }
 
 // count writes a number with commas.
@@ -274,7 +279,8 @@
 	return text
 }
 
-// Join puts slopes of a later result in place of an earlier one's of the same name, and adds the others.
+// Join adds a later result to an earlier one. Points of one slope at other sizes stand beside one another, of the same size the later
+// holds; fits are drawn anew. The design and the limits are the later's.
 func Join(earlier, later *Result) *Result {
 	if earlier == nil {
 		return later
@@ -282,11 +288,41 @@
 	out := *later
 	out.Slopes = slices.Clone(earlier.Slopes)
 	for _, s := range later.Slopes {
-		if i := slices.IndexFunc(out.Slopes, func(was Slope) bool { return was.Name == s.Name }); i >= 0 {
-			out.Slopes[i] = s
-		} else {
+		i := slices.IndexFunc(out.Slopes, func(was Slope) bool { return was.Name == s.Name })
+		if i < 0 {
 			out.Slopes = append(out.Slopes, s)
+			continue
+		}
+		was := out.Slopes[i]
+		kept := slices.Clone(s.Points)
+		for _, p := range was.Points {
+			if !slices.ContainsFunc(s.Points, func(q Point) bool { return q.Size == p.Size }) {
+				kept = append(kept, p)
+			}
+		}
+		slices.SortFunc(kept, func(a, b Point) int { return cmp.Compare(a.Size, b.Size) })
+		if len(kept) > len(s.Points) && was.Command != s.Command {
+			s.Command = was.Command + "; " + s.Command
 		}
+		for _, note := range was.Notes {
+			if !slices.Contains(s.Notes, note) {
+				s.Notes = append(s.Notes, note)
+			}
+		}
+		s.Points = kept
+		out.Slopes[i] = s.fitted()
+	}
+	if !strings.Contains(earlier.Command, later.Command) {
+		out.Command = earlier.Command + "; " + later.Command
 	}
 	return &out
 }
+
+// fitted draws the line anew.
+func (s Slope) fitted() Slope {
+	s.Fit, s.Factor = FitOf(s.Points), 0
+	if s.At, s.How = s.Fit.at(s.Points, s.Design); s.Limit > 0 && len(s.Points) > 0 {
+		s.Factor = s.At / s.Limit
+	}
+	return s
+}
