Lab: hollow nodes beside a real one, and tests of scale

Cause: many nodes cost a process each; and nothing held the fit, the refusals and the JSON. Change: a process of hollow nodes, each the node's own code with list, members and memory that no client calls, beside one real process; tests of all.

--- a/cmd/fawnglade-lab/scale.go
+++ b/cmd/fawnglade-lab/scale.go
@@ -15,6 +15,12 @@
 	"fawnglade/internal/lab/scale"
 )
 
+// figures are those of the design and the limits that have a flag.
+func figures(d *scale.Design, l *scale.Limits) map[string]*float64 {
+	return map[string]*float64{"design-nodes": &d.Nodes, "design-servers": &d.Servers, "design-tenants": &d.Tenants, "limit-cores": &l.Cores, "limit-bytes": &l.Bytes,
+		"limit-bytes-s": &l.Network}
+}
+
 func measureScale() *cobra.Command {
 	var names []string
 	for _, p := range scale.Probes() {
@@ -49,25 +55,20 @@
 	c.Flags().Float64Var(&limits.Network, "limit-bytes-s", limits.Network, "bytes a second that it may send and receive")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		flags := map[string]float64{} // go before the file
-		for name, v := range map[string]*float64{"design-nodes": &design.Nodes, "design-servers": &design.Servers, "design-tenants": &design.Tenants,
-			"limit-cores": &limits.Cores, "limit-bytes": &limits.Bytes, "limit-bytes-s": &limits.Network} {
+		for name, v := range figures(&design, &limits) {
 			if c.Flags().Changed(name) {
 				if flags[name] = *v; !(*v > 0) {
 					return fmt.Errorf("--%s: expected a number above 0, got %g", name, *v)
 				}
-				defer func() { *v = flags[name] }()
 			}
 		}
 		if *file != "" {
-			d, l := design, limits
-			if err := scale.Read(*file, &d, &l); err != nil {
+			if err := scale.Read(*file, &design, &limits); err != nil {
 				return err
 			}
 			for name, v := range flags {
-				*map[string]*float64{"design-nodes": &d.Nodes, "design-servers": &d.Servers, "design-tenants": &d.Tenants, "limit-cores": &l.Cores,
-					"limit-bytes": &l.Bytes, "limit-bytes-s": &l.Network}[name] = v
+				*figures(&design, &limits)[name] = v
 			}
-			design, limits = d, l
 		}
 		var r *scale.Result
 		var problems []error
@@ -89,13 +90,17 @@
 				return err
 			}
 			words, _ := nodeCommand(*node) // probes that want a process say so
+			var hollow []string
+			if self, err := os.Executable(); err == nil {
+				hollow = []string{self, "scale", "hollow"}
+			}
 			dir, err := os.MkdirTemp("", "fawnglade-scale-")
 			if err != nil {
 				return err
 			}
 			defer os.RemoveAll(dir)
 			r, err = scale.Run(c.Context(), scale.Options{Only: *only, Sizes: *sizes, Command: strings.Join(append([]string{"fawnglade-lab"}, os.Args[1:]...), " "),
-				Env: scale.Env{Node: words, Quick: *quick, Log: os.Stderr, Dir: dir}, Day: time.Now(), Design: design, Limits: limits, Machine: machine})
+				Env: scale.Env{Node: words, Hollow: hollow, Quick: *quick, Log: os.Stderr, Dir: dir}, Day: time.Now(), Design: design, Limits: limits, Machine: machine})
 			if r == nil {
 				return err
 			}
@@ -116,5 +121,12 @@
 		}
 		return errors.Join(append(problems, scale.Print(c.OutOrStdout(), r))...)
 	}
+	for _, name := range []string{"only", "sizes", "quick", "node", "design", "design-nodes", "design-servers", "design-tenants", "limit-cores", "limit-bytes", "limit-bytes-s"} {
+		c.MarkFlagsMutuallyExclusive("from", name) // what was kept is shown as it was measured
+	}
+	c.AddCommand(&cobra.Command{
+		Use: "hollow FILE", Short: "Run the hollow nodes of a file; scale starts this by itself", Hidden: true, Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error { return scale.Hollow(args[0], c.OutOrStdout()) },
+	})
 	return c
 }
--- /dev/null
+++ b/cmd/fawnglade-lab/scale_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"encoding/json"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"fawnglade/internal/lab/scale"
+)
+
+func slopes(t *testing.T, text []byte) map[string]scale.Slope {
+	t.Helper()
+	var r scale.Result
+	if err := json.Unmarshal(text, &r); err != nil {
+		t.Fatal(err)
+	}
+	out := map[string]scale.Slope{}
+	for _, s := range r.Slopes {
+		out[s.Name] = s
+	}
+	return out
+}
+
+// TestScaleOfARealNode has a real process before lists of four sizes, and from disk.
+func TestScaleOfARealNode(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "slopes.json")
+	code, out, complaint := lab(t, "scale", "--quick", "--only", "process", "--json", path)
+	if code != exitHeld {
+		t.Fatal(code, out, complaint)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := slopes(t, text)
+	for name, s := range all {
+		if len(s.Points) != 4 || len(s.Notes) > 0 {
+			t.Errorf("%s: %v, %v", name, s.Points, s.Notes)
+		}
+		if !strings.Contains(out, "\n"+name+" ") || !strings.Contains(complaint, "1 of 1: process, 500 servers") {
+			t.Errorf("the table lacks %s, or progress is not told: %s", name, complaint)
+		}
+	}
+	// By what the stand-in wrote and the node says it remembers, not by time.
+	if f := all["process.list"].Fit; math.Abs(f.Slope-124) > 5 || f.Breaks != 0 {
+		t.Errorf("a list of %v bytes a server", f.Slope)
+	}
+	for _, p := range all["process.remembered"].Points {
+		if p.Value != p.Size {
+			t.Errorf("%v of %v servers remembered", p.Value, p.Size)
+		}
+	}
+	for _, p := range all["process.memory"].Points {
+		if p.Value < 1e6 || p.Value > 200e6 {
+			t.Errorf("a node of %v bytes", p.Value)
+		}
+	}
+}
+
+// TestScaleOfHollowNodes has hollow nodes and a real one know of one another and told the same list.
+func TestScaleOfHollowNodes(t *testing.T) {
+	t.Parallel()
+	code, out, complaint := lab(t, "scale", "--quick", "--only", "hollow", "--json", "-")
+	if code != exitHeld {
+		t.Fatal(code, out, complaint)
+	}
+	all := slopes(t, []byte(out))
+	for _, name := range []string{"hollow.memory", "hollow.real", "hollow.idle", "hollow.realidle", "hollow.bytes", "hollow.realbytes", "hollow.bytesratio"} {
+		s := all[name]
+		if len(s.Points) != 4 || len(s.Notes) > 0 {
+			t.Errorf("%s: %v, %v", name, s.Points, s.Notes)
+		}
+		for _, p := range s.Points {
+			if !(p.Value > 0) {
+				t.Errorf("%s: %v at %v", name, p.Value, p.Size)
+			}
+		}
+	}
+}
+
+func TestScaleRefusesWithOneLine(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ args, want string }{
+		{"--only decisions --sizes 1000,10000,100000,1000000000", "decisions: expected sizes that take at most half of the machine's memory"},
+		{"--only members --sizes 10,100,1000,5000", "members: expected sizes from 3 to 4,096 nodes, got 5,000"},
+		{"--sizes 10,100", "expected 4 sizes at least, in order, the last 10 times the first, got 10 100"},
+		{"--only everything", "--only: expected some of"},
+		{"--limit-cores 0", "--limit-cores: expected a number above 0, got 0"},
+	} {
+		code, out, complaint := lab(t, append([]string{"scale"}, strings.Fields(c.args)...)...)
+		if code != exitNoRun || out != "" || !strings.Contains(complaint, c.want) || strings.Count(complaint, "\n") != 1 {
+			t.Errorf("%s: %d, %q, %q, want one line with %q", c.args, code, out, complaint, c.want)
+		}
+	}
+}
+
+// A result is shown again without being measured anew, as it was measured.
+func TestScaleShowsWhatWasKept(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	path, picture := filepath.Join(dir, "slopes.json"), filepath.Join(dir, "slopes.png")
+	if code, out, complaint := lab(t, "scale", "--quick", "--only", "services", "--json", path); code != exitHeld {
+		t.Fatal(code, out, complaint)
+	}
+	code, out, complaint := lab(t, "scale", "--from", path, "--plot", picture)
+	if code != exitHeld || complaint != "" || !strings.Contains(out, "services.memory ") || !strings.Contains(out, "an instance of the decisions with 24 servers stands for one") {
+		t.Error(code, out, complaint)
+	}
+	if code, _, complaint := lab(t, "scale", "--from", path, "--design-servers", "5"); code != exitNoRun || !strings.Contains(complaint, "from") {
+		t.Error("other figures beside --from: ", code, complaint)
+	}
+	if info, err := os.Stat(picture); err != nil || info.Size() < 10_000 {
+		t.Error("no picture: ", err)
+	}
+}
--- a/internal/lab/scale/design.go
+++ b/internal/lab/scale/design.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -69,10 +70,11 @@
 	}{d, l}); err != nil {
 		var strict *toml.StrictMissingError
 		if errors.As(err, &strict) {
+			var all []error
 			for _, one := range strict.Errors {
-				err = errors.Join(fmt.Errorf("%s: %v: expected a key of [design] or [limits], found none of that name", path, one.Key()))
+				all = append(all, fmt.Errorf("%s: %s: expected a key of [design] or [limits], found none of that name", path, strings.Join(one.Key(), ".")))
 			}
-			return err
+			return errors.Join(all...)
 		}
 		return fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -19,7 +19,7 @@
 	Intercept float64 `json:"intercept"`
 	Residual  float64 `json:"residual"`                // root mean square of the points' distances from the line, each over the point's value
 	Breaks    float64 `json:"breaks_beyond,omitempty"` // the last size at which a line through all up to it is within Off everywhere; 0: it holds
-	Power     float64 `json:"power,omitempty"`         // beyond a break: the exponent with which the last points grow
+	Power     float64 `json:"power,omitempty"`         // beyond a break: the exponent with which the last two points grow
 	Level     float64 `json:"level,omitempty"`         // and the value at size 1 that goes with it
 }
 
@@ -56,7 +56,7 @@
 		held = n
 	}
 	f.Breaks = points[held-1].Size
-	last := points[max(len(points)-3, 0):]
+	last := points[len(points)-2:] // an earlier one would mix what was before the break with what is behind it
 	var x, y []float64
 	for _, p := range last {
 		x, y = append(x, math.Log(p.Size)), append(y, math.Log(math.Max(p.Value, 1e-12)))
@@ -66,8 +66,8 @@
 	return f
 }
 
-// at is the value at a size, and how it was come by: measured there or between two sizes, by the line, or, where that is broken, by
-// the power with which the last points grow.
+// at is the value at a size, and how it was come by: measured there or between two sizes, by the line, where that is broken by the
+// power with which the last two points grow, and where it falls below nothing the last point's own.
 func (f *Fit) at(points []Point, size float64) (float64, string) {
 	if len(points) == 0 {
 		return 0, "not measured"
@@ -87,5 +87,8 @@
 	case f.Breaks > 0:
 		return f.Level * math.Pow(size, f.Power), "power"
 	}
-	return f.Intercept + f.Slope*size, "line"
+	if v := f.Intercept + f.Slope*size; v > 0 {
+		return v, "line"
+	}
+	return points[len(points)-1].Value, "last size" // it falls or stands, and noise would take it below nothing
 }
--- a/internal/lab/scale/process.go
+++ b/internal/lab/scale/process.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -20,53 +19,49 @@
 )
 
 // nodeSettings are those of one node of a large fleet, with its zones.
-func nodeSettings(nodes, position int) string {
+func nodeSettings(nodes, position int, talk bool) string {
 	var zones []string
 	for i := range 31 {
 		zones = append(zones, fmt.Sprintf("%q", fmt.Sprintf("z%02d", i)))
 	}
 	return fmt.Sprintf(`{"discovery":"push","family_info":{},"goal":{"whole":0.5},"group_size":%d,"position":%d,
-"limits":{"cancelling":true,"connect_timeout_us":75000,"idle_close_us":60000000,"max_retry_after_us":1500000,"peer_messages":false,
+"limits":{"cancelling":true,"connect_timeout_us":75000,"idle_close_us":60000000,"max_retry_after_us":1500000,"peer_messages":%t,
 "may_duplicate":false,"retry_after":true,"try_limit":3},"profiles":[{"deadline_us":2000000,"name":"view","objective_us":1000000,"repeat":"safe"},
 {"deadline_us":2000000,"name":"pay","objective_us":1000000,"repeat":"unsafe"}],
 "quantum_us":2000,"report":{"fields":["queue"],"how":"inline"},"rules":{"stop_sending_within_us":500000,"ask_within_us":10000000,"cold_from":0.2,"warm_within_us":20000000},
-"weights":"off","zone":0,"zones":[%s]}`, nodes, position, strings.Join(zones, ","))
+"weights":"off","zone":0,"zones":[%s]}`, nodes, position, talk, strings.Join(zones, ","))
 }
 
-func nodeConfig(i int, listen, console, discovery string) string {
-	return fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"console":%q,"seed":"%x","settings":%s}`, i, listen, discovery, console, i+1,
-		nodeSettings(int(TheDesign.Nodes), i))
-}
-
-// place finds an address that nobody listens at.
-func place() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// nodeConfig is a node's configuration; talk: it may send to other nodes.
+func nodeConfig(i int, listen, console, discovery string, talk bool) string {
+	news := "{}"
+	if talk {
+		news = `{"listen":"127.0.0.1:0"}`
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"console":%q,"seed":"%x","news":%s,"settings":%s}`, i, listen, discovery, console, i+1, news,
+		nodeSettings(int(TheDesign.Nodes), i, talk))
 }
 
 // process is one real node.
 type process struct {
 	rig.Proc
-	listen, console string
-	began           time.Time
+	console string
+	began   time.Time
 }
 
-// start begins one; state may be empty.
+// start begins one at addresses that nobody listens at; state may be empty.
 func start(e *Env, dir, discovery, state string) (*process, error) {
-	p := &process{}
-	var err error
-	if p.listen, err = place(); err != nil {
-		return nil, err
-	}
-	if p.console, err = place(); err != nil {
+	at, err := places(2)
+	if err != nil {
 		return nil, err
 	}
+	return startAt(e, dir, discovery, state, "", 17, at[0], at[1])
+}
+
+func startAt(e *Env, dir, discovery, state, features string, number int, listen, console string) (*process, error) {
+	p := &process{console: console}
 	config := filepath.Join(dir, "node.json")
-	if err := os.WriteFile(config, []byte(nodeConfig(17, p.listen, p.console, discovery)), 0o600); err != nil {
+	if err := os.WriteFile(config, []byte(nodeConfig(number, listen, console, discovery, features != "")), 0o600); err != nil {
 		return nil, err
 	}
 	log, err := os.Create(filepath.Join(dir, "node.log"))
@@ -74,7 +69,7 @@
 		return nil, err
 	}
 	defer log.Close()
-	env := []string{"NODE_CONFIG=" + config, "NODE_FEATURES=", "NODE_STATE=" + state, "NODE_CONSOLE=", "TMPDIR=" + dir}
+	env := []string{"NODE_CONFIG=" + config, "NODE_FEATURES=" + features, "NODE_STATE=" + state, "NODE_CONSOLE=", "TMPDIR=" + dir}
 	p.began = time.Now()
 	p.Proc, err = rig.Command(e.Node)("", env, io.Writer(log))
 	return p, err
@@ -119,13 +114,17 @@
 
 // quiet waits until the process has done what it was given, and returns what that took beyond idling, and when it was done.
 func (p *process) quiet(before float64, from time.Time, idle float64, within time.Duration) (used, done float64) {
-	const step, window = 20 * time.Millisecond, 15 // steps
+	const step = 20 * time.Millisecond
+	window := 15 // steps
+	if within <= quickWithin {
+		window = 5
+	}
 	var seen []float64
 	for {
 		seen = append(seen, p.cpu())
 		since := time.Since(from).Seconds()
-		if n := len(seen); n > window && seen[n-1]-seen[n-1-window] < max(0.003, 2*idle*window*step.Seconds()) || since > within.Seconds() {
-			return max(seen[n-1]-before-idle*since, 0), max(since-window*step.Seconds(), 0)
+		if n := len(seen); n > window && seen[n-1]-seen[n-1-window] < max(0.003, 2*idle*float64(window)*step.Seconds()) || since > within.Seconds() {
+			return max(seen[n-1]-before-idle*since, 0), max(since-float64(window)*step.Seconds(), 0)
 		}
 		time.Sleep(step)
 	}
@@ -253,7 +252,7 @@
 			return v, "", err
 		}
 	}
-	used, _ = p.quiet(before, from, idle, 60*time.Second)
+	used, _ = p.quiet(before, from, idle, 3*within)
 	v["singly"] = used * e.Design.ZoneServers / float64(many)
 	p.kill()
 
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -55,6 +55,7 @@
 // Env is what probes work with.
 type Env struct {
 	Node   []string // the node's command, with serve; empty: figures of a real process are left out
+	Hollow []string // the command of a process of hollow nodes, to which a file's path is added; empty: left out
 	Quick  bool     // shorter watches
 	Design Design
 	Log    io.Writer // progress
@@ -103,7 +104,7 @@
 // Check refuses sizes that the machine has no room for, or from which no slope can be had, with one line.
 func (p *Probe) Check(sizes []float64, m Machine) error {
 	for _, s := range sizes {
-		if s < max(p.Least, 1) || p.Most > 0 && s > p.Most {
+		if !(s >= max(p.Least, 1)) || p.Most > 0 && s > p.Most || math.IsInf(s, 0) {
 			upTo := "more"
 			if p.Most > 0 {
 				upTo = count(p.Most)
@@ -149,7 +150,7 @@
 	Fit     Fit      `json:"fit"`
 	Design  float64  `json:"design_size"`
 	At      float64  `json:"at_design"` // the value there
-	How     string   `json:"how"`       // measured, line or power
+	How     string   `json:"how"`       // measured, line, power, last size, one point or not measured
 	Limit   float64  `json:"limit,omitempty"`
 	Factor  float64  `json:"factor,omitempty"` // of the limit; above 1 it is over
 	Command string   `json:"command"`
--- /dev/null
+++ b/internal/lab/scale/scale_test.go
@@ -0,0 +1,332 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"image/png"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func points(f func(x float64) float64, sizes ...float64) (out []Point) {
+	for _, s := range sizes {
+		out = append(out, Point{s, f(s)})
+	}
+	return out
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) <= 1e-6*math.Max(math.Abs(a), math.Abs(b)) }
+
+func TestALineIsFound(t *testing.T) {
+	p := points(func(x float64) float64 { return 1000 + 5*x }, 10, 100, 1000, 10000)
+	f := FitOf(p)
+	if !near(f.Slope, 5) || !near(f.Intercept, 1000) || f.Residual > 1e-9 || f.Breaks != 0 {
+		t.Errorf("%+v, want 1000 + 5 x that holds", f)
+	}
+	if v, how := f.at(p, 100000); !near(v, 501000) || how != "line" {
+		t.Errorf("at 100,000: %v by %s", v, how)
+	}
+	if v, how := f.at(p, 1000); v != 6000 || how != "measured" {
+		t.Errorf("at 1,000: %v by %s", v, how)
+	}
+	if v, how := f.at(p, 550); !near(v, 3750) || how != "measured" {
+		t.Errorf("at 550, between two: %v by %s", v, how)
+	}
+}
+
+// Where the small sizes did not count, their errors would be past telling: a root mean square of relative errors has to be small.
+func TestSmallSizesCountAsLargeOnesDo(t *testing.T) {
+	p := points(func(x float64) float64 { return 100 + x }, 10, 100, 1000, 10000)
+	p[3].Value *= 1.1
+	if f := FitOf(p); f.Residual > 0.06 || f.Breaks != 0 {
+		t.Errorf("%+v, want a line within 6%%", f)
+	}
+}
+
+func TestABreakIsTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		of     func(x float64) float64
+		breaks float64
+		power  float64
+	}{
+		"a step in slope": {func(x float64) float64 { return 1 + 0.1*x + 10*math.Max(0, x-1000) }, 1000, 0},
+		"a square":        {func(x float64) float64 { return x * x }, 20, 2},
+		"held":            {func(x float64) float64 { return 3 + x }, 0, 0},
+	} {
+		p := points(c.of, 10, 20, 100, 1000, 5000, 20000)
+		f := FitOf(p)
+		if f.Breaks != c.breaks || c.power > 0 && math.Abs(f.Power-c.power) > 0.01 {
+			t.Errorf("%s: breaks beyond %v with power %.2f, want %v and %v", name, f.Breaks, f.Power, c.breaks, c.power)
+		}
+		v, how := f.at(p, 200000)
+		if want := c.of(200000); c.breaks > 0 && (how != "power" || v < want/3 || v > want*3) {
+			t.Errorf("%s: %v by %s at 200,000, want about %v by power", name, v, how, want)
+		}
+	}
+}
+
+func TestWhatFallsIsNotDrawnBelowNothing(t *testing.T) {
+	p := points(func(x float64) float64 { return 10 - x/100 }, 10, 50, 100, 200)
+	f := FitOf(p)
+	if v, how := f.at(p, 1e6); v != 8 || how != "last size" {
+		t.Errorf("%v by %s, want the last point", v, how)
+	}
+	if v, how := (&Fit{}).at(nil, 5); v != 0 || how != "not measured" {
+		t.Errorf("%v by %s of no points", v, how)
+	}
+}
+
+func TestSizesThatTheMachineHasNoRoomForAreRefused(t *testing.T) {
+	m := Machine{MemoryBytes: 10e9}
+	p := Probe{Name: "x", Size: "servers", Least: 10, Most: 1e6, Need: func(n float64) Need { return Need{Bytes: 1e6 * n, Processes: int(n) / 20} }}
+	for _, c := range []struct {
+		sizes []float64
+		want  string
+	}{
+		{[]float64{10, 100, 1000, 2000}, ""},
+		{[]float64{10, 100, 1000, 5001}, "x: expected sizes that take at most half of the machine's memory, 5.0 GB, got 5,001 servers, which take some 5.0 GB"},
+		{[]float64{10, 100, 1000, 4020}, "x: expected sizes of at most 200 processes, got 4,020 servers, which are 201"},
+		{[]float64{5, 100, 1000, 2000}, "x: expected sizes from 10 to 1,000,000 servers, got 5"},
+		{[]float64{10, 100, 1000, 1000001}, "x: expected sizes from 10 to 1,000,000 servers, got 1,000,001"},
+		{[]float64{10, 100, 1000}, "x: expected 4 sizes at least, in order, the last 10 times the first, got 10 100 1,000"},
+		{[]float64{100, 200, 300, 999}, "x: expected 4 sizes at least, in order, the last 10 times the first, got 100 200 300 999"},
+		{[]float64{100, 50, 500, 1000}, "x: expected 4 sizes at least, in order, the last 10 times the first, got 100 50 500 1,000"},
+		{[]float64{math.NaN(), 50, 500, 1000}, "x: expected sizes from 10 to 1,000,000 servers, got NaN"},
+	} {
+		err := p.Check(c.sizes, m)
+		if got := errText(err); got != c.want {
+			t.Errorf("%v: %q, want %q", c.sizes, got, c.want)
+		}
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// A refusal comes before any work, also where the probe that is refused is the last.
+func TestNothingBeginsWhereOneIsRefused(t *testing.T) {
+	var log bytes.Buffer
+	_, err := Run(t.Context(), Options{Sizes: []float64{1200, 4000, 12000, 1e9}, Machine: Machine{MemoryBytes: 16e9}, Env: Env{Log: &log}, Design: TheDesign, Limits: TheLimits})
+	if err == nil || strings.Contains(err.Error(), "\n") || log.Len() > 0 {
+		t.Errorf("%v, log %q, want one line and no work", err, log.String())
+	}
+	_, err = Run(t.Context(), Options{Only: []string{"decisions", "decision"}, Machine: Machine{MemoryBytes: 16e9}})
+	if err == nil || !strings.HasPrefix(err.Error(), "--only: expected some of decisions, ") || !strings.HasSuffix(err.Error(), `got "decision"`) {
+		t.Errorf("%v", err)
+	}
+}
+
+// Each probe can do what it is asked for when nobody names sizes, on a machine as the operators' is.
+func TestTheUsualSizesAreTaken(t *testing.T) {
+	m := Machine{MemoryBytes: 24e9}
+	seen := map[string]bool{}
+	for _, p := range Probes() {
+		for _, sizes := range [][]float64{p.Sizes, p.Quick} {
+			if err := p.Check(sizes, m); err != nil {
+				t.Error(err)
+			}
+		}
+		if seen[p.Name] || p.At(&TheDesign) <= 0 || len(p.Figures) == 0 {
+			t.Errorf("%s: twice, of no size or with no figure", p.Name)
+		}
+		seen[p.Name] = true
+		for _, f := range p.Figures {
+			if seen[p.Name+"."+f.Name] || f.What == "" || f.Unit == "" || f.Role == "" || f.Method == "" {
+				t.Errorf("%s.%s: twice, or lacks a word", p.Name, f.Name)
+			}
+			seen[p.Name+"."+f.Name] = true
+			if f.Limit != nil && !(f.Limit(&TheDesign, &TheLimits) > 0) {
+				t.Errorf("%s.%s: a limit of nothing", p.Name, f.Name)
+			}
+		}
+	}
+}
+
+func quick(t *testing.T, names ...string) *Result {
+	t.Helper()
+	r, err := Run(t.Context(), Options{Only: names, Env: Env{Quick: true, Dir: t.TempDir()}, Command: "fawnglade-lab scale --quick", Day: time.Now(), Design: TheDesign,
+		Limits: TheLimits, Machine: Machine{Cores: 1, MemoryBytes: 16e9, Go: "go"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestAQuickRun measures all that needs no process, shows it, and has it read again.
+func TestAQuickRun(t *testing.T) {
+	r := quick(t, "decisions", "tenants", "classes", "services", "members", "disk")
+	for _, s := range r.Slopes {
+		if len(s.Points) != 4 {
+			t.Errorf("%s: %d points, want 4: %v", s.Name, len(s.Points), s.Notes)
+		}
+		for _, p := range s.Points {
+			if math.IsNaN(p.Value) || math.IsInf(p.Value, 0) {
+				t.Errorf("%s: %v at %v", s.Name, p.Value, p.Size)
+			}
+		}
+		if s.Limit > 0 && !near(s.Factor, s.At/s.Limit) {
+			t.Errorf("%s: %v of %v is not %v times", s.Name, s.At, s.Limit, s.Factor)
+		}
+	}
+	// What is sure on any machine: a server more takes memory; so does a tenant.
+	for _, name := range []string{"decisions.memory", "tenants.memory", "services.memory", "disk.bytes"} {
+		if f := one(t, r, name).Fit; f.Slope < 20 || f.Slope > 100e3 {
+			t.Errorf("%s: %v bytes for one more", name, f.Slope)
+		}
+	}
+
+	var table bytes.Buffer
+	if err := Print(&table, r); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range r.Slopes {
+		if !strings.Contains(table.String(), "\n"+s.Name+" ") {
+			t.Errorf("the table lacks %s", s.Name)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "slopes.png")
+	if err := Plot(path, r); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if picture, err := png.Decode(bytes.NewReader(text)); err != nil || picture.Bounds().Dx() < 800 {
+		t.Errorf("the picture: %v", err)
+	}
+	reread(t, r)
+}
+
+func one(t *testing.T, r *Result, name string) *Slope {
+	t.Helper()
+	for i := range r.Slopes {
+		if r.Slopes[i].Name == name {
+			return &r.Slopes[i]
+		}
+	}
+	t.Fatalf("no %s", name)
+	return nil
+}
+
+// reread holds the JSON to the keys that the page and others read it by.
+func reread(t *testing.T, r *Result) {
+	t.Helper()
+	text, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var raw struct {
+		Day, Command string
+		Machine      map[string]any
+		Design       map[string]float64
+		Limits       map[string]float64
+		Slopes       []map[string]any
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		t.Fatal(err)
+	}
+	if raw.Design["servers"] != 120_000 || raw.Design["nodes"] != 5300 || raw.Limits["bytes_s"] != 22e3 || raw.Limits["cores"] != 0.027 || raw.Command == "" {
+		t.Errorf("design %v, limits %v, command %q", raw.Design, raw.Limits, raw.Command)
+	}
+	if _, err := time.Parse(time.DateOnly, raw.Day); err != nil {
+		t.Error(err)
+	}
+	for _, s := range raw.Slopes {
+		for _, key := range []string{"name", "what", "role", "unit", "size_of", "method", "points", "fit", "design_size", "how", "command", "day"} {
+			if s[key] == nil {
+				t.Errorf("%v lacks %s", s["name"], key)
+			}
+		}
+		for _, key := range []string{"slope", "intercept", "residual"} {
+			if s["fit"].(map[string]any)[key] == nil {
+				t.Errorf("the fit of %v lacks %s", s["name"], key)
+			}
+		}
+	}
+}
+
+func TestRunsJoin(t *testing.T) {
+	of := func(command string, limit float64, p ...Point) *Result {
+		return &Result{Command: command, Slopes: []Slope{Slope{Name: "a.b", Points: p, Design: 1000, Limit: limit, Command: command}.fitted()}}
+	}
+	r := Join(Join(nil, of("one", 50, Point{1, 1}, Point{10, 10}, Point{20, 21})), of("two", 100, Point{20, 20}, Point{50, 50}))
+	s := one(t, r, "a.b")
+	if len(s.Points) != 4 || s.Points[2] != (Point{20, 20}) || !near(s.Fit.Slope, 1) || !near(s.At, 1000) || !near(s.Factor, 10) || s.Command != "one; two" {
+		t.Errorf("%+v", s)
+	}
+	r.Slopes[0].Name = "a.c"
+	if got := len(Join(r, of("three", 1, Point{1, 1})).Slopes); got != 2 {
+		t.Errorf("%d slopes, want both", got)
+	}
+}
+
+func TestAFilePutsOtherFiguresInPlace(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "design.toml")
+	read := func(text string) (Design, Limits, error) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		d, l := TheDesign, TheLimits
+		return d, l, Read(path, &d, &l)
+	}
+	d, l := TheDesign, TheLimits
+	if err := os.WriteFile(path, []byte("[design]\nservers = 5\n[limits]\nbytes = 7.0\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := Read(path, &d, &l); err != nil || d.Servers != 5 || l.Bytes != 7 || d.Nodes != TheDesign.Nodes || l.Cores != TheLimits.Cores {
+		t.Errorf("%v: %+v %+v", err, d, l)
+	}
+	_, _, err := read("[design]\nservers = 0\nnodes = -1\n[limits]\ncores = nan\n")
+	for _, want := range []string{"design.servers: expected a number above 0, found 0", "design.nodes: expected a number above 0, found -1", "limits.cores"} {
+		if !strings.Contains(errText(err), path+": "+want) {
+			t.Errorf("%v, want %q too", err, want)
+		}
+	}
+	_, _, err = read("[design]\nservants = 1\nmodes = 2\n")
+	for _, want := range []string{"servants", "modes"} {
+		if !strings.Contains(errText(err), want) {
+			t.Errorf("%v, want %q too", err, want)
+		}
+	}
+}
+
+// What a probe could not measure at a size is told, and the others go on.
+func TestASizeThatFailsIsTold(t *testing.T) {
+	r := quick(t, "process", "hollow") // no program is given
+	for _, s := range r.Slopes {
+		if len(s.Points) != 0 || s.How != "not measured" || s.Factor != 0 || len(s.Notes) != 4 || !strings.Contains(s.Notes[0], "no node program found") {
+			t.Errorf("%+v", s)
+		}
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	r, err := Run(ctx, Options{Only: []string{"disk"}, Env: Env{Quick: true, Dir: t.TempDir()}, Design: TheDesign, Limits: TheLimits, Machine: Machine{MemoryBytes: 16e9}})
+	if err == nil || r == nil || len(r.Slopes) == 0 || !strings.Contains(strings.Join(r.Slopes[0].Notes, " "), "the run was ended") {
+		t.Errorf("%v, %+v: want what there is, with the error", err, r)
+	}
+}
+
+func TestProcessorTimeGrowsWithWork(t *testing.T) {
+	sum := 0.0
+	took := spent(func() {
+		for i := range 20_000_000 {
+			sum += float64(i)
+		}
+	})
+	if idle := spent(func() { time.Sleep(50 * time.Millisecond) }); took <= 0 || idle > 0.045 {
+		t.Errorf("work took %v s and sleep %v s (%v)", took, idle, sum)
+	}
+	if now, most, err := resident(0); err != nil || now < 1e6 || most < now {
+		t.Errorf("%v, %v bytes now, %v at most", err, now, most)
+	}
+}
