Lab: scale measures distribution by records and by subscribers

Change: two probes of the core in virtual time: memory, processor time and bytes on the wire of each part, of a start, a change, a burst, heartbeats and a resumption.

--- /dev/null
+++ b/internal/lab/scale/distribution.go
@@ -0,0 +1,311 @@
+package scale
+
+// This file owns the costs of distribution: origin, relay and subscriber as they are, one after the other in this process and in
+// virtual time. It must never count a part's cost as another's.
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+
+	"fawnglade/internal/distribution"
+)
+
+const (
+	regions      = 10
+	ofAService   = 24 // endpoints of a service in a region
+	scopesOfNode = 20 // that a node serves
+	mostPump     = 1 << 20
+)
+
+func scopeOf(i int) string {
+	return fmt.Sprintf("r%d/s%04d", i/ofAService%regions, i/ofAService/regions)
+}
+
+func recordOf(i int, health string, bornMS int64) (scope, key string, body []byte) {
+	return scopeOf(i), fmt.Sprintf("endpoint/srv-%06d.eu1", i), entryText(nil, i, health, bornMS)
+}
+
+func records(n int) []distribution.Record {
+	out := make([]distribution.Record, n)
+	for i := range out {
+		out[i].Scope, out[i].Key, out[i].Body = recordOf(i, "up", 0)
+		out[i].Class = distribution.Endpoint
+	}
+	return out
+}
+
+// taker is a relay or a subscriber below another.
+type taker func(now int64, frame []byte) error
+
+// pump hands all frames that a relay has for one subscriber to it, and returns their number and bytes.
+func pump(now int64, r *distribution.Relay, id int, take taker) (frames, bytes float64, err error) {
+	for range mostPump {
+		frame, _ := r.Next(now, id)
+		if frame == nil {
+			return frames, bytes, nil
+		}
+		frames, bytes = frames+1, bytes+float64(len(frame))+4
+		if err := take(now, frame); err != nil {
+			return frames, bytes, err
+		}
+	}
+	return frames, bytes, fmt.Errorf("a relay that goes on for over %d frames", mostPump)
+}
+
+func everything() []distribution.Selector {
+	return []distribution.Selector{{Scope: "", Prefix: true}}
+}
+
+func recordsProbe() Probe {
+	return Probe{
+		Name: "records", Size: "records", Sizes: []float64{1200, 4000, 12000, 40000, 120000}, Quick: []float64{100, 240, 500, 1000}, Least: 10,
+		At:   func(d *Design) float64 { return d.Servers },
+		Need: func(n float64) Need { return Need{Bytes: 6000 * n} },
+		Figures: []Figure{
+			{Name: "origin", What: "memory of an origin", Unit: "bytes", Role: "origin", Method: onHeap},
+			{Name: "replace", What: "an origin takes a whole list, all of it new", Unit: "s", Role: "origin", Method: processor},
+			{Name: "replacesame", What: "an origin takes a whole list in which nothing has changed", Unit: "s", Role: "origin", Method: processor},
+			{Name: "put", What: "an origin takes one change", Unit: "ms", Role: "origin", Method: processor},
+			{Name: "relay", What: "memory of a relay", Unit: "bytes", Role: "relay", Method: onHeap},
+			{Name: "relaytake", What: "a relay takes all from the origin, whose sending is in it", Unit: "s", Role: "relay", Method: processor},
+			{Name: "wire", What: "all records on the wire", Unit: "bytes", Role: "relay", Method: "bytes of frames"},
+			{Name: "subscriber", What: "memory of a subscriber that takes all", Unit: "bytes", Role: "node", Method: onHeap, Limit: limitBytes},
+			{Name: "subscribertake", What: "such a subscriber takes all from a relay, whose sending is in it", Unit: "s", Role: "node", Method: processor},
+			{Name: "change", What: "one change through origin, relay and subscriber", Unit: "ms", Role: "node", Method: processor, Limit: limitChange},
+			{Name: "changewire", What: "one change on the wire to a subscriber", Unit: "bytes", Role: "node", Method: "bytes of frames"},
+			{Name: "daybytes", What: "an ordinary day's changes, of all records, to a node", Unit: "bytes/s", Role: "node", Method: "changewire x their rate", Limit: limitNetwork},
+			{Name: "burst", What: "3,900 changes through origin, relay and subscriber", Unit: "s", Role: "node", Method: processor, Limit: limitInForce},
+			{Name: "burstwire", What: "3,900 changes on the wire to a subscriber", Unit: "bytes", Role: "relay", Method: "bytes of frames"},
+		},
+		Measure: func(_ context.Context, e *Env, size float64) (v map[string]float64, note string, err error) {
+			n, now := int(size), longAgo
+			v = map[string]float64{}
+			all := records(n)
+			before := heap()
+			o := distribution.NewOrigin(1, distribution.Limits{})
+			v["replace"] = spent(func() { _, err = o.Replace(now, "endpoint", all) })
+			if err != nil {
+				return v, "", err
+			}
+			v["origin"] = heap() - before
+			v["replacesame"] = spent(func() { _, err = o.Replace(now, "endpoint", all) })
+			if err != nil {
+				return v, "", err
+			}
+			before = heap()
+			r := distribution.NewRelay(distribution.Limits{})
+			if err := r.Follow(everything()); err != nil {
+				return v, "", err
+			}
+			up, err := o.Relay().Attach(now, r.Upstream(now), 0)
+			if err != nil {
+				return v, "", err
+			}
+			v["relaytake"] = spent(func() { _, v["wire"], err = pump(now, o.Relay(), up, r.Take) })
+			if err != nil {
+				return v, "", err
+			}
+			v["relay"] = heap() - before
+			before = heap()
+			s, err := distribution.NewSubscriber(everything(), distribution.Limits{})
+			if err != nil {
+				return v, "", err
+			}
+			take := func(now int64, frame []byte) error { _, err := s.Take(now, frame); return err }
+			down, err := r.Attach(now, s.Hello(), 0)
+			if err != nil {
+				return v, "", err
+			}
+			v["subscribertake"] = spent(func() { _, _, err = pump(now, r, down, take) })
+			if err != nil {
+				return v, "", err
+			}
+			v["subscriber"] = heap() - before
+			if s.Stats().Records != n || !s.Complete() {
+				return v, "", fmt.Errorf("a subscriber holds %d of %d records", s.Stats().Records, n)
+			}
+			through := func(from, count int) (bytes float64) {
+				for k := range count {
+					if err != nil {
+						return bytes
+					}
+					i := (from + k) / 2 * 7919 % n
+					scope, key, body := recordOf(i, []string{"draining", "up"}[(from+k)%2], int64(from+k))
+					_, err = o.Put(now, scope, key, distribution.Class((from+k)%2), body)
+				}
+				if err == nil {
+					_, _, err = pump(now, o.Relay(), up, r.Take)
+				}
+				if err == nil {
+					_, bytes, err = pump(now, r, down, take)
+				}
+				return bytes
+			}
+			long, sum, times := 0.3, 0.0, 0.0
+			if e.Quick {
+				long = 0.01
+			}
+			v["change"] = 1e3 * each(20, long, func(i int) {
+				now += ms
+				sum, times = sum+through(i, 1), times+1
+			})
+			v["changewire"] = sum / times
+			v["daybytes"] = v["changewire"] * e.Design.Changes()
+			bursts, took, bytes := 0, 0.0, 0.0
+			for ; bursts < 3 && err == nil; bursts++ {
+				now += ms
+				took += spent(func() { bytes += through(bursts*2*n, int(e.Design.ZoneServers)) })
+			}
+			v["burst"], v["burstwire"] = took/float64(bursts), bytes/float64(bursts)
+			v["put"] = 1e3 * each(20, long, func(i int) {
+				if err == nil {
+					scope, key, body := recordOf(i*7919%n, "up", int64(1e6+i))
+					_, err = o.Put(now, scope, key, distribution.Endpoint, body)
+				}
+			})
+			runtime.KeepAlive(all)
+			runtime.KeepAlive(s)
+			return v, "", err
+		},
+	}
+}
+
+func subscribersProbe() Probe {
+	return Probe{
+		Name: "subscribers", Size: "subscribers", Sizes: []float64{53, 170, 530, 1700, 5300}, Quick: []float64{3, 6, 15, 30}, Least: 1, Most: 8192,
+		At:   func(d *Design) float64 { return d.Nodes },
+		Need: func(n float64) Need { return Need{Bytes: 1e6*n + 200e6} },
+		Figures: []Figure{
+			{Name: "relay", What: "memory of a relay for so many, each with 20 scopes of 24 endpoints, of 12,000", Unit: "bytes", Role: "relay", Method: onHeap},
+			{Name: "subscriber", What: "memory of one of them", Unit: "bytes", Role: "node", Method: onHeap, Limit: limitBytes},
+			{Name: "start", What: "a relay starts them all from nothing", Unit: "s", Role: "relay", Method: processor},
+			{Name: "startwire", What: "what it sends to each for that", Unit: "bytes", Role: "relay", Method: "bytes of frames"},
+			{Name: "startnode", What: "one of them takes its scopes", Unit: "s", Role: "node", Method: processor},
+			{Name: "resume", What: "a relay takes them all on anew, each after its position", Unit: "s", Role: "relay", Method: processor},
+			{Name: "resumewire", What: "what it sends to each for that", Unit: "bytes", Role: "relay", Method: "bytes of frames"},
+			{Name: "beat", What: "a relay's heartbeats to all, each second", Unit: "% of a core", Role: "relay", Method: processor},
+			{Name: "beatwire", What: "heartbeats to each", Unit: "bytes/s", Role: "node", Method: "bytes of frames", Limit: limitNetwork},
+			{Name: "beatnode", What: "one of them takes its heartbeats", Unit: "% of a core", Role: "node", Method: processor, Limit: limitCores},
+			{Name: "fan", What: "one change that all of them follow, sent to all", Unit: "ms", Role: "relay", Method: processor},
+			{Name: "day", What: "an ordinary day's changes of servers, if all of them followed each", Unit: "% of a core", Role: "relay", Method: "fan x their rate"},
+		},
+		Measure: measureSubscribers,
+	}
+}
+
+func measureSubscribers(_ context.Context, e *Env, size float64) (v map[string]float64, note string, err error) {
+	n, held := int(size), 12000
+	if e.Quick {
+		held = 1200
+	}
+	v = map[string]float64{}
+	now := longAgo
+	o := distribution.NewOrigin(1, distribution.Limits{})
+	if _, err := o.Replace(now, "endpoint", records(held)); err != nil {
+		return v, "", err
+	}
+	r := o.Relay()
+	var selectors []distribution.Selector
+	for i := range scopesOfNode {
+		selectors = append(selectors, distribution.Selector{Scope: scopeOf(i * ofAService)})
+	}
+	subs, ids := make([]*distribution.Subscriber, n), make([]int, n)
+	// Frames wait in between, so that the relay's cost and the subscribers' are each by themselves.
+	sent := make([][][]byte, n)
+	toAll := func() (bytes float64) {
+		for i, id := range ids {
+			for {
+				frame, _ := r.Next(now, id)
+				if frame == nil {
+					break
+				}
+				bytes += float64(len(frame)) + 4
+				sent[i] = append(sent[i], frame)
+			}
+		}
+		return bytes / size
+	}
+	takeAll := func() {
+		for i, s := range subs {
+			for _, frame := range sent[i] {
+				if err == nil {
+					_, err = s.Take(now, frame)
+				}
+			}
+			sent[i] = nil
+		}
+	}
+	attach := func(hellos [][]byte) {
+		for i := range hellos {
+			if err == nil {
+				ids[i], err = r.Attach(now, hellos[i], 0)
+			}
+		}
+	}
+	hello := func() (out [][]byte) {
+		for _, s := range subs {
+			out = append(out, s.Hello())
+		}
+		return out
+	}
+	for i := range subs {
+		if subs[i], err = distribution.NewSubscriber(selectors, distribution.Limits{}); err != nil {
+			return v, "", err
+		}
+	}
+	hellos := hello()
+	before := heap()
+	v["start"] = spent(func() { attach(hellos); v["startwire"] = toAll() })
+	if err != nil {
+		return v, "", err
+	}
+	had := heap()
+	v["startnode"] = spent(takeAll) / size
+	runtime.KeepAlive(hellos)
+	after := heap()
+	frames := v["startwire"] * size // they waited in memory before, and are held by nobody now
+	v["relay"], v["subscriber"] = max(had-before-frames, 0), max(after-had+frames, 0)/size
+	for i, s := range subs {
+		if err == nil && (!s.Complete() || s.Stats().Records != scopesOfNode*ofAService) {
+			err = fmt.Errorf("subscriber %d holds %d of %d records", i, s.Stats().Records, scopesOfNode*ofAService)
+		}
+	}
+	if err != nil {
+		return v, "", err
+	}
+	const beats = 5
+	relay, node, wire := 0.0, 0.0, 0.0
+	for range beats {
+		now += distribution.Heartbeat
+		relay += spent(func() { wire += toAll() })
+		node += spent(takeAll)
+	}
+	v["beat"], v["beatwire"], v["beatnode"] = 100*relay/beats, wire/beats, 100*node/beats/size
+	const changes = 10
+	fan := 0.0
+	for k := range changes {
+		now += ms
+		scope, key, body := recordOf(k, "draining", 0)
+		if err == nil {
+			_, err = o.Put(now, scope, key, distribution.Withdrawal, body)
+		}
+		fan += spent(func() { r.Ready(); toAll() })
+		takeAll()
+	}
+	v["fan"] = 1e3 * fan / changes
+	v["day"] = 100 * fan / changes * e.Design.Endpoints()
+	for _, id := range ids {
+		r.Detach(id)
+	}
+	hellos = hello()
+	v["resume"] = spent(func() { attach(hellos); v["resumewire"] = toAll() })
+	takeAll()
+	for i, s := range subs {
+		if err == nil && s.Stats().Anew+s.Stats().Swept > 0 {
+			err = fmt.Errorf("subscriber %d was sent its scopes anew", i)
+		}
+	}
+	runtime.KeepAlive(o)
+	return v, "", err
+}
