--- a/internal/lab/scale/distribution.go
+++ b/internal/lab/scale/distribution.go
@@ -22,15 +22,34 @@
 	return fmt.Sprintf("r%d/s%04d", i/ofAService%regions, i/ofAService/regions)
 }
 
-func recordOf(i int, health string, bornMS int64) (scope, key string, body []byte) {
-	return scopeOf(i), fmt.Sprintf("endpoint/srv-%06d.eu1", i), entryText(nil, i, health, bornMS)
+// maker makes the record of a number as it is after a number of turns: another with each.
+type maker func(i, turn int) distribution.Record
+
+// endpointOf serves on even turns and drains on odd ones; its body is discovery's own form.
+func endpointOf(i, turn int) distribution.Record {
+	r := distribution.Record{Scope: scopeOf(i), Key: fmt.Sprintf("endpoint/srv-%06d.eu1", i), Class: distribution.Endpoint}
+	if r.Body = entryText(nil, i, "up", int64(turn)); turn%2 == 1 {
+		r.Class, r.Body = distribution.Withdrawal, entryText(nil, i, "draining", int64(turn))
+	}
+	return r
+}
+
+// routeOf and tenantOf are configuration of the length that such has; nothing reads them yet.
+func routeOf(i, turn int) distribution.Record {
+	return distribution.Record{Scope: scopeOf(i), Key: fmt.Sprintf("route/%06d", i), Class: distribution.Configuration, Body: fmt.Appendf(nil,
+		`{"route":"r-%06d","host":"www-%06d.example","path":"/v1/orders/%06d/","service":"s%04d","class":"view","repeat":"safe","deadline_ms":2000,"objective_ms":400,"tries":3,"turn":%d}`,
+		i, i%20000, i, i%5000, turn)}
 }
 
-func records(n int) []distribution.Record {
+func tenantOf(i, turn int) distribution.Record {
+	return distribution.Record{Scope: fmt.Sprintf("r%d/tenants", i%regions), Key: fmt.Sprintf("tenant/%06d", i), Class: distribution.Configuration,
+		Body: fmt.Appendf(nil, `{"tenant":"t-%06d","portion":0.000001,"turn":%d}`, i, turn)}
+}
+
+func records(n int, of maker) []distribution.Record {
 	out := make([]distribution.Record, n)
 	for i := range out {
-		out[i].Scope, out[i].Key, out[i].Body = recordOf(i, "up", 0)
-		out[i].Class = distribution.Endpoint
+		out[i] = of(i, 0)
 	}
 	return out
 }
@@ -57,10 +76,26 @@
 	return []distribution.Selector{{Scope: "", Prefix: true}}
 }
 
-func recordsProbe() Probe {
+func endpointsProbe() Probe {
+	return recordsProbe("endpoints", "endpoint", []float64{1200, 4000, 12000, 40000, 120000}, func(d *Design) float64 { return d.Servers },
+		(*Design).Endpoints, endpointOf)
+}
+
+func routesProbe() Probe {
+	return recordsProbe("routes", "route", []float64{860, 2700, 8600, 27000, 86000}, func(d *Design) float64 { return d.Routes }, configurations, routeOf)
+}
+
+func tenantRecordsProbe() Probe {
+	return recordsProbe("tenantrecords", "tenant", []float64{9800, 31000, 98000, 310000}, func(d *Design) float64 { return d.Tenants }, configurations, tenantOf)
+}
+
+// configurations are an ordinary day's changes of configuration, a second, as if all were of the kind at hand.
+func configurations(d *Design) float64 { return d.Configurations / 86_400 }
+
+func recordsProbe(name, kind string, sizes []float64, at, rate func(*Design) float64, of maker) Probe {
 	return Probe{
-		Name: "records", Size: "records", Sizes: []float64{1200, 4000, 12000, 40000, 120000}, Quick: []float64{100, 240, 500, 1000}, Least: 10,
-		At:   func(d *Design) float64 { return d.Servers },
+		Name: name, Size: kind + "s", Sizes: sizes, Quick: []float64{100, 240, 500, 1000}, Least: 10,
+		At:   at,
 		Need: func(n float64) Need { return Need{Bytes: 6000 * n} },
 		Figures: []Figure{
 			{Name: "origin", What: "memory of an origin", Unit: "bytes", Role: "origin", Method: onHeap},
@@ -74,22 +109,22 @@
 			{Name: "subscribertake", What: "such a subscriber takes all from a relay, whose sending is in it", Unit: "s", Role: "node", Method: processor},
 			{Name: "change", What: "one change through origin, relay and subscriber", Unit: "ms", Role: "node", Method: processor, Limit: limitChange},
 			{Name: "changewire", What: "one change on the wire to a subscriber", Unit: "bytes", Role: "node", Method: "bytes of frames"},
-			{Name: "daybytes", What: "an ordinary day's changes, of all records, to a node", Unit: "bytes/s", Role: "node", Method: "changewire x their rate", Limit: limitNetwork},
+			{Name: "daybytes", What: "an ordinary day's changes of these, to a node that takes all", Unit: "bytes/s", Role: "node", Method: "changewire x their rate", Limit: limitNetwork},
 			{Name: "burst", What: "3,900 changes through origin, relay and subscriber", Unit: "s", Role: "node", Method: processor, Limit: limitInForce},
 			{Name: "burstwire", What: "3,900 changes on the wire to a subscriber", Unit: "bytes", Role: "relay", Method: "bytes of frames"},
 		},
 		Measure: func(_ context.Context, e *Env, size float64) (v map[string]float64, note string, err error) {
 			n, now := int(size), longAgo
 			v = map[string]float64{}
-			all := records(n)
+			all := records(n, of)
 			before := heap()
 			o := distribution.NewOrigin(1, distribution.Limits{})
-			v["replace"] = spent(func() { _, err = o.Replace(now, "endpoint", all) })
+			v["replace"] = spent(func() { _, err = o.Replace(now, kind, all) })
 			if err != nil {
 				return v, "", err
 			}
 			v["origin"] = heap() - before
-			v["replacesame"] = spent(func() { _, err = o.Replace(now, "endpoint", all) })
+			v["replacesame"] = spent(func() { _, err = o.Replace(now, kind, all) })
 			if err != nil {
 				return v, "", err
 			}
@@ -130,9 +165,8 @@
 					if err != nil {
 						return bytes
 					}
-					i := (from + k) / 2 * 7919 % n
-					scope, key, body := recordOf(i, []string{"draining", "up"}[(from+k)%2], int64(from+k))
-					_, err = o.Put(now, scope, key, distribution.Class((from+k)%2), body)
+					one := of((from+k)/2*7919%n, from+k+1)
+					_, err = o.Put(now, one.Scope, one.Key, one.Class, one.Body)
 				}
 				if err == nil {
 					_, _, err = pump(now, o.Relay(), up, r.Take)
@@ -151,7 +185,7 @@
 				sum, times = sum+through(i, 1), times+1
 			})
 			v["changewire"] = sum / times
-			v["daybytes"] = v["changewire"] * e.Design.Changes()
+			v["daybytes"] = v["changewire"] * rate(&e.Design)
 			bursts, took, bytes := 0, 0.0, 0.0
 			for ; bursts < 3 && err == nil; bursts++ {
 				now += ms
@@ -160,8 +194,8 @@
 			v["burst"], v["burstwire"] = took/float64(bursts), bytes/float64(bursts)
 			v["put"] = 1e3 * each(20, long, func(i int) {
 				if err == nil {
-					scope, key, body := recordOf(i*7919%n, "up", int64(1e6+i))
-					_, err = o.Put(now, scope, key, distribution.Endpoint, body)
+					one := of(i*7919%n, 2*(1e6+i))
+					_, err = o.Put(now, one.Scope, one.Key, one.Class, one.Body)
 				}
 			})
 			runtime.KeepAlive(all)
@@ -202,7 +236,7 @@
 	v = map[string]float64{}
 	now := longAgo
 	o := distribution.NewOrigin(1, distribution.Limits{})
-	if _, err := o.Replace(now, "endpoint", records(held)); err != nil {
+	if _, err := o.Replace(now, "endpoint", records(held, endpointOf)); err != nil {
 		return v, "", err
 	}
 	r := o.Relay()
@@ -286,9 +320,8 @@
 	fan := 0.0
 	for k := range changes {
 		now += ms
-		scope, key, body := recordOf(k, "draining", 0)
-		if err == nil {
-			_, err = o.Put(now, scope, key, distribution.Withdrawal, body)
+		if one := endpointOf(k, 1); err == nil {
+			_, err = o.Put(now, one.Scope, one.Key, one.Class, one.Body)
 		}
 		fan += spent(func() { r.Ready(); toAll() })
 		takeAll()
