--- a/internal/lab/scale/cost.go
+++ b/internal/lab/scale/cost.go
@@ -64,8 +64,8 @@
 	return sum / float64(n)
 }
 
-// heap is what is in use after a collection, bytes.
-func heap() float64 {
+// inUse is what is in use after a collection, bytes.
+func inUse() float64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
--- a/internal/lab/scale/decisions.go
+++ b/internal/lab/scale/decisions.go
@@ -131,12 +131,12 @@
 			if e.Quick {
 				long, many = 0.01, 2000
 			}
-			before := heap()
+			before := inUse()
 			h := &host{}
 			p := policy.New(settingsOf(3, 0), 1, h)
 			now := longAgo
 			p.ListLearned(now, listOf(n), true)
-			v["memory"] = heap() - before
+			v["memory"] = inUse() - before
 			list := listOf(n)
 			turn := func(i int) policy.Listed {
 				one := list[i/2*7919%n]
@@ -223,12 +223,12 @@
 	if e.Quick {
 		servers, long, many = 100, 0.01, 500
 	}
-	before := heap()
+	before := inUse()
 	h := &host{}
 	p := policy.New(settingsOf(classes, tenants), 1, h)
 	now := longAgo
 	p.ListLearned(now, listOf(servers), true)
-	v["memory"] = heap() - before
+	v["memory"] = inUse() - before
 	v["tick"] = 100 * each(3, long, func(int) {
 		now += 1000 * ms
 		p.Woken(now, tickCookie)
@@ -262,13 +262,13 @@
 			}
 			all := make([]*policy.Policy, int(size))
 			list := listOf(servers * len(all))
-			before := heap()
+			before := inUse()
 			now := longAgo
 			for i := range all {
 				all[i] = policy.New(settingsOf(3, 0), uint64(i), &host{})
 				all[i].ListLearned(now, list[i*servers:(i+1)*servers], true)
 			}
-			v["memory"] = heap() - before
+			v["memory"] = inUse() - before
 			v["tick"] = 100 * each(3, long, func(int) {
 				now += 1000 * ms
 				for _, p := range all {
--- a/internal/lab/scale/disk.go
+++ b/internal/lab/scale/disk.go
@@ -79,13 +79,13 @@
 	// A memory takes MostServers; so many of them as it takes stand in one store, so that the store at least is seen at every size.
 	n, now := int(size), time.Now().UnixNano()
 	parts := []*memory.Memory(nil)
-	before := heap()
+	before := inUse()
 	for from := 0; from < n; from += memory.MostServers {
 		m := empty()
 		m.Listed(now, remembered(from, min(memory.MostServers, n-from)), 1, false)
 		parts = append(parts, m)
 	}
-	v["memory"] = heap() - before
+	v["memory"] = inUse() - before
 	began := time.Now()
 	v["write"] = spent(func() {
 		for _, m := range parts {
@@ -123,7 +123,7 @@
 		return v, "", err
 	}
 	at, parts, first = nil, nil, nil
-	before, began = heap(), time.Now()
+	before, began = inUse(), time.Now()
 	var found *memory.Memory
 	v["open"] = spent(func() {
 		if at, _, err = store.Open(path, store.Options{}); err != nil {
@@ -141,7 +141,7 @@
 	v["opened"] = time.Since(began).Seconds()
 	kept := found.Servers()
 	found = nil
-	v["index"] = heap() - before
+	v["index"] = inUse() - before
 	if kept < n {
 		note = fmt.Sprintf("a memory keeps %s of them: what stands for more is several memories in one store", count(float64(kept)))
 	}
--- a/internal/lab/scale/distribution.go
+++ b/internal/lab/scale/distribution.go
@@ -117,18 +117,18 @@
 			n, now := int(size), longAgo
 			v = map[string]float64{}
 			all := records(n, of)
-			before := heap()
+			before := inUse()
 			o := distribution.NewOrigin(1, distribution.Limits{})
 			v["replace"] = spent(func() { _, err = o.Replace(now, kind, all) })
 			if err != nil {
 				return v, "", err
 			}
-			v["origin"] = heap() - before
+			v["origin"] = inUse() - before
 			v["replacesame"] = spent(func() { _, err = o.Replace(now, kind, all) })
 			if err != nil {
 				return v, "", err
 			}
-			before = heap()
+			before = inUse()
 			r := distribution.NewRelay(distribution.Limits{})
 			if err := r.Follow(everything()); err != nil {
 				return v, "", err
@@ -141,8 +141,8 @@
 			if err != nil {
 				return v, "", err
 			}
-			v["relay"] = heap() - before
-			before = heap()
+			v["relay"] = inUse() - before
+			before = inUse()
 			s, err := distribution.NewSubscriber(everything(), distribution.Limits{})
 			if err != nil {
 				return v, "", err
@@ -156,7 +156,7 @@
 			if err != nil {
 				return v, "", err
 			}
-			v["subscriber"] = heap() - before
+			v["subscriber"] = inUse() - before
 			if s.Stats().Records != n || !s.Complete() {
 				return v, "", fmt.Errorf("a subscriber holds %d of %d records", s.Stats().Records, n)
 			}
@@ -289,15 +289,15 @@
 		}
 	}
 	hellos := hello()
-	before := heap()
+	before := inUse()
 	v["start"] = spent(func() { attach(hellos); v["startwire"] = toAll() })
 	if err != nil {
 		return v, "", err
 	}
-	had := heap()
+	had := inUse()
 	v["startnode"] = spent(takeAll) / size
 	runtime.KeepAlive(hellos)
-	after := heap()
+	after := inUse()
 	frames := v["startwire"] * size // they waited in memory before, and are held by nobody now
 	v["relay"], v["subscriber"] = max(had-before-frames, 0), max(after-had+frames, 0)/size
 	for i, s := range subs {
--- a/internal/lab/scale/hearsay.go
+++ b/internal/lab/scale/hearsay.go
@@ -64,14 +64,14 @@
 					Zone: fmt.Sprintf("z%02d", i%31), Pod: i / 40, Weight: 1}
 			}
 			var nodes []*hearsay.Hearsay
-			before := heap()
+			before := inUse()
 			for i := range tellers {
 				h := hearsay.New(uint64(i), way{m, i}, now, 0, nil, false)
 				h.Listed(now, 1, lines, nil, true)
 				h.View() // makes the list that it answers with
 				nodes = append(nodes, h)
 			}
-			v["memory"] = (heap() - before) / tellers
+			v["memory"] = (inUse() - before) / tellers
 			nodes = append(nodes, hearsay.New(tellers, way{m, tellers}, now, 0, nil, false))
 			var seconds []float64
 			v["cpu"] = spent(func() {
--- a/internal/lab/scale/members.go
+++ b/internal/lab/scale/members.go
@@ -71,7 +71,7 @@
 		},
 		Measure: func(ctx context.Context, e *Env, size float64) (map[string]float64, string, error) {
 			n, values := int(size), map[string]float64{}
-			before := heap()
+			before := inUse()
 			v := fleet.NewVirtual(n, 1)
 			for i := range n {
 				if err := v.Start(i); err != nil {
@@ -108,7 +108,7 @@
 			}
 			values["told"] = float64(v.Now()-began) / 1e9
 			e.say("  told after %.1f s", values["told"])
-			values["memory"] = (heap() - before) / size
+			values["memory"] = (inUse() - before) / size
 			watch := watchMembers
 			if e.Quick {
 				watch /= 4
--- a/internal/lab/scale/probes.go
+++ b/internal/lab/scale/probes.go
@@ -4,5 +4,5 @@
 
 // Probes are all that can be measured.
 func Probes() []Probe {
-	return []Probe{decisionsProbe(), tenantsProbe(), classesProbe(), servicesProbe(), processProbe(), membersProbe(), diskProbe(), endpointsProbe(), routesProbe(), tenantRecordsProbe(), subscribersProbe(), hearsayProbe(), hollowProbe()}
+	return []Probe{decisionsProbe(), tenantsProbe(), classesProbe(), servicesProbe(), processProbe(), membersProbe(), diskProbe(), endpointsProbe(), routesProbe(), tenantRecordsProbe(), subscribersProbe(), inForceProbe(), hearsayProbe(), hollowProbe()}
 }
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -163,7 +163,7 @@
 
 // TestAQuickRun measures all that needs no process, shows it, and has it read again.
 func TestAQuickRun(t *testing.T) {
-	r := quick(t, "decisions", "tenants", "classes", "services", "members", "disk", "endpoints", "routes", "tenantrecords", "subscribers", "hearsay")
+	r := quick(t, "decisions", "tenants", "classes", "services", "members", "disk", "endpoints", "routes", "tenantrecords", "subscribers", "inforce", "hearsay")
 	for _, s := range r.Slopes {
 		if len(s.Points) != 4 {
 			t.Errorf("%s: %d points, want 4: %v", s.Name, len(s.Points), s.Notes)
