Lab: the pace of nodes in the probe of time in force is held by a test

Change: the start may not be over before the pace allows. Red with the pace taken out (0 s for 0.3 s), green with it.

--- a/internal/lab/scale/virtual_test.go
+++ b/internal/lab/scale/virtual_test.go
@@ -32,6 +32,10 @@
 	if most := TheLimits.Network * 1.05; v["worst"] <= 0 || v["worst"] > most {
 		t.Errorf("%v bytes a second to a node, paced at %v", v["worst"], TheLimits.Network)
 	}
+	// Five scopes of 24 endpoints, over 100 bytes each, at 22 KB a second of which a quarter of a second may be ahead.
+	if least := 5*24*100/TheLimits.Network - 0.25; v["start99"] < least {
+		t.Errorf("all have started after %v s, which the pace lets nobody before %v", v["start99"], least)
+	}
 	again, _, err := probe(t, "inforce").Measure(t.Context(), e, 20)
 	if err != nil {
 		t.Fatal(err)
