Lab: the picture of scale shows what has a limit, and draws no broken line out

Cause: a picture of all ninety figures is ten screens long, and its legends lay over the titles. Change: a panel for each figure with a limit, its value at the design size in the title; a line that breaks ends at the last measured size.

--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -1,7 +1,7 @@
 package scale
 
-// This file owns the line through measured points, and where it stops being one. It must never draw a line through sizes beyond a
-// break and call it a slope.
+// This file owns the line through measured points, and where it stops being one. It must never draw a line out
+// beyond a break.
 
 import (
 	"math"
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -194,9 +194,7 @@
 		}
 	}
 	path := filepath.Join(t.TempDir(), "slopes.png")
-	some := *r // a picture of all takes seconds
-	some.Slopes = some.Slopes[:8]
-	if err := Plot(path, &some); err != nil {
+	if err := Plot(path, r); err != nil {
 		t.Fatal(err)
 	}
 	text, err := os.ReadFile(path)
--- a/internal/lab/scale/show.go
+++ b/internal/lab/scale/show.go
@@ -10,6 +10,7 @@
 	"io"
 	"math"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -74,18 +75,19 @@
 }
 
 const (
-	columns  = 4
+	columns  = 5
 	panelX   = 9 * vg.Centimeter
 	panelY   = 7 * vg.Centimeter
 	leastLog = 1e-9
 )
 
-// Plot leaves a picture with a panel for each slope that has points: both axes by powers of ten, the figure at the design size as a
-// ring, the limit as a red line.
+// Plot leaves a picture with a panel for each slope that has points and a limit, or for all with points where none has one: both axes by
+// powers of ten, the figure at the design size as a ring, the limit as a red line. The table has the others.
 func Plot(path string, r *Result) (err error) {
 	var panels []*plot.Plot
+	limited := slices.ContainsFunc(r.Slopes, func(s Slope) bool { return s.Limit > 0 && len(s.Points) > 0 })
 	for _, s := range r.Slopes {
-		if len(s.Points) == 0 {
+		if len(s.Points) == 0 || limited && s.Limit == 0 {
 			continue
 		}
 		p, err := panel(&s)
@@ -117,7 +119,7 @@
 
 func panel(s *Slope) (*plot.Plot, error) {
 	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = s.Name, s.SizeOf, s.Unit
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = s.Name+": "+short(s.At)+" at "+short(s.Design), s.SizeOf, s.Unit
 	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
 	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
 	least, most := s.Points[0].Size, max(s.Design, s.Points[len(s.Points)-1].Size)
@@ -125,7 +127,11 @@
 	for _, one := range s.Points {
 		pts = append(pts, plotter.XY{X: one.Size, Y: max(one.Value, leastLog)})
 	}
-	for x := least; x <= most*1.001; x *= math.Pow(most/least, 1.0/40) {
+	out := most
+	if s.Fit.Breaks > 0 { // a line that is broken is not drawn out
+		out = s.Points[len(s.Points)-1].Size
+	}
+	for x := least; x <= out*1.001; x *= math.Pow(most/least, 1.0/40) {
 		if y := s.Fit.Intercept + s.Fit.Slope*x; y > 0 && len(s.Points) > 1 {
 			fit = append(fit, plotter.XY{X: x, Y: y})
 		}
@@ -161,11 +167,9 @@
 		l.Color, l.Width, l.Dashes = color.RGBA{R: 200, A: 255}, vg.Points(1.5), []vg.Length{vg.Points(5), vg.Points(3)}
 		p.Add(l)
 		p.Legend.Add("limit "+short(s.Limit), l)
-		p.Legend.Left, p.Legend.Top = true, true
-	}
-	if p.Y.Min >= p.Y.Max*0.999 { // one height for all
-		p.Y.Min, p.Y.Max = p.Y.Min/2, p.Y.Max*2
+		p.Legend.YOffs = vg.Points(3)
 	}
+	p.Y.Min, p.Y.Max = p.Y.Min/2, p.Y.Max*2 // so that nothing lies on the edge, and one height has two sides
 	if p.X.Min >= p.X.Max {
 		p.X.Max = 2 * p.X.Min
 	}
