--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -153,6 +153,7 @@
 		Figures: []Figure{
 			{Name: "memory", What: "memory of the process of so many, each before 1,200 servers", Unit: "bytes", Role: "lab", Method: residentNow},
 			{Name: "real", What: "memory of the real one beside them", Unit: "bytes", Role: "node", Method: residentNow, Limit: limitBytes},
+			{Name: "memoryratio", What: "hollow over real, memory: a real one has a runtime of its own", Unit: "1", Role: "lab", Method: "memory over its nodes / real"},
 			{Name: "idle", What: "a hollow one, nothing happening", Unit: "% of a core", Role: "lab", Method: "processor time of the process over its nodes"},
 			{Name: "realidle", What: "the real one, nothing happening", Unit: "% of a core", Role: "node", Method: "processor time of the process", Limit: limitCores},
 			{Name: "idleratio", What: "hollow over real, nothing happening", Unit: "1", Role: "lab", Method: "idle / realidle"},
@@ -251,6 +252,7 @@
 	if v["real"], _, err = resident(real.PID()); err != nil {
 		return v, "", err
 	}
+	v["memoryratio"] = v["memory"] / size / v["real"]
 	hollowIdle, realIdle := v["idle"]/100*size, v["realidle"]/100
 	a, b, took, err = both(func() error {
 		for i := range changes {
