Lab: a kept result of scale names what was run, not where it was left

Cause: the command in the JSON held the paths of its files, which are each machine's own. Change: the flags that decide what is measured, alone; a test reads it (red before: the directory stood in the file).

--- a/cmd/fawnglade-lab/scale.go
+++ b/cmd/fawnglade-lab/scale.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -21,6 +22,25 @@
 		"limit-bytes-s": &l.Network}
 }
 
+// commandLine is how a run is done again: without where its result went, which is each machine's own.
+func commandLine(c *cobra.Command) string {
+	out := "fawnglade-lab scale"
+	for _, name := range []string{"only", "sizes", "quick", "design", "design-nodes", "design-servers", "design-tenants", "limit-cores", "limit-bytes", "limit-bytes-s"} {
+		if !c.Flags().Changed(name) {
+			continue
+		}
+		switch value := strings.Trim(c.Flags().Lookup(name).Value.String(), "[]"); name {
+		case "quick":
+			out += " --quick"
+		case "design":
+			out += " --design " + filepath.Base(value)
+		default:
+			out += " --" + name + " " + value
+		}
+	}
+	return out
+}
+
 func measureScale() *cobra.Command {
 	var names []string
 	for _, p := range scale.Probes() {
@@ -99,7 +119,7 @@
 				return err
 			}
 			defer os.RemoveAll(dir)
-			r, err = scale.Run(c.Context(), scale.Options{Only: *only, Sizes: *sizes, Command: strings.Join(append([]string{"fawnglade-lab"}, os.Args[1:]...), " "),
+			r, err = scale.Run(c.Context(), scale.Options{Only: *only, Sizes: *sizes, Command: commandLine(c),
 				Env: scale.Env{Node: words, Hollow: hollow, Quick: *quick, Log: os.Stderr, Dir: dir}, Day: time.Now(), Design: design, Limits: limits, Machine: machine})
 			if r == nil {
 				return err
--- a/cmd/fawnglade-lab/scale_test.go
+++ b/cmd/fawnglade-lab/scale_test.go
@@ -106,6 +106,9 @@
 	if code, out, complaint := lab(t, "scale", "--quick", "--only", "services", "--json", path); code != exitHeld {
 		t.Fatal(code, out, complaint)
 	}
+	if text, err := os.ReadFile(path); err != nil || strings.Contains(string(text), dir) || !strings.Contains(string(text), `"fawnglade-lab scale --only services --quick"`) {
+		t.Error("the command that is kept names this machine's places, or not what was run: ", err, string(text))
+	}
 	code, out, complaint := lab(t, "scale", "--from", path, "--plot", picture)
 	if code != exitHeld || complaint != "" || !strings.Contains(out, "services.memory ") || !strings.Contains(out, "an instance of the decisions with 24 servers stands for one") {
 		t.Error(code, out, complaint)
