Lab: scale says where a figure drawn out is beyond what the node takes

Cause: a list by others' word was told to take 39.7 s at 120,000 servers; beyond 8,192 it is never taken. Members were drawn out to 5,300 nodes, of which 4,096 are the most. Change: probes name the cap, and the figure says it. Red without the line that says it, green with it.

--- a/internal/lab/scale/hearsay.go
+++ b/internal/lab/scale/hearsay.go
@@ -45,7 +45,7 @@
 func hearsayProbe() Probe {
 	return Probe{
 		Name: "hearsay", Size: "servers", Sizes: []float64{512, 1200, 4096, 8000, 12000, 28000}, Quick: []float64{10, 40, 100, 200}, Least: 2,
-		At:   func(d *Design) float64 { return d.Servers },
+		At: func(d *Design) float64 { return d.Servers }, Cap: hearsay.MostLines,
 		Need: func(n float64) Need { return Need{Bytes: 6 * 500 * n} },
 		Figures: []Figure{
 			{Name: "taken", What: "a node that starts without discovery: until it goes by others' whole list", Unit: "s", Role: "node", Method: "virtual time, nothing lost", Limit: limitReady},
--- a/internal/lab/scale/members.go
+++ b/internal/lab/scale/members.go
@@ -51,7 +51,7 @@
 func membersProbe() Probe {
 	return Probe{
 		Name: "members", Size: "nodes", Sizes: []float64{100, 200, 400, 1000}, Quick: []float64{4, 8, 20, 40}, Least: 3, Most: mostMembers,
-		At:   func(d *Design) float64 { return d.Nodes },
+		At: func(d *Design) float64 { return d.Nodes }, Cap: mostMembers,
 		Need: func(n float64) Need { return Need{Bytes: 400*n*n + 20e6} },
 		Figures: []Figure{
 			{Name: "memory", What: "memory of one node's view", Unit: "bytes", Role: "node", Method: onHeap, Limit: limitBytes},
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -47,7 +47,8 @@
 	At          func(*Design) float64
 	Need        func(size float64) Need
 	Figures     []Figure
-	Missing     string // what the node has no notion of, so that another thing stands for it
+	Cap         float64 // a size beyond which the node's own code takes nothing; 0: none
+	Missing     string  // what the node has no notion of, so that another thing stands for it
 	// Measure returns values by the figures' names. A figure without one was not to be had at this size; note says why.
 	Measure func(ctx context.Context, e *Env, size float64) (values map[string]float64, note string, err error)
 }
@@ -150,7 +151,7 @@
 	Fit     Fit      `json:"fit"`
 	Design  float64  `json:"design_size"`
 	At      float64  `json:"at_design"` // the value there
-	How     string   `json:"how"`       // measured, line, power, last size, one point or not measured
+	How     string   `json:"how"`       // measured, line, power, last size, one point or not measured; beyond a cap it says so
 	Limit   float64  `json:"limit,omitempty"`
 	Factor  float64  `json:"factor,omitempty"` // of the limit; above 1 it is over
 	Command string   `json:"command"`
@@ -257,7 +258,7 @@
 }
 
 func slopeOf(p *Probe, f *Figure, points []Point, notes []string, o *Options) Slope {
-	s := Slope{Name: p.Name + "." + f.Name, What: f.What, Role: f.Role, Unit: f.Unit, SizeOf: p.Size, Method: f.Method, Missing: p.Missing, Points: points,
+	s := Slope{Name: p.Name + "." + f.Name, What: f.What, Role: f.Role, Unit: f.Unit, SizeOf: p.Size, Method: f.Method, Missing: p.Missing, Cap: p.Cap, Points: points,
 		Notes: notes, Design: p.At(&o.Design), Command: o.Command, Day: o.Day.Format(time.DateOnly)}
 	if f.Limit != nil {
 		s.Limit = f.Limit(&o.Design, &o.Limits)
@@ -322,7 +323,11 @@
 // fitted draws the line anew.
 func (s Slope) fitted() Slope {
 	s.Fit, s.Factor = FitOf(s.Points), 0
-	if s.At, s.How = s.Fit.at(s.Points, s.Design); s.Limit > 0 && len(s.Points) > 0 {
+	s.At, s.How = s.Fit.at(s.Points, s.Design)
+	if s.Cap > 0 && s.Design > s.Cap {
+		s.How += ", but nothing beyond " + count(s.Cap)
+	}
+	if s.Limit > 0 && len(s.Points) > 0 {
 		s.Factor = s.At / s.Limit
 	}
 	return s
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// A figure drawn out beyond what the node's own code takes has to say so, or a page would promise it.
+func TestACapIsTold(t *testing.T) {
+	p := points(func(x float64) float64 { return x }, 10, 20, 50, 100)
+	for cap, want := range map[float64]string{0: "line", 2000: "line", 500: "line, but nothing beyond 500"} {
+		if s := (Slope{Points: p, Design: 1000, Cap: cap}).fitted(); s.How != want || !near(s.At, 1000) {
+			t.Errorf("cap %v: %v by %q, want %q", cap, s.At, s.How, want)
+		}
+	}
+}
+
 func TestWhatFallsIsNotDrawnBelowNothing(t *testing.T) {
 	p := points(func(x float64) float64 { return 10 - x/100 }, 10, 50, 100, 200)
 	f := FitOf(p)
