--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -149,6 +149,7 @@
 	Points  []Point  `json:"points"`
 	Notes   []string `json:"notes,omitempty"` // sizes that could not be measured, and why
 	Fit     Fit      `json:"fit"`
+	Cap     float64  `json:"cap,omitempty"` // a size beyond which the node's own code takes nothing
 	Design  float64  `json:"design_size"`
 	At      float64  `json:"at_design"` // the value there
 	How     string   `json:"how"`       // measured, line, power, last size, one point or not measured; beyond a cap it says so
