Sources: relays' list is told whole once more when it has come past what a node remembers

Cause: the origin's word on its version lags up to a second behind its endpoints, and a memory holds a remembered drain against a list that is no newer; an undrain in that second would have been held for good. With the repetition taken out TestRelaysPastWhatIsRemembered fails.

--- a/internal/following/following.go
+++ b/internal/following/following.go
@@ -30,6 +30,7 @@
 	Relays  []string
 	Scopes  []string
 	Silence int64        // ns without a word of any relay: discovery is watched
+	Before  int64        // the version of the list that the node remembers from before its start; 0: none
 	Clock   func() int64 // ns, monotone
 	Log     *zap.Logger
 
@@ -64,7 +65,7 @@
 
 // New makes one; nothing runs before Run. Only settings that make no sense are errors.
 func New[V any](set Settings[V]) (*Following[V], error) {
-	f := &Following[V]{set: set, choice: sources.New[V](set.Clock(), set.Silence), hosts: relay.NewHosts()}
+	f := &Following[V]{set: set, choice: sources.New[V](set.Clock(), set.Silence, set.Before), hosts: relay.NewHosts()}
 	scopes := relay.WithOrigin(set.Scopes)
 	core, err := distribution.NewSubscriber(relay.Selectors(scopes), distribution.Limits{})
 	if err != nil {
--- a/internal/node/distribution.go
+++ b/internal/node/distribution.go
@@ -21,7 +21,7 @@
 	}
 	set := n.config.features.Distribution
 	n.discovery.pause(true) // until there is no word of a relay
-	return following.New(following.Settings[entry]{Name: n.config.Name, Relays: set.Relays, Scopes: set.Scopes, Silence: set.SilenceNs,
+	return following.New(following.Settings[entry]{Name: n.config.Name, Relays: set.Relays, Scopes: set.Scopes, Silence: set.SilenceNs, Before: n.state.version(),
 		Clock: n.clock.now, Log: n.log, Caught: n.caught, Tell: n.goBy, Watch: func(on bool) { n.discovery.pause(!on) },
 		Entry: func(in listing.Entry) (entry, error) { return entryOf(in, n.settings.Zones) },
 		Of: func(e entry) sources.Server[entry] {
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -88,12 +88,15 @@
 	fresh   bool
 	target  int64 // discovery's version when relays came to be fresh
 	lost    bool  // no relay could be reached
+	before  int64 // the version that is remembered from before the start
 	Moves   int64 // from one teller to the other
 }
 
-// New makes one. After silence, ns, without a word relays are not gone by any more.
-func New[V any](now, silence int64) *Sources[V] {
-	s := &Sources[V]{silence: silence, began: now, force: map[string]Server[V]{}}
+// New makes one. After silence, ns, without a word relays are not gone by any more. before is the version of the list that the node
+// remembers from before its start: what is told at no higher one does not count against it, and relays' version may lag behind what
+// they tell by a moment, so their list is told whole once more when they have come past it.
+func New[V any](now, silence, before int64) *Sources[V] {
+	s := &Sources[V]{silence: silence, began: now, before: before, force: map[string]Server[V]{}}
 	for i := range s.lists {
 		s.lists[i].servers = map[string]Server[V]{}
 	}
@@ -120,12 +123,13 @@
 // silence, and the origin hears discovery itself; version: discovery's, that the origin had, at least; 0: not known.
 func (s *Sources[V]) RelaysTold(now int64, changes []Server[V], whole, stands bool, version int64) Told[V] {
 	r := &s.lists[Relays]
+	past := r.version <= s.before && version > s.before && s.by == Relays
 	r.whole, r.stands, r.version = whole, stands, version
 	if s.lost = false; stands {
 		r.word = now
 	}
 	r.take(changes)
-	return s.tell(now, Relays, names(changes), false)
+	return s.tell(now, Relays, names(changes), past)
 }
 
 // RelaysLost says that no relay could be reached.
--- a/internal/sources/sources_test.go
+++ b/internal/sources/sources_test.go
@@ -26,7 +26,7 @@
 }
 
 func newNode() *node {
-	return &node{s: New[int](began, silence), now: began, force: map[string]server{}}
+	return &node{s: New[int](began, silence, 0), now: began, force: map[string]server{}}
 }
 
 func (n *node) by(t Told[int]) Told[int] {
@@ -169,6 +169,22 @@
 	n.expect(t, "and goes on alone", Discovery, "a", true)
 }
 
+// A list at a version that is remembered from before the start is told whole again once it has come past that.
+func TestRelaysPastWhatIsRemembered(t *testing.T) {
+	n := newNode()
+	n.s = New[int](began, silence, 10)
+	for i, step := range []struct {
+		version int64
+		whole   bool
+		servers int
+	}{{10, true, 2}, {10, false, 1}, {11, true, 2}, {12, false, 1}} {
+		told := n.by(n.s.RelaysTold(n.now, servers([]string{"a- b", "a", "", "b"}[i]), true, true, step.version))
+		if told.Whole != step.whole || len(told.Servers) != step.servers {
+			t.Errorf("step %d: %+v, expected whole %v and %d servers", i, told, step.whole, step.servers)
+		}
+	}
+}
+
 // What was laid over goes on to count when the tellers change again.
 func TestAThirdChangeOfTellersForgetsNothing(t *testing.T) {
 	n := newNode()
