--- a/internal/following/following.go
+++ b/internal/following/following.go
@@ -158,7 +158,7 @@
 		}
 	}
 	list, seen := f.hosts.List()
-	f.tell(f.choice.RelaysTold(now, servers, whole, seen && list.Stands && known && age < f.set.Silence, list.Version))
+	f.tell(f.choice.RelaysTold(now, servers, whole, seen && list.Stands && known, now-age, list.Version))
 }
 
 func (f *Following[V]) stateIs(s relay.State) {
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -112,7 +112,7 @@
 	if set.Discovery != "" {
 		p.origin.Await(KindEndpoint)
 		hosts := newEndpoints(&set.Scope)
-		p.watch = &watch{first: make(chan struct{}), address: set.Discovery, limits: listing.For(int64(p.config.Limits.Bytes)), silence: watchSilence, clock: p.server.set.Clock, log: p.log, record: hosts.record,
+		p.watch = &watch{address: set.Discovery, limits: listing.For(int64(p.config.Limits.Bytes)), silence: watchSilence, clock: p.server.set.Clock, log: p.log, record: hosts.record,
 			take: func(told []distribution.Record, whole, first bool) {
 				p.server.Do(func(now int64) { p.complain(hosts.take(now, p.origin, told, whole, first)) })
 			}}
@@ -130,26 +130,30 @@
 	}
 }
 
-// tellEveryList is how often the origin says how far it hears discovery, if that has changed.
-const tellEveryList = time.Second
+// How often the origin says how far it hears discovery, if that has changed: a version a second, and at once that it does not hear it.
+const (
+	lookEveryList = 100 * time.Millisecond
+	tellEveryList = int64(time.Second)
+)
 
 // tellList has every node know how far the origin hears discovery.
 func (p *Process) tellList(ctx context.Context) {
-	ticks := time.NewTicker(tellEveryList)
+	ticks := time.NewTicker(lookEveryList)
 	defer ticks.Stop()
 	var stands standing
-	for first := p.watch.first; ; {
-		if version := p.watch.had.Load(); version > 0 {
+	var told List
+	for at := int64(0); ; {
+		now := p.server.set.Clock()
+		is := List{p.watch.had.Load(), stands.look(now, p.watch.word.Load())}
+		if is.Version > 0 && (is.Stands != told.Stands || is != told && now-at >= tellEveryList) {
 			p.server.Do(func(now int64) {
-				body := List{version, stands.look(now, p.watch.word.Load())}.body()
-				_, err := p.origin.Put(now, ScopeOrigin, KeyList, distribution.Configuration, body)
+				_, err := p.origin.Put(now, ScopeOrigin, KeyList, distribution.Configuration, is.body())
 				p.complain(err)
 			})
+			told, at = is, now
 		}
 		select {
 		case <-ticks.C:
-		case <-first:
-			first = nil
 		case <-ctx.Done():
 			return
 		}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -42,7 +42,6 @@
 	word                         counter // when the watch last said anything, by the server's clock; 0: none stands
 	calls, failed, lines, passed counter
 	clock                        func() int64
-	first                        chan struct{} // closed once the origin has a list
 }
 
 func (w *watch) run(ctx context.Context) {
@@ -98,9 +97,7 @@
 		}
 		w.take(told, line.Whole, first)
 		w.version, stood = line.Version, true
-		if w.had.Swap(line.Version) == 0 {
-			close(w.first)
-		}
+		w.had.Store(line.Version)
 		w.lines.Add(1)
 	}
 }
@@ -108,8 +105,9 @@
 // standing tells whether a watch stands, or has a moment ago.
 type standing struct{ since int64 }
 
-// graceNs is how long an origin is without a watch before it says so: one that ends is most often opened anew at once.
-const graceNs = int64(2e9)
+// graceNs is how long an origin is without a watch before it says so: one that ends is most often opened anew at once. With the silence
+// by which a watch is found dead, the ways below and a node's own call it has to come within the 6 s of a change.
+const graceNs = int64(500e6)
 
 func (s *standing) look(now, word int64) bool {
 	if word != 0 {
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -119,14 +119,14 @@
 	return r.whole && r.stands && now-r.word < s.silence
 }
 
-// RelaysTold takes in what relays have told. whole: they have told all there is, once; stands: what they tell is no older than the
-// silence, and the origin hears discovery itself; version: discovery's, that the origin had, at least; 0: not known.
-func (s *Sources[V]) RelaysTold(now int64, changes []Server[V], whole, stands bool, version int64) Told[V] {
+// RelaysTold takes in what relays have told. whole: they have told all there is, once; stands: the origin hears discovery itself; asOf:
+// when what they tell was known to be so; version: discovery's, that the origin had, at least; 0: not known.
+func (s *Sources[V]) RelaysTold(now int64, changes []Server[V], whole, stands bool, asOf, version int64) Told[V] {
 	r := &s.lists[Relays]
 	past := r.version <= s.before && version > s.before && s.by == Relays
 	r.whole, r.stands, r.version = whole, stands, version
 	if s.lost = false; stands {
-		r.word = now
+		r.word = asOf
 	}
 	r.take(changes)
 	return s.tell(now, Relays, names(changes), past)
--- a/internal/sources/sources_test.go
+++ b/internal/sources/sources_test.go
@@ -74,7 +74,7 @@
 }
 
 func (n *node) relays(text string, stands bool, version int64) {
-	n.by(n.s.RelaysTold(n.now, servers(text), true, stands, version))
+	n.by(n.s.RelaysTold(n.now, servers(text), true, stands, n.now, version))
 }
 
 func (n *node) discovery(text string, whole bool, version int64) {
@@ -96,7 +96,7 @@
 func TestRelaysAloneWhileTheyAnswer(t *testing.T) {
 	n := newNode()
 	n.expect(t, "at first", Nobody, "", false)
-	n.by(n.s.RelaysTold(n.now, servers("a"), false, true, 1))
+	n.by(n.s.RelaysTold(n.now, servers("a"), false, true, n.now, 1))
 	n.expect(t, "half of it", Nobody, "", false)
 	n.relays("b", true, 7)
 	n.expect(t, "whole", Relays, "a b", false)
@@ -178,13 +178,25 @@
 		whole   bool
 		servers int
 	}{{10, true, 2}, {10, false, 1}, {11, true, 2}, {12, false, 1}} {
-		told := n.by(n.s.RelaysTold(n.now, servers([]string{"a- b", "a", "", "b"}[i]), true, true, step.version))
+		told := n.by(n.s.RelaysTold(n.now, servers([]string{"a- b", "a", "", "b"}[i]), true, true, n.now, step.version))
 		if told.Whole != step.whole || len(told.Servers) != step.servers {
 			t.Errorf("step %d: %+v, expected whole %v and %d servers", i, told, step.whole, step.servers)
 		}
 	}
 }
 
+// Relays that are heard, and tell what is old, are not fresh.
+func TestOldWordOfRelays(t *testing.T) {
+	n := newNode()
+	n.relays("a b", true, 10)
+	n.pass(silence - second)
+	n.by(n.s.RelaysTold(n.now, nil, true, true, n.now-silence/2, 10))
+	n.pass(silence/2 - 1)
+	n.expect(t, "old, but not too old", Relays, "a b", false)
+	n.pass(1)
+	n.expect(t, "too old", Relays, "a b", true)
+}
+
 // What was laid over goes on to count when the tellers change again.
 func TestAThirdChangeOfTellersForgetsNothing(t *testing.T) {
 	n := newNode()
@@ -279,7 +291,7 @@
 				to = at[who]
 			}
 			if who == Relays {
-				n.by(n.s.RelaysTold(n.now, changes(told[who], w.versions[to]), true, true, int64(to)))
+				n.by(n.s.RelaysTold(n.now, changes(told[who], w.versions[to]), true, true, n.now, int64(to)))
 			} else if rapid.Bool().Draw(t, "whole") || at[who] == 0 {
 				n.by(n.s.DiscoveryTold(n.now, all(w.versions[to]), true, int64(to)))
 			} else {
