--- a/internal/node/relayed_test.go
+++ b/internal/node/relayed_test.go
@@ -8,8 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -274,3 +277,90 @@
 		t.Error("not served")
 	}
 }
+
+// relayProcess runs an origin or a relay until it is told to end.
+func relayProcess(t *testing.T, text string) (p *relay.Process, end func()) {
+	t.Helper()
+	config, err := relay.ParseConfig("t.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p, err = relay.NewProcess(config, zap.NewNop()); err != nil {
+		t.Fatal(err)
+	}
+	signals, done := make(chan os.Signal, 1), make(chan struct{})
+	go func() {
+		p.Run(signals)
+		close(done)
+	}()
+	end = sync.OnceFunc(func() { signals <- syscall.SIGTERM; <-done })
+	t.Cleanup(end)
+	return p, end
+}
+
+// The only relay goes on to be heard, but is cut off from above: what it tells grows old, and discovery is watched.
+func TestARelayThatIsCutOffFromAbove(t *testing.T) {
+	a, _ := naming(t, "a")
+	b, _ := naming(t, "b")
+	discovery, _, _ := discoveryTelling(t, func(int64) string { return listText(9, true, listEntry("b", b, "up")) })
+	o := distribution.NewOrigin(1, distribution.Limits{})
+	first, s, stop := serveOrigin(t, o)
+	endpoint(s, o, "a", a, "up")
+	heardList(s, o, 8, true)
+	low, _ := relayProcess(t, fmt.Sprintf("name=\"r\"\nrole=\"relay\"\nlisten=\"127.0.0.1:0\"\nupstream=[%q]\n", first))
+	n := nodeWith(t, withRelaysSilent("2s", discovery, low.Address()))
+	soon(t, "the list by relays", func() bool { return n.notReady() == "" && relayView(t, n).By == "relays" })
+	stop()
+	soon(t, "the list by discovery", func() bool { return relayView(t, n).By == "discovery" })
+	soon(t, "the newer list", func() bool { return answers(t, n, fmt.Sprint("t", addresses.Add(1)), "b") })
+	if v := relayView(t, n); v.Relay != low.Address() {
+		t.Errorf("%+v: the relay is still there", v)
+	}
+}
+
+// The origin's way to discovery falls silent while the node's own stands: a change is told within 6 s all the same.
+func TestAChangeIsToldThoughTheOriginDoesNotHearDiscovery(t *testing.T) {
+	a, _ := naming(t, "a")
+	b, _ := naming(t, "b")
+	var frozen atomic.Bool
+	half := listen(t, func(c net.Conn) { // discovery as the origin has it
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		if !frozen.Load() {
+			text := listText(5, true, listEntry("a", a, "up")) + "\n"
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+		}
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			if !frozen.Load() {
+				fmt.Fprint(c, "1\r\n\n\r\n")
+			}
+		}
+	})
+	discovery, calls, _ := discoveryTelling(t, func(int64) string {
+		return listText(6, true, listEntry("a", a, "draining"), listEntry("b", b, "up"))
+	})
+	origin, _ := relayProcess(t, fmt.Sprintf("name=\"o\"\nrole=\"origin\"\nlisten=\"127.0.0.1:0\"\n[origin]\ndiscovery=%q\n[origin.scope]\nservice=\"cart\"\nregion=\"eu1\"\n", half))
+	low, _ := relayProcess(t, fmt.Sprintf("name=\"r\"\nrole=\"relay\"\nlisten=\"127.0.0.1:0\"\nupstream=[%q]\n", origin.Address()))
+	n := nodeWith(t, withRelaysSilent("4s", discovery, low.Address()))
+	soon(t, "the list by relays", func() bool { return n.notReady() == "" && relayView(t, n).By == "relays" })
+	if !answers(t, n, "one", "a") {
+		t.Fatal("not served by what relays told")
+	}
+	before := calls.Load()
+	frozen.Store(true)
+	began := time.Now()
+	for relayView(t, n).By != "discovery" {
+		if time.Since(began) > 6*time.Second {
+			t.Fatal("not told within 6 s")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if !answers(t, n, "two", "b") {
+		t.Error("not served by what discovery told")
+	}
+	if calls.Load() == before {
+		t.Error("discovery was not called")
+	}
+}
