--- a/cmd/fawnglade-lab/main.go
+++ b/cmd/fawnglade-lab/main.go
@@ -41,7 +41,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demo(), play(), compare(), report(), checkFiles(), proxy(), capacity(), cost(), gate(), huntDays(), sweepGrid(), measureMembers())
+	root.AddCommand(demo(), play(), compare(), report(), checkFiles(), proxy(), capacity(), cost(), gate(), huntDays(), sweepGrid(), measureMembers(), distribution(), distributionOrigin())
 	root.SetArgs(args)
 	switch err := root.ExecuteContext(ctx); {
 	case err == nil:
--- /dev/null
+++ b/internal/lab/tree/nodes.go
@@ -0,0 +1,232 @@
+package tree
+
+// This file owns the hollow nodes: the node's own subscriber and client, without clients or servers of requests behind them. Each
+// notes what it was told and when; what is right is judged elsewhere. It must never look at the truth.
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fawnglade/internal/distribution"
+	"fawnglade/internal/relay"
+)
+
+// told is one change that came to a node.
+type told struct {
+	n  int32 // its number
+	at int32 // microseconds since the run began, on the run's clock
+}
+
+// dead is a record that a node was told has gone; its end carries no number.
+type dead struct{ scope, key string }
+
+type end struct {
+	dead
+	at int32
+}
+
+// hollow is one node. What one life holds ends with it; the faults it saw stay.
+type hollow struct {
+	index int
+	run   *nodes
+
+	mu      sync.Mutex
+	sub     subscriber
+	came    []told
+	ended   []end
+	gone    map[dead]uint64 // with the version it went in
+	whole   int64           // when all its scopes were complete, since the run began in ns; 0: not yet
+	revived int             // records told again in a version that is not newer than their end
+	spoilt  int             // frames that its subscriber refused
+
+	client *relay.Client
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	bytes atomic.Int64
+	marks []int64 // bytes at the ends of the seconds of an act
+}
+
+// subscriber is what a node holds; *distribution.Subscriber but where a test has one that fails.
+type subscriber interface {
+	Hello() []byte
+	Take(now int64, frame []byte) ([]distribution.Change, error)
+	Complete() bool
+	Each(func(distribution.Record))
+}
+
+// nodes are all of them.
+type nodes struct {
+	size  Size
+	began time.Time
+	lower func(node int) []string
+	all   []*hollow
+	log   *zap.Logger
+
+	one    sync.Mutex
+	texts  map[string]string
+	bodies map[string][]byte
+}
+
+// text and body are the same values for all nodes of the process, where they share.
+func (n *nodes) text(s string) string {
+	n.one.Lock()
+	defer n.one.Unlock()
+	if is, ok := n.texts[s]; ok {
+		return is
+	}
+	n.texts[s] = s
+	return s
+}
+
+func (n *nodes) body(b []byte) []byte {
+	n.one.Lock()
+	defer n.one.Unlock()
+	if is, ok := n.bodies[string(b)]; ok {
+		return is
+	}
+	n.bodies[string(b)] = b
+	return b
+}
+
+func newNodes(size Size, began time.Time, lower func(int) []string) *nodes {
+	n := &nodes{size: size, began: began, lower: lower, log: zap.NewNop(), texts: map[string]string{}, bodies: map[string][]byte{}}
+	for i := range size.Nodes {
+		n.all = append(n.all, &hollow{index: i, run: n})
+	}
+	return n
+}
+
+func (n *nodes) now() int64 { return int64(time.Since(n.began)) }
+
+// start begins a life with nothing.
+func (h *hollow) start() {
+	var selectors []distribution.Selector
+	for _, scope := range h.run.size.follows(h.index) {
+		selectors = append(selectors, distribution.Selector{Scope: scope})
+	}
+	h.mu.Lock()
+	sub, err := distribution.NewSubscriber(selectors, distribution.Limits{Records: 4 * h.run.size.perNode(), Selectors: len(selectors)})
+	if err != nil {
+		panic(err) // a size that Check lets through makes no such selectors
+	}
+	if h.run.size.Share {
+		sub.Share(distribution.Intern{Text: h.run.text, Body: h.run.body})
+	}
+	h.sub, h.whole, h.gone = sub, 0, map[dead]uint64{}
+	h.mu.Unlock()
+	h.connect()
+}
+
+// connect runs the client on what the node holds.
+func (h *hollow) connect() {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel, h.done = cancel, make(chan struct{})
+	dialer := &net.Dialer{KeepAlive: -1}
+	h.client = relay.NewClient(relay.ClientSettings{
+		Name:      "h" + serviceName(h.index),
+		Upstreams: h.run.lower(h.index),
+		Spread:    true,
+		Clock:     h.run.now,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			return &counted{c, &h.bytes}, nil
+		},
+	}, h, h.run.log)
+	go func() {
+		defer close(h.done)
+		h.client.Run(ctx)
+	}()
+}
+
+// stop ends the client; what the node holds stays.
+func (h *hollow) stop() {
+	if h.cancel != nil {
+		h.cancel()
+		<-h.done
+	}
+}
+
+// counted is a connection of which every byte counts, in both directions.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Hello, Take and Behind are what the client asks of whom it feeds.
+func (h *hollow) Hello(now int64) []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sub.Hello()
+}
+
+func (h *hollow) Take(now int64, frame []byte) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changes, err := h.sub.Take(now, frame)
+	if err != nil {
+		h.spoilt++
+	}
+	for _, c := range changes {
+		h.note(now, c)
+	}
+	if h.whole == 0 && h.sub.Complete() {
+		h.whole = now
+	}
+	return err
+}
+
+func (h *hollow) Behind(now int64) int64 { return 0 }
+
+// note enters one change; the lock is held.
+func (h *hollow) note(now int64, c distribution.Change) {
+	is := dead{c.Scope, c.Key}
+	if c.Gone {
+		h.gone[is] = c.Version
+		h.ended = append(h.ended, end{is, int32(now / 1000)})
+		return
+	}
+	if v, was := h.gone[is]; was {
+		if c.Version <= v {
+			h.revived++
+		}
+		delete(h.gone, is)
+	}
+	if n := numberOf(c.Body); n > 0 {
+		h.came = append(h.came, told{int32(n), int32(now / 1000)})
+	}
+}
+
+// each does something with nodes, many at a time.
+func each(all []*hollow, do func(*hollow)) {
+	var group sync.WaitGroup
+	next := atomic.Int64{}
+	for range 8 {
+		group.Go(func() {
+			for i := next.Add(1) - 1; i < int64(len(all)); i = next.Add(1) - 1 {
+				do(all[i])
+			}
+		})
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/internal/lab/tree/tree_test.go
@@ -0,0 +1,259 @@
+package tree
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"fawnglade/internal/distribution"
+)
+
+func TestSizesThatCanNotBePlayedAreRefusedInOneLine(t *testing.T) {
+	const half, files = 12 << 30, 20_000
+	for name, one := range map[string]struct {
+		change func(*Size)
+		expect string
+	}{
+		"memory":      {func(s *Size) { s.Take = 5000; s.Shared = 500 }, "MB at most, half of the machine's memory"},
+		"processes":   {func(s *Size) { s.Lower = 300 }, "expected 200 at most"},
+		"descriptors": {func(s *Size) { s.Nodes, s.Take, s.Shared = 19_900, 50, 1 }, "expected 20000 at most"},
+		"failover":    {func(s *Size) { s.Lower = 9 }, "expected 10 at least"},
+		"take":        {func(s *Size) { s.Take = 0 }, "expected 1 to 5000"},
+		"none":        {func(s *Size) { s.Nodes = 0 }, "expected one node"},
+		"zones":       {func(s *Size) { s.Zones = 3 }, "a zone for each region"},
+	} {
+		s := Full()
+		one.change(&s)
+		if err := s.check(half, files); err == nil || !strings.Contains(err.Error(), one.expect) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: expected %q, got %v", name, one.expect, err)
+		}
+	}
+	for _, s := range []Size{Full(), Quick()} {
+		if err := s.check(half, files); err != nil {
+			t.Error(err)
+		}
+	}
+	s := Full()
+	s.Nodes, s.Take, s.Shared = 28_000, 10, 1
+	if err := s.check(half, 100_000); err == nil || !strings.Contains(err.Error(), "ports") {
+		t.Error(err)
+	}
+}
+
+// TestTheWorldIsTheLetters has the numbers of the operators' letter come out of the full size.
+func TestTheWorldIsTheLetters(t *testing.T) {
+	s := Full()
+	zones, regions := map[int]int{}, map[int]int{}
+	for i := range s.Endpoints {
+		z := s.zoneOf(i)
+		zones[z]++
+		regions[i%(s.Services*s.Regions)%s.Regions]++
+		if z%s.Regions != i%(s.Services*s.Regions)%s.Regions {
+			t.Fatalf("endpoint %d: zone %d of another region", i, z)
+		}
+	}
+	if len(zones) != 31 || len(regions) != 10 {
+		t.Errorf("%d zones, %d regions", len(zones), len(regions))
+	}
+	for z, n := range zones {
+		if n < 2800 || n > 4100 {
+			t.Errorf("zone %d: %d endpoints", z, n)
+		}
+	}
+	records := map[string]int{}
+	q := Quick()
+	q.each(func(scope, key, class, body string) {
+		records[class]++
+		if numberOf([]byte(body)) != 0 || !json.Valid([]byte(body)) {
+			t.Fatalf("%s: %s", key, body)
+		}
+	})
+	if records[endpoint] != q.Endpoints || records[configuration] != q.Routes+q.Tenants {
+		t.Error(records)
+	}
+	for _, s := range []Size{s, q} {
+		for _, node := range []int{0, 1, s.Nodes - 1} {
+			seen := map[string]bool{}
+			for _, scope := range s.follows(node) {
+				if seen[scope] {
+					t.Errorf("node %d follows %s twice", node, scope)
+				}
+				seen[scope] = true
+			}
+			if len(seen) != s.Take+s.Shared {
+				t.Errorf("node %d follows %d scopes", node, len(seen))
+			}
+		}
+	}
+}
+
+func TestTheSameSeedGivesTheSameChanges(t *testing.T) {
+	play := func(seed uint64) (all []Change) {
+		s := Quick()
+		s.Seed = seed
+		w := newWorld(s)
+		for range 50 {
+			all = append(all, w.configure())
+			all = append(all, w.drain())
+			all = append(all, w.back(all[len(all)-1].mend))
+			all = append(all, w.fail())
+			all = append(all, w.back(all[len(all)-1].mend))
+		}
+		return append(all, w.zone(1, 100)...)
+	}
+	if !reflect.DeepEqual(play(1), play(1)) || reflect.DeepEqual(play(1), play(2)) {
+		t.Error("the same seed must give the same changes, and another one others")
+	}
+	for i, c := range play(1) {
+		if c.n != i+1 || !c.Gone && numberOf([]byte(c.Body)) != c.n {
+			t.Fatalf("change %d: %+v", i+1, c)
+		}
+	}
+}
+
+func TestNumbers(t *testing.T) {
+	for text, expect := range map[string]int{`{"n":12}`: 12, `{"a":1,"n":0}`: 0, `{"n":"x"}`: -1, ``: -1, `12}`: -1, `{"n":7`: -1} {
+		if got := numberOf([]byte(text)); got != expect {
+			t.Errorf("%s: %d, expected %d", text, got, expect)
+		}
+	}
+}
+
+// fake is a subscriber that holds what it is given.
+type fake struct {
+	records map[dead]distribution.Record
+	next    []distribution.Change
+}
+
+func (f *fake) Hello() []byte  { return nil }
+func (f *fake) Complete() bool { return true }
+
+func (f *fake) Take(int64, []byte) ([]distribution.Change, error) {
+	for _, c := range f.next {
+		f.records[dead{c.Scope, c.Key}] = c.Record
+	}
+	out := f.next
+	f.next = nil
+	return out, nil
+}
+
+func (f *fake) Each(one func(distribution.Record)) {
+	for _, r := range f.records {
+		if !r.Gone {
+			one(r)
+		}
+	}
+}
+
+// playFake plays changes into one node with a subscriber that is spoilt in a way, and judges.
+func playFake(t *testing.T, spoil func(all []distribution.Change, f *fake) []distribution.Change) *Act {
+	t.Helper()
+	s := Quick()
+	s.Nodes, s.Settle = 1, 0
+	r := &Run{size: s, began: time.Now(), sent: []int64{0}, what: []Change{{}}, count: map[string]int{}, world: newWorld(s)}
+	r.nodes = newNodes(s, r.began, nil)
+	h := r.nodes.all[0]
+	f := &fake{records: map[dead]distribution.Record{}}
+	h.sub, h.gone = f, map[dead]uint64{}
+	follows := map[string]bool{}
+	for _, scope := range s.follows(0) {
+		r.count[scope] = 1
+		follows[scope] = true
+		for key, is := range r.world.scopes[scope] {
+			f.records[dead{scope, key}] = distribution.Record{Scope: scope, Key: key, Version: 1, Body: []byte(is.body)}
+		}
+	}
+	var all []distribution.Change
+	note := func(c Change) {
+		r.sent, r.what = append(r.sent, 0), append(r.what, c)
+		if follows[c.Scope] {
+			all = append(all, distribution.Change{Record: distribution.Record{Scope: c.Scope, Key: c.Key, Version: uint64(1 + c.n), Gone: c.Gone, Body: []byte(c.Body)}})
+		}
+	}
+	for range 5 {
+		note(r.world.configure())
+	}
+	for i := range s.Endpoints {
+		if follows[s.endpointScope(i)] && i%7 == 0 {
+			note(r.world.gone(i))
+		}
+	}
+	f.next = spoil(all, f)
+	if err := h.Take(1000, nil); err != nil {
+		t.Fatal(err)
+	}
+	a := &Act{}
+	r.settle(context.Background(), a)
+	r.harvest(a, 1)
+	return a
+}
+
+// TestTheVerdictSeesEachFault has a node that is told what is true once in each way that the tree could go wrong.
+func TestTheVerdictSeesEachFault(t *testing.T) {
+	last := func(all []distribution.Change) distribution.Change { return all[len(all)-1] }
+	for name, one := range map[string]struct {
+		spoil  func([]distribution.Change, *fake) []distribution.Change
+		expect func(*Act) bool
+	}{
+		"all is well": {func(all []distribution.Change, _ *fake) []distribution.Change { return all }, (*Act).Held},
+		"one end is lost": {func(all []distribution.Change, _ *fake) []distribution.Change { return all[:len(all)-1] },
+			func(a *Act) bool {
+				return a.Wrong == 1 && a.Missing == 1 && strings.Contains(a.Example, "which is gone")
+			}},
+		"one is told twice": {func(all []distribution.Change, _ *fake) []distribution.Change { return append(all, all[0]) },
+			func(a *Act) bool { return a.Doubled == 1 && a.Wrong == 0 }},
+		"one comes back from the dead": {func(all []distribution.Change, f *fake) []distribution.Change {
+			old := last(all)
+			old.Gone, old.Version, old.Body = false, old.Version-1, []byte(`{"n":0}`)
+			return append(all, old)
+		}, func(a *Act) bool { return a.Revived == 1 && a.Wrong == 1 }},
+		"an older body is kept": {func(all []distribution.Change, f *fake) []distribution.Change {
+			c := all[0]
+			c.Body = []byte(`{"n":0}`)
+			return append(all[1:], c)
+		}, func(a *Act) bool { return a.Wrong == 1 && a.Missing == 1 && strings.Contains(a.Example, "and it is") }},
+		"one too few": {func(all []distribution.Change, f *fake) []distribution.Change {
+			for k, r := range f.records {
+				if r.Class != distribution.Configuration && strings.HasPrefix(k.scope, "r00/") && r.Version == 1 {
+					keep := true
+					for _, c := range all {
+						keep = keep && (c.Scope != k.scope || c.Key != k.key)
+					}
+					if keep {
+						delete(f.records, k)
+						break
+					}
+				}
+			}
+			return all
+		}, func(a *Act) bool { return a.Wrong == 1 && strings.Contains(a.Example, "records of") }},
+		"one of a scope that nobody asked for": {func(all []distribution.Change, f *fake) []distribution.Change {
+			f.records[dead{"r01/s0000", "endpoint/x"}] = distribution.Record{Scope: "r01/s0000", Key: "endpoint/x"}
+			return all
+		}, func(a *Act) bool { return a.Wrong == 1 && strings.Contains(a.Example, "does not follow") }},
+	} {
+		if a := playFake(t, one.spoil); !one.expect(a) {
+			t.Errorf("%s: %+v", name, a)
+		}
+	}
+}
+
+func TestTimesOfThoseConcerned(t *testing.T) {
+	var all []float64
+	for i := range 200 {
+		all = append(all, float64(200-i)/100)
+	}
+	if got, expect := timesOf(all, 200), (Times{1, 1.98, 2}); got != expect {
+		t.Errorf("%v, expected %v", got, expect)
+	}
+	if got, expect := timesOf(all[:150], 200), (Times{Half: 1.5, Most: -1, All: -1}); got.Most != expect.Most || got.All != expect.All {
+		t.Errorf("%v, expected %v", got, expect)
+	}
+	if got := fmt.Sprint(Times{-1, 0.5, 2}.text()); got != "never 0.500 2.000" {
+		t.Error(got)
+	}
+}
--- /dev/null
+++ b/internal/lab/tree/world.go
@@ -0,0 +1,223 @@
+package tree
+
+// This file owns what is true: the records of the run and the changes that are drawn, each with a number of its own. It must never
+// read a clock, nor what the tree made of a change. Routes and tenants that no hollow node follows never change and are not kept.
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+)
+
+// Change is one change at the origin, as it goes to it on one line.
+type Change struct {
+	Scope string `json:"scope"`
+	Key   string `json:"key"`
+	Class string `json:"class,omitempty"` // withdrawal, endpoint or configuration
+	Body  string `json:"body,omitempty"`
+	Gone  bool   `json:"gone,omitempty"`
+	n     int    // its number
+	mend  int    // an endpoint that this change leaves draining or gone
+}
+
+const (
+	withdrawal    = "withdrawal"
+	endpoint      = "endpoint"
+	configuration = "configuration"
+)
+
+// held is one record as it should be.
+type held struct {
+	body string
+	n    int // the change that made it so
+	gone bool
+}
+
+// world is the truth.
+type world struct {
+	size   Size
+	random *rand.Rand
+	scopes map[string]map[string]*held
+	hosts  []string    // the name that endpoint i has now
+	last   int         // change
+	then   map[int]int // a change and the one that took its place
+	born   int
+	shared []string // keys of the shared configuration, scope by scope in step
+	where  []string
+}
+
+func regionName(i int) string  { return fmt.Sprintf("r%02d", i) }
+func serviceName(i int) string { return fmt.Sprintf("s%04d", i) }
+
+// configScope is where a service's routes and tenants are; every region takes the same.
+func configScope(service int) string { return "configuration/" + serviceName(service) }
+
+func (s Size) endpointScope(i int) string {
+	i %= s.Services * s.Regions
+	return regionName(i%s.Regions) + "/" + serviceName(i/s.Regions)
+}
+
+// zoneOf is one of the zones of its endpoint's region.
+func (s Size) zoneOf(i int) int {
+	region := i % (s.Services * s.Regions) % s.Regions
+	own := (s.Zones - region + s.Regions - 1) / s.Regions
+	return region + s.Regions*(i/(s.Services*s.Regions)+i/s.Regions%own)%(s.Regions*own)
+}
+
+func (s Size) endpointBody(i int, host, health string, born, n int) string {
+	return fmt.Sprintf(`{"host":%q,"dial":"10.%d.%d.%d:8080","site":"z%02d","block":%d,"health":%q,"share":1,"born_ms":%d,"n":%d}`,
+		host, i>>16&255, i>>8&255, i&255, s.zoneOf(i), i%512, health, born, n)
+}
+
+// plainRecords are routes and tenants: record i of all, its scope, key and body after change n.
+func (s Size) plainRecord(i, n int) (scope, key, body string) {
+	service := i % s.Services
+	if i < s.Routes {
+		return configScope(service), fmt.Sprintf("route/%06d", i),
+			fmt.Sprintf(`{"path":"/p%06d","service":%q,"timeout_ms":%d,"retries":2,"n":%d}`, i, serviceName(service), 200+i%1800, n)
+	}
+	return configScope(service), fmt.Sprintf("tenant/%07d", i-s.Routes), fmt.Sprintf(`{"rate":%d,"burst":%d,"weight":1,"n":%d}`, 10+i%90, 20+i%180, n)
+}
+
+// each tells all records at the beginning, for the origin and for the truth alike.
+func (s Size) each(one func(scope, key, class, body string)) {
+	for i := range s.Endpoints {
+		host := hostName(i, 0)
+		one(s.endpointScope(i), "endpoint/"+host, endpoint, s.endpointBody(i, host, "up", 0, 0))
+	}
+	for i := range s.Routes + s.Tenants {
+		scope, key, body := s.plainRecord(i, 0)
+		one(scope, key, configuration, body)
+	}
+}
+
+func hostName(i, life int) string {
+	if life == 0 {
+		return fmt.Sprintf("e%06d", i)
+	}
+	return fmt.Sprintf("e%06d-%d", i, life)
+}
+
+func newWorld(s Size) *world {
+	w := &world{size: s, random: rand.New(rand.NewPCG(s.Seed, 50)), scopes: map[string]map[string]*held{}, then: map[int]int{}}
+	follows := map[string]bool{}
+	for i := range s.Shared {
+		follows[configScope(i)] = true
+	}
+	s.each(func(scope, key, class, body string) {
+		if class == configuration && !follows[scope] {
+			return
+		}
+		in := w.scopes[scope]
+		if in == nil {
+			in = map[string]*held{}
+			w.scopes[scope] = in
+		}
+		in[key] = &held{body: body}
+		if class == configuration {
+			w.shared, w.where = append(w.shared, key), append(w.where, scope)
+		}
+	})
+	for i := range s.Endpoints {
+		w.hosts = append(w.hosts, hostName(i, 0))
+	}
+	return w
+}
+
+// put makes a change true.
+func (w *world) put(c Change) Change {
+	in := w.scopes[c.Scope]
+	if in == nil {
+		in = map[string]*held{}
+		w.scopes[c.Scope] = in
+	}
+	if was := in[c.Key]; was != nil {
+		w.then[was.n] = c.n
+	}
+	in[c.Key] = &held{body: c.Body, n: c.n, gone: c.Gone}
+	return c
+}
+
+func (w *world) number() int {
+	w.last++
+	return w.last
+}
+
+// configure changes a route or a tenant that every node follows.
+func (w *world) configure() Change {
+	i, n := w.random.IntN(len(w.shared)), w.number()
+	was := w.scopes[w.where[i]][w.shared[i]].body
+	body := was[:bytes.LastIndexByte([]byte(was), ':')+1] + strconv.Itoa(n) + "}"
+	return w.put(Change{Scope: w.where[i], Key: w.shared[i], Class: configuration, Body: body, n: n, mend: -1})
+}
+
+func (w *world) endpointIs(i int, health, class string) Change {
+	n := w.number()
+	return w.put(Change{Scope: w.size.endpointScope(i), Key: "endpoint/" + w.hosts[i], Class: class,
+		Body: w.size.endpointBody(i, w.hosts[i], health, w.born, n), n: n, mend: -1})
+}
+
+// drain begins a restart; back ends one, or puts another machine in a failed one's place.
+func (w *world) drain() Change {
+	i := w.random.IntN(len(w.hosts))
+	c := w.endpointIs(i, "draining", withdrawal)
+	c.mend = i
+	return c
+}
+
+func (w *world) gone(i int) Change {
+	c := w.put(Change{Scope: w.size.endpointScope(i), Key: "endpoint/" + w.hosts[i], Gone: true, n: w.number()})
+	c.mend = i
+	return c
+}
+
+func (w *world) fail() Change { return w.gone(w.random.IntN(len(w.hosts))) }
+
+func (w *world) back(i int) Change {
+	w.born++
+	if now := w.scopes[w.size.endpointScope(i)]["endpoint/"+w.hosts[i]]; now.gone {
+		w.hosts[i] = hostName(i, w.born)
+	}
+	return w.endpointIs(i, "up", endpoint)
+}
+
+// zone has up to most endpoints of a zone go; most at once is what the letter calls a zone's loss.
+func (w *world) zone(zone, most int) (all []Change) {
+	for i := range w.hosts {
+		if len(all) < most && w.size.zoneOf(i) == zone && !w.scopes[w.size.endpointScope(i)]["endpoint/"+w.hosts[i]].gone {
+			all = append(all, w.gone(i))
+		}
+	}
+	return all
+}
+
+// numberOf reads a body's number; -1 without one.
+func numberOf(body []byte) int {
+	at := bytes.LastIndexByte(body, ':')
+	if at < 0 || !bytes.HasSuffix(body, []byte("}")) {
+		return -1
+	}
+	n, err := strconv.Atoi(string(body[at+1 : len(body)-1]))
+	if err != nil {
+		return -1
+	}
+	return n
+}
+
+// follows are the scopes of a node: its services in its region, and the shared configuration.
+func (s Size) follows(node int) (scopes []string) {
+	region := regionName(node % s.Regions)
+	first := int(uint64(node/s.Regions) * 2654435761 % uint64(s.Services))
+	step := 1
+	if s.Services%7 != 0 {
+		step = 7 // spread, and no service twice as 7 is no divisor
+	}
+	for k := range s.Take {
+		scopes = append(scopes, region+"/"+serviceName((first+k*step)%s.Services))
+	}
+	for i := range s.Shared {
+		scopes = append(scopes, configScope(i))
+	}
+	return scopes
+}
