Lab: traffic over windows that outlive an act, connects told, a relay frozen that nodes follow

The frozen relay was one that had just been started anew: no node had gone back to it yet, so freezing it showed nothing (no connects in that act). Windows of ten seconds began with the act, so that short acts told 0 bytes in the worst of them.

--- a/internal/lab/tree/judge.go
+++ b/internal/lab/tree/judge.go
@@ -29,6 +29,7 @@
 	Settled    float64 `json:"settled_s"` // until the last node was right, after the act
 	Changes    int     `json:"changes"`
 	Deliveries int     `json:"deliveries"`
+	Connects   int     `json:"connects"`   // of nodes to relays, with those that begin
 	Superseded int     `json:"superseded"` // deliveries that a later change of the same record took the place of
 	Missing    int     `json:"missing"`    // deliveries that never came, and nothing in their place
 	Doubled    int     `json:"doubled"`    // told twice to one life of a node
@@ -241,21 +242,20 @@
 	a.Typical.All, a.Worst.All = pick(func(t Times) float64 { return t.All })
 }
 
-// traffic enters the bytes of the nodes.
-func (r *Run) traffic(a *Act) {
+// traffic enters the bytes of the nodes: the mean, and those of the worst node in its worst ten seconds, which may have begun before.
+func (r *Run) traffic(a *Act, bytes int64) {
+	a.Bytes = float64(bytes) / a.Seconds / float64(len(r.nodes.all))
 	for _, h := range r.nodes.all {
-		a.Bytes += float64(h.bytes.Load()-h.marks[0]) / a.Seconds / float64(len(r.nodes.all))
 		for i := 1; i < len(h.marks); i++ {
-			from := max(0, i-worstOf)
-			a.Worst10 = max(a.Worst10, float64(h.marks[i]-h.marks[from])/float64(worstOf))
+			a.Worst10 = max(a.Worst10, float64(h.marks[i]-h.marks[max(0, i-worstOf)])/worstOf)
 		}
 	}
 }
 
 // cost enters what the processes took.
-func (r *Run) cost(a *Act, before map[int]int64) {
+func (r *Run) cost(a *Act, before costs) {
 	part := func(pid int) float64 {
-		was, ok := before[pid]
+		was, ok := before.cpu[pid]
 		if !ok {
 			was = 0 // it began in this act
 		}
@@ -280,8 +280,8 @@
 }
 
 const (
-	head  = "%-42s %7s %8s  %-22s %-22s %9s %9s %7s %7s %8s %8s %8s  %s"
-	entry = "%-42s %7d %8d  %-22s %-22s %9.0f %9.0f %7.3f %7.2f %8.1f %8.1f %8.0f  %s"
+	head  = "%-42s %7s %8s %8s  %-22s %-22s %9s %9s %7s %7s %8s %8s %8s  %s"
+	entry = "%-42s %7d %8d %8d  %-22s %-22s %9.0f %9.0f %7.3f %7.2f %8.1f %8.1f %8.0f  %s"
 )
 
 func (t Times) text() string { return seconds(t.Half) + " " + seconds(t.Most) + " " + seconds(t.All) }
@@ -295,7 +295,7 @@
 	if !a.Held() {
 		verdict = fmt.Sprintf("FELL: %d wrong, %d missing, %d doubled, %d revived, %d frames spoilt; %s", a.Wrong, a.Missing, a.Doubled, a.Revived, a.Spoilt, a.Example)
 	}
-	return fmt.Sprintf(entry, a.Name, a.Changes, a.Deliveries, typical, worst, a.Bytes, a.Worst10, a.NodeCPU, a.NodeMB, a.RelayCPU, a.RelayWorst, a.RelayMB, verdict)
+	return fmt.Sprintf(entry, a.Name, a.Changes, a.Deliveries, a.Connects, typical, worst, a.Bytes, a.Worst10, a.NodeCPU, a.NodeMB, a.RelayCPU, a.RelayWorst, a.RelayMB, verdict)
 }
 
 // Table is the result for a person.
@@ -305,8 +305,8 @@
 	fmt.Fprintf(&b, "%d hollow nodes in %d regions, %d zones; an origin, %d upper and %d lower relays; seed %d\n", s.Nodes, s.Regions, s.Zones, s.Upper, s.Lower, s.Seed)
 	fmt.Fprintf(&b, "%d endpoints in %d services (%d scopes), %d routes, %d tenants; a node follows %d services of its region and the configuration of %d: %d records\n\n",
 		s.Endpoints, s.Services, s.Services*s.Regions, s.Routes, s.Tenants, s.Take, s.Shared, s.perNode())
-	fmt.Fprintf(&b, head+"\n", "", "", "", "in force: 50% 99% 100%", "", "bytes/s", "worst", "node", "node", "relay", "worst", "relay", "")
-	fmt.Fprintf(&b, head+"\n", "act", "changes", "told", "the middle change, s", "the worst change, s", "a node", "10 s", "% core", "MB", "% core", "% core", "MB", "by versions")
+	fmt.Fprintf(&b, head+"\n", "", "", "", "", "in force: 50% 99% 100%", "", "bytes/s", "worst", "node", "node", "relay", "worst", "relay", "")
+	fmt.Fprintf(&b, head+"\n", "act", "changes", "told", "connects", "the middle change, s", "the worst change, s", "a node", "10 s", "% core", "MB", "% core", "% core", "MB", "by versions")
 	for _, a := range r.Acts {
 		fmt.Fprintln(&b, a.line())
 	}
--- a/internal/lab/tree/nodes.go
+++ b/internal/lab/tree/nodes.go
@@ -45,6 +45,7 @@
 	spoilt  int             // frames that its subscriber refused
 
 	client *relay.Client
+	before int // connections of clients before this one
 	cancel context.CancelFunc
 	done   chan struct{}
 
@@ -126,7 +127,7 @@
 // connect runs the client on what the node holds.
 func (h *hollow) connect() {
 	ctx, cancel := context.WithCancel(context.Background())
-	h.cancel, h.done = cancel, make(chan struct{})
+	h.before, h.cancel, h.done = h.connects(), cancel, make(chan struct{})
 	dialer := &net.Dialer{KeepAlive: -1}
 	h.client = relay.NewClient(relay.ClientSettings{
 		Name:      "h" + serviceName(h.index),
@@ -147,6 +148,14 @@
 	}()
 }
 
+// connects is how often the node has found a relay, in all its lives.
+func (h *hollow) connects() int {
+	if h.client == nil {
+		return 0
+	}
+	return h.before + int(h.client.Stats().Connects)
+}
+
 // stop ends the client; what the node holds stays.
 func (h *hollow) stop() {
 	if h.cancel != nil {
--- a/internal/lab/tree/run.go
+++ b/internal/lab/tree/run.go
@@ -81,7 +81,9 @@
 }
 
 func (r *Run) acts() []act {
-	first, second, upper := r.procs.lower[0], r.procs.lower[r.size.pairs()], r.procs.upper[0]
+	pairs := r.size.pairs()
+	first, second, upper := r.procs.lower[0], r.procs.lower[pairs], r.procs.upper[0]
+	other := r.procs.lower[1%pairs] // of another group, so that nodes still follow it
 	during := func(begin func() error, then func(context.Context) error) func(context.Context, *Act) error {
 		return func(ctx context.Context, _ *Act) error {
 			if err := r.day(ctx, r.size.Pace, r.size.Day/5); err != nil {
@@ -108,8 +110,8 @@
 			r.procs.kill(second)
 			return err
 		}, func(context.Context) error { return r.procs.start(second) })},
-		{"a relay is frozen, and thawed", during(func() error { r.procs.freeze(second); return nil }, func(ctx context.Context) error {
-			r.procs.thaw(second)
+		{"a relay is frozen, and thawed", during(func() error { r.procs.freeze(other); return nil }, func(ctx context.Context) error {
+			r.procs.thaw(other)
 			return r.day(ctx, r.size.Pace, r.size.Day/5)
 		})},
 		{"an upper relay is killed", during(func() error { r.procs.kill(upper); return nil }, func(context.Context) error { return r.procs.start(upper) })},
@@ -127,7 +129,7 @@
 			for _, h := range r.nodes.all {
 				h.connect()
 			}
-			return r.day(ctx, 1, r.size.True/2)
+			return r.day(ctx, r.size.Pace, r.size.Day/3)
 		}},
 		{"all start at once", func(ctx context.Context, a *Act) error { return r.start(ctx, a, r.nodes.all) }},
 	}
@@ -141,8 +143,9 @@
 		h.mu.Lock()
 		h.came, h.ended = nil, nil
 		h.mu.Unlock()
-		h.marks = append(h.marks[:0], h.bytes.Load())
+		h.marks = append(h.marks[max(0, len(h.marks)-worstOf):], h.bytes.Load())
 	}
+	connects := r.connects()
 	stop := make(chan struct{})
 	var marking sync.WaitGroup
 	marking.Go(func() { r.mark(stop) })
@@ -151,16 +154,20 @@
 	a.Seconds = time.Since(at).Seconds()
 	a.NodeCPU = 100 * float64(selfCPU()-self) / 1e9 / a.Seconds / float64(r.size.Nodes)
 	r.cost(a, before)
+	bytes := r.bytes()
+	if err == nil {
+		from := time.Now()
+		a.NodeMB = float64(memoryOf(os.Getpid())-r.base) / float64(r.size.Nodes) / (1 << 20)
+		r.settle(ctx, a)
+		a.Settled = time.Since(from).Seconds()
+	}
 	close(stop)
 	marking.Wait()
 	if err != nil {
 		return err
 	}
-	r.traffic(a)
-	a.NodeMB = float64(memoryOf(os.Getpid())-r.base) / float64(r.size.Nodes) / (1 << 20)
-	from := time.Now()
-	r.settle(ctx, a)
-	a.Settled = time.Since(from).Seconds()
+	a.Connects = r.connects() - connects
+	r.traffic(a, bytes-before.bytes)
 	r.harvest(a, first)
 	r.out.Acts = append(r.out.Acts, a)
 	r.say("%s", a.line())
@@ -283,14 +290,14 @@
 	}
 }
 
-// mark notes the bytes of all nodes each second.
+// mark notes the bytes of all nodes each second, and at the end.
 func (r *Run) mark(stop chan struct{}) {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
-	for {
+	for over := false; !over; {
 		select {
 		case <-stop:
-			return
+			over = true
 		case <-tick.C:
 		}
 		for _, h := range r.nodes.all {
@@ -299,12 +306,32 @@
 	}
 }
 
-func (r *Run) costs() map[int]int64 {
+func (r *Run) connects() (n int) {
+	for _, h := range r.nodes.all {
+		n += h.connects()
+	}
+	return n
+}
+
+func (r *Run) bytes() (n int64) {
+	for _, h := range r.nodes.all {
+		n += h.bytes.Load()
+	}
+	return n
+}
+
+// costs are what all had taken at a moment.
+type costs struct {
+	cpu   map[int]int64 // of processes, ns
+	bytes int64
+}
+
+func (r *Run) costs() costs {
 	all := map[int]int64{r.procs.origin.Process.Pid: cpuOf(r.procs.origin.Process.Pid)}
 	for _, p := range r.procs.running() {
 		all[p.proc.PID()] = cpuOf(p.proc.PID())
 	}
-	return all
+	return costs{all, r.bytes()}
 }
 
 func selfCPU() int64 {
