--- /dev/null
+++ b/internal/relay/watch.go
@@ -0,0 +1,148 @@
+package relay
+
+// This file owns an origin's watch of discovery, in the platform's protocol. It must never take a call that failed, or a watch that
+// fell silent, for a list.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fawnglade/internal/distribution"
+	"fawnglade/internal/listing"
+)
+
+const (
+	watchConnect = time.Second
+	watchHead    = 6 * time.Second         // discovery works through calls in turn
+	watchSilence = 3200 * time.Millisecond // an empty line comes every 2 s while nothing changes
+	leastPause   = 200 * time.Millisecond  // between calls
+	mostPause    = 2 * time.Second         // a change is told 6 s after discovery can be reached: pause, connect and head leave room
+	pathList     = "/v1/endpoints"
+)
+
+// watch follows the list until the context is done.
+type watch struct {
+	address string
+	limits  listing.Limits
+	silence time.Duration
+	log     *zap.Logger
+	told    rarely
+	record  func(listing.Entry) (distribution.Record, error)
+	take    func(told []distribution.Record, whole, first bool)
+
+	version                      int64   // of run alone
+	had                          counter // the version that the origin has, once it has it
+	word                         counter // when the watch last said anything, by the server's clock; 0: none stands
+	calls, failed, lines, passed counter
+	clock                        func() int64
+	first                        chan struct{} // closed once the origin has a list
+}
+
+func (w *watch) run(ctx context.Context) {
+	for pause := leastPause; ctx.Err() == nil; {
+		w.calls.Add(1)
+		stood, err := w.once(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		w.failed.Add(1)
+		w.told.warn(w.log, "watch", "watch of the list ended; what it told stays", zap.Error(err))
+		if pause = min(2*pause, mostPause); stood {
+			pause = leastPause
+		}
+		timer := time.NewTimer(pause/2 + time.Duration(rand.Int64N(int64(pause/2))))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// once makes a call and follows it until it ends; it tells whether a line came.
+func (w *watch) once(ctx context.Context) (stood bool, err error) {
+	dialer := net.Dialer{Timeout: watchConnect}
+	c, err := dialer.DialContext(ctx, "tcp", w.address)
+	if err != nil {
+		return false, err
+	}
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	c.SetDeadline(time.Now().Add(watchHead))
+	if _, err := fmt.Fprintf(c, "GET %s?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", pathList, w.version, w.address); err != nil {
+		return false, err
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return false, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("discovery answered %s", answer.Status)
+	}
+	defer w.word.Store(0)
+	lines := listing.New(&living{c, answer.Body, w}, w.limits)
+	for first := w.version == 0; ; first = false {
+		var told []distribution.Record
+		line, err := lines.Next(func() { told = told[:0] }, func(e listing.Entry) error {
+			r, err := w.record(e)
+			if err == nil {
+				told = append(told, r)
+			}
+			return err
+		})
+		if errors.Is(err, io.EOF) && !stood {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return stood, err
+		}
+		if line.Passed > 0 {
+			w.passed.Add(int64(line.Passed))
+			w.told.warn(w.log, "entry", "entries of the list passed over", zap.Int("entries", line.Passed), zap.Error(line.First))
+		}
+		w.take(told, line.Whole, first)
+		w.version, stood = line.Version, true
+		if w.had.Swap(line.Version) == 0 {
+			close(w.first)
+		}
+		w.lines.Add(1)
+	}
+}
+
+// living is a watch's body; without a byte for a while it ends.
+type living struct {
+	c    net.Conn
+	body io.Reader
+	of   *watch
+}
+
+func (l *living) Read(p []byte) (int, error) {
+	l.c.SetDeadline(time.Now().Add(l.of.silence))
+	n, err := l.body.Read(p)
+	if n > 0 {
+		l.of.word.Store(l.of.clock())
+	}
+	return n, err
+}
+
+// standing tells whether a watch stands, or has a moment ago.
+type standing struct{ since int64 }
+
+// graceNs is how long an origin is without a watch before it says so: one that ends is most often opened anew at once.
+const graceNs = int64(2e9)
+
+func (s *standing) look(now, word int64) bool {
+	if word != 0 {
+		s.since = now
+	}
+	return s.since != 0 && now-s.since < graceNs
+}
