Lab: the distribution tree is played with the relay's own process, filled first, nodes at a bounded pace

Connections and returns to a first choice are told, and the machine's load, since others may work on it.

--- a/internal/lab/tree/judge.go
+++ b/internal/lab/tree/judge.go
@@ -30,6 +30,7 @@
 	Changes    int     `json:"changes"`
 	Deliveries int     `json:"deliveries"`
 	Connects   int     `json:"connects"`   // of nodes to relays, with those that begin
+	Returned   int     `json:"returned"`   // of them to a node\'s first choice, which it had left
 	Superseded int     `json:"superseded"` // deliveries that a later change of the same record took the place of
 	Missing    int     `json:"missing"`    // deliveries that never came, and nothing in their place
 	Doubled    int     `json:"doubled"`    // told twice to one life of a node
@@ -56,9 +57,17 @@
 	Day     string  `json:"day"`
 	Size    Size    `json:"size"`
 	Seconds float64 `json:"seconds"`
+	Cores   int     `json:"cores"`
+	Load    Loads   `json:"load"` // of the machine over a minute, as the run began and ended: others may work on it
 	Acts    []*Act  `json:"acts"`
 }
 
+// Loads are the machine's.
+type Loads struct {
+	Begin float64 `json:"begin"`
+	End   float64 `json:"end"`
+}
+
 // The aims of the operators' letter.
 const (
 	aimInForce = 5.0 // s, at a true day's pace
@@ -310,6 +319,7 @@
 	for _, a := range r.Acts {
 		fmt.Fprintln(&b, a.line())
 	}
-	fmt.Fprintf(&b, "\naims: in force for all within %g s at a true day's pace; %g bytes/s a node in the worst 10 s; %g%% of a core and %g MB a node\n", aimInForce, aimBytes, aimCPU, aimMB)
+	fmt.Fprintf(&b, "\nplayed %s in %.0f s on %d cores; the machine's load was %.1f as it began and %.1f as it ended\n", r.Day, r.Seconds, r.Cores, r.Load.Begin, r.Load.End)
+	fmt.Fprintf(&b, "aims: in force for all within %g s at a true day's pace; %g bytes/s a node in the worst 10 s; %g%% of a core and %g MB a node\n", aimInForce, aimBytes, aimCPU, aimMB)
 	return b.String()
 }
--- a/internal/lab/tree/nodes.go
+++ b/internal/lab/tree/nodes.go
@@ -45,7 +45,7 @@
 	spoilt  int             // frames that its subscriber refused
 
 	client *relay.Client
-	before int // connections of clients before this one
+	before [2]int // connections, and returns, of clients before this one
 	cancel context.CancelFunc
 	done   chan struct{}
 
@@ -127,7 +127,8 @@
 // connect runs the client on what the node holds.
 func (h *hollow) connect() {
 	ctx, cancel := context.WithCancel(context.Background())
-	h.before, h.cancel, h.done = h.connects(), cancel, make(chan struct{})
+	h.before[0], h.before[1] = h.connects()
+	h.cancel, h.done = cancel, make(chan struct{})
 	dialer := &net.Dialer{KeepAlive: -1}
 	h.client = relay.NewClient(relay.ClientSettings{
 		Name:      "h" + serviceName(h.index),
@@ -148,12 +149,13 @@
 	}()
 }
 
-// connects is how often the node has found a relay, in all its lives.
-func (h *hollow) connects() int {
+// connects is how often the node has found a relay, in all its lives, and how often that was its first choice again.
+func (h *hollow) connects() (connects, returned int) {
 	if h.client == nil {
-		return 0
+		return 0, 0
 	}
-	return h.before + int(h.client.Stats().Connects)
+	s := h.client.Stats()
+	return h.before[0] + int(s.Connects), h.before[1] + int(s.Returned)
 }
 
 // stop ends the client; what the node holds stays.
--- a/internal/lab/tree/processes.go
+++ b/internal/lab/tree/processes.go
@@ -88,14 +88,14 @@
 	}
 	var up []string
 	for i := range size.Upper {
-		r, err := p.place(fmt.Sprintf("u%d", i), []string{line.Address}, []string{""})
+		r, err := p.place(fmt.Sprintf("u%d", i), []string{line.Address}, []string{"*"}, 0)
 		if err != nil {
 			return nil, err
 		}
 		p.upper, up = append(p.upper, r), append(up, r.address)
 	}
 	for i := range size.Lower {
-		r, err := p.place(fmt.Sprintf("l%d", i), append(append([]string(nil), up[i%len(up):]...), up[:i%len(up)]...), p.scopes(i))
+		r, err := p.place(fmt.Sprintf("l%d", i), append(append([]string(nil), up[i%len(up):]...), up[:i%len(up)]...), p.scopes(i), size.Bytes)
 		if err != nil {
 			return nil, err
 		}
@@ -113,7 +113,7 @@
 func (p *processes) scopes(i int) (all []string) {
 	for region := range p.size.Regions {
 		if region/2 == i%p.size.pairs() {
-			all = append(all, regionName(region)+"/")
+			all = append(all, regionName(region)+"/*")
 		}
 	}
 	for s := range p.size.Shared {
@@ -152,7 +152,7 @@
 }
 
 // place takes a port that the system chooses and writes a relay's configuration.
-func (p *processes) place(name string, upstream, scopes []string) (*relayProcess, error) {
+func (p *processes) place(name string, upstream, scopes []string, pace int) (*relayProcess, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -162,7 +162,7 @@
 	if r.log, err = os.Create(filepath.Join(p.dir, name+".log")); err != nil {
 		return nil, err
 	}
-	return r, os.WriteFile(r.config, []byte(relayText(p.size, name, r.address, upstream, scopes)), 0o600)
+	return r, os.WriteFile(r.config, []byte(relayText(p.size, name, r.address, upstream, scopes, pace)), 0o600)
 }
 
 func list(words []string) string {
--- a/internal/lab/tree/run.go
+++ b/internal/lab/tree/run.go
@@ -16,17 +16,18 @@
 
 // Run is one run, while it plays.
 type Run struct {
-	size  Size
-	say   func(string, ...any)
-	began time.Time
-	world *world
-	procs *processes
-	nodes *nodes
-	sent  []int64 // of each change, since the run began, ns
-	what  []Change
-	count map[string]int // nodes that follow a scope
-	base  int64          // memory of this process before the nodes
-	out   *Result
+	size    Size
+	say     func(string, ...any)
+	began   time.Time
+	world   *world
+	procs   *processes
+	nodes   *nodes
+	sent    []int64 // of each change, since the run began, ns
+	what    []Change
+	count   map[string]int // nodes that follow a scope
+	base    int64          // memory of this process before the nodes
+	started bool           // nodes have begun, so that they can be judged
+	out     *Result
 }
 
 const (
@@ -47,7 +48,8 @@
 	defer cancel()
 	// Most of what this process holds lives long; a heap of twice that would be half of it for nothing.
 	defer debug.SetGCPercent(debug.SetGCPercent(40))
-	r := &Run{size: size, say: say, began: time.Now(), sent: []int64{0}, what: []Change{{}}, count: map[string]int{}, out: &Result{Size: size, Day: time.Now().UTC().Format("2006-01-02")}}
+	r := &Run{size: size, say: say, began: time.Now(), sent: []int64{0}, what: []Change{{}}, count: map[string]int{}, out: &Result{Size: size, Day: time.Now().UTC().Format("2006-01-02"), Cores: runtime.NumCPU()}}
+	r.out.Load.Begin = load()
 	say("%d records at the origin, %d for a node; about %d MB in all", size.Endpoints+size.Routes+size.Tenants, size.perNode(), size.Memory()>>20)
 	r.world = newWorld(size)
 	for i := range size.Nodes {
@@ -66,12 +68,12 @@
 	runtime.GC()
 	debug.FreeOSMemory()
 	r.base = memoryOf(os.Getpid())
+	defer func() { r.out.Seconds, r.out.Load.End = time.Since(r.began).Seconds(), load() }()
 	for _, act := range r.acts() {
 		if err := r.act(ctx, act.name, act.play); err != nil {
 			return r.out, fmt.Errorf("%s: %w", act.name, err)
 		}
 	}
-	r.out.Seconds = time.Since(r.began).Seconds()
 	return r.out, nil
 }
 
@@ -100,6 +102,7 @@
 	}
 	nothing := func(context.Context) error { return nil }
 	return []act{
+		{"relays fill, from nothing", r.fill},
 		{"all start from nothing", func(ctx context.Context, a *Act) error { return r.start(ctx, a, r.nodes.all) }},
 		{"a true day's pace", func(ctx context.Context, _ *Act) error { return r.day(ctx, 1, r.size.True) }},
 		{fmt.Sprintf("a day at %g times", r.size.Pace), func(ctx context.Context, _ *Act) error { return r.day(ctx, r.size.Pace, r.size.Day) }},
@@ -145,7 +148,7 @@
 		h.mu.Unlock()
 		h.marks = append(h.marks[max(0, len(h.marks)-worstOf):], h.bytes.Load())
 	}
-	connects := r.connects()
+	connects, returned := r.connects()
 	stop := make(chan struct{})
 	var marking sync.WaitGroup
 	marking.Go(func() { r.mark(stop) })
@@ -157,8 +160,10 @@
 	bytes := r.bytes()
 	if err == nil {
 		from := time.Now()
-		a.NodeMB = float64(memoryOf(os.Getpid())-r.base) / float64(r.size.Nodes) / (1 << 20)
-		r.settle(ctx, a)
+		if r.started {
+			a.NodeMB = float64(memoryOf(os.Getpid())-r.base) / float64(r.size.Nodes) / (1 << 20)
+			r.settle(ctx, a)
+		}
 		a.Settled = time.Since(from).Seconds()
 	}
 	close(stop)
@@ -166,7 +171,8 @@
 	if err != nil {
 		return err
 	}
-	a.Connects = r.connects() - connects
+	a.Connects, a.Returned = r.connects()
+	a.Connects, a.Returned = a.Connects-connects, a.Returned-returned
 	r.traffic(a, bytes-before.bytes)
 	r.harvest(a, first)
 	r.out.Acts = append(r.out.Acts, a)
@@ -262,11 +268,32 @@
 	}
 }
 
+// fill waits until every lower relay has what it follows: a probe that follows a scope of its own there is whole.
+func (r *Run) fill(ctx context.Context, a *Act) error {
+	var probes []*hollow
+	from := r.nodes.now()
+	for i, p := range r.procs.lower {
+		probe := &hollow{index: 2 * (i % r.size.pairs()), run: &nodes{size: r.size, began: r.began, log: r.nodes.log}}
+		probe.run.size.Take = 1
+		probe.run.lower = func(int) []string { return []string{p.address} }
+		probe.start()
+		defer probe.stop()
+		probes = append(probes, probe)
+	}
+	return r.whole(ctx, a, probes, from)
+}
+
 // start has nodes begin with nothing, all at once, and waits until each was whole once.
 func (r *Run) start(ctx context.Context, a *Act, some []*hollow) error {
 	each(some, (*hollow).stop)
 	from := r.nodes.now()
 	each(some, (*hollow).start)
+	r.started = true
+	return r.whole(ctx, a, some, from)
+}
+
+// whole waits until nodes have been so once.
+func (r *Run) whole(ctx context.Context, a *Act, some []*hollow, from int64) error {
 	for {
 		var whole []float64
 		for _, h := range some {
@@ -306,11 +333,12 @@
 	}
 }
 
-func (r *Run) connects() (n int) {
+func (r *Run) connects() (connects, returned int) {
 	for _, h := range r.nodes.all {
-		n += h.connects()
+		c, b := h.connects()
+		connects, returned = connects+c, returned+b
 	}
-	return n
+	return connects, returned
 }
 
 func (r *Run) bytes() (n int64) {
@@ -334,6 +362,15 @@
 	return costs{all, r.bytes()}
 }
 
+// load is the machine's over the last minute.
+func load() (l float64) {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err == nil {
+		fmt.Sscan(string(text), &l)
+	}
+	return l
+}
+
 func selfCPU() int64 {
 	var u syscall.Rusage
 	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
