Lab: three nodes behind two relays and an origin with faults, judged by the ledger; why relays are left

The distribution tree had no proof with real nodes under faults. A fleet of three follows two relays below an origin, each way through a relay of the lab's: ways drop and delay, one relay is killed and started anew with nothing, the other stands still for 7 s, two regions lose each other for 8 s. Drains go through it all; a change counts as told 6 s after discovery had it and there was a way.

--- /dev/null
+++ b/internal/lab/fleet/distribution_test.go
@@ -0,0 +1,418 @@
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"fawnglade/internal/lab/ledger"
+	"fawnglade/internal/lab/links"
+	"fawnglade/internal/lab/model"
+	"fawnglade/internal/lab/relay"
+	"fawnglade/internal/lab/rig"
+)
+
+// Who is who on the ways: nodes from 0, then these.
+const (
+	relayA   = 100 // of region a, where discovery and the origin are
+	relayB   = 101
+	theOne   = 200 // the origin
+	theirs   = 201 // discovery
+	apartOne = 2   // the node that is in region b
+
+	toldWithin = 6 * time.Second // after discovery had it and could be reached
+)
+
+func end(i int) links.End { return links.End{Kind: links.Node, Index: i} }
+
+// relayed is a fleet of three nodes that follow two relays below an origin, each way through a relay of the lab's.
+type relayed struct {
+	*Processes
+	t     *testing.T
+	ways  map[[2]int]*relay.Stream
+	files map[string]string // configurations
+	addr  map[string]string
+	procs map[string]rig.Proc
+	book  *ledger.Ledger
+	from  time.Time
+
+	mu      sync.Mutex
+	asked   [3]int
+	good    [3]int
+	version int64
+	state   map[int]string // health of each server
+}
+
+func (r *relayed) way(from, to int, target func() string) string {
+	s, err := relay.NewStream(r.board, "127.0.0.1:0", end(from), end(to), target)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(s.Close)
+	r.ways[[2]int{from, to}] = s
+	return s.Address()
+}
+
+func freePort(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newRelayed starts an origin, two relays and three nodes; with plain, the nodes watch discovery alone.
+func newRelayed(t *testing.T, plain bool) *relayed {
+	t.Helper()
+	r := &relayed{Processes: processes(t, 3), t: t, ways: map[[2]int]*relay.Stream{}, files: map[string]string{}, addr: map[string]string{},
+		procs: map[string]rig.Proc{}, book: &ledger.Ledger{}, from: time.Now(), version: 1, state: map[int]string{}}
+	for i := range r.plain {
+		r.state[i] = "up"
+	}
+	discovery := func() string { return r.asks.Address() }
+	r.DiscoveryFor = func(node int) string { return r.ways[[2]int{node, theirs}].Address() }
+	for i := range 3 {
+		r.way(i, theirs, discovery)
+	}
+	if !plain {
+		r.addr["origin"], r.addr["a"], r.addr["b"] = freePort(t), freePort(t), freePort(t)
+		at := func(name string) func() string { return func() string { return r.addr[name] } }
+		r.configure("origin", fmt.Sprintf("role = \"origin\"\n[origin]\ndiscovery = %q\n[origin.scope]\nservice = \"web\"\nregion = \"eu\"\n", r.way(theOne, theirs, discovery)))
+		r.configure("a", fmt.Sprintf("role = \"relay\"\nupstream = [%q]\n", r.way(relayA, theOne, at("origin"))))
+		r.configure("b", fmt.Sprintf("role = \"relay\"\nupstream = [%q]\n", r.way(relayB, theOne, at("origin"))))
+		var to [3][2]string
+		for i := range 3 {
+			to[i] = [2]string{r.way(i, relayA, at("a")), r.way(i, relayB, at("b"))}
+		}
+		r.More = func(node int) string {
+			return fmt.Sprintf("[distribution]\nrelays = [%q, %q]\nscopes = [\"eu/web\"]\n", to[node][0], to[node][1])
+		}
+		for _, name := range []string{"origin", "a", "b"} {
+			r.begin(name)
+		}
+		t.Cleanup(func() {
+			for name := range r.procs {
+				r.finish(name)
+			}
+		})
+	}
+	for i, s := range r.plain {
+		s.Note(func(a Arrival) {
+			var task int
+			if fmt.Sscanf(a.Task, "%x", &task); task == 0 {
+				return
+			}
+			h := &ledger.HandOff{Task: a.Task, Node: task / perNode, Server: i, Life: 1, Zone: "a"}
+			r.book.Began(h)
+			r.book.Update(func() {
+				h.First, h.Last, h.Answered, h.Status, h.Ran = r.at(a.Came), r.at(a.Came), r.at(a.Answered), 200, true
+			})
+		})
+	}
+	for i := range 3 {
+		r.book.Live(&ledger.NodeLife{Node: i, Life: 1, From: r.at(time.Now())})
+		if err := r.Start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.serving(t)
+	return r
+}
+
+const perNode = 1 << 20 // numbers of tasks
+
+func (r *relayed) at(t time.Time) int64 { return int64(t.Sub(r.from)) }
+
+func (r *relayed) configure(name, text string) {
+	r.files[name] = filepath.Join(r.dir, name+".toml")
+	text = fmt.Sprintf("name = %q\nlisten = %q\n", name, r.addr[name]) + text
+	if err := os.WriteFile(r.files[name], []byte(text), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// begin starts a relay or the origin, with nothing.
+func (r *relayed) begin(name string) {
+	proc, err := rig.Command([]string{r.Program[0], "relay", "--config", r.files[name]})("", nil, r.Log)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.procs[name] = proc
+}
+
+func (r *relayed) finish(name string) {
+	r.procs[name].Signal(syscall.SIGKILL)
+	<-r.procs[name].Done()
+}
+
+// set has discovery list a server otherwise. Who has a way to be told counts as told six seconds later.
+func (r *relayed) set(server int, health string, apart bool) {
+	r.mu.Lock()
+	r.state[server] = health
+	r.version++
+	version := r.version
+	var list []Listing
+	for i, s := range r.plain {
+		list = append(list, Listing{Server: s, Health: r.state[i]})
+	}
+	r.mu.Unlock()
+	r.asks.Tell(version, list...)
+	h := model.Up
+	if health != "up" {
+		h = model.Draining
+	}
+	for node := range 3 {
+		if !apart || node != apartOne {
+			// Counted from when it is taken to know; a server that is up again may be used from the moment it is.
+			at := r.at(time.Now())
+			if h != model.Up {
+				at += int64(toldWithin)
+			}
+			r.book.Tell(ledger.Told{Node: node, Life: 1, Server: server, Health: h, At: at})
+		}
+	}
+}
+
+// load sends tasks to all nodes until it is told to end.
+func (r *relayed) load() (end func()) {
+	over := make(chan struct{})
+	var all sync.WaitGroup
+	for node := range 3 {
+		for k := range 3 {
+			all.Go(func() {
+				for n := 0; ; n++ {
+					select {
+					case <-over:
+						return
+					case <-time.After(8 * time.Millisecond):
+						r.ask(node, node*perNode+1+k+3*n, k%2)
+					}
+				}
+			})
+		}
+	}
+	return func() { close(over); all.Wait() }
+}
+
+var kinds = []ledger.Category{{Name: "view", Repeat: ledger.Rerunnable}, {Name: "pay", Repeat: ledger.Exclusive}}
+
+// ask sends one task and enters what became of it.
+func (r *relayed) ask(node, number, kind int) {
+	now := r.at(time.Now())
+	try := &ledger.Try{ID: fmt.Sprintf("%016x", number), Task: number, Node: node, Life: 1, Category: kind, Whole: now, Hard: now + int64(2*time.Second)}
+	r.book.Sent(try)
+	status, err := r.once(node, kinds[kind].Name, try.ID)
+	done := r.at(time.Now())
+	r.book.Update(func() {
+		if err != nil {
+			try.Ended = done
+		} else {
+			try.Answered, try.Status = done, status
+		}
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked[node]++
+	if err == nil && status == 200 && done-now <= int64(time.Second) {
+		r.good[node]++
+	}
+}
+
+func (r *relayed) once(node int, category, id string) (int, error) {
+	c, err := net.DialTimeout("tcp", r.Listen(node), askWithin)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(3 * time.Second))
+	fmt.Fprintf(c, "POST /%s HTTP/1.1\r\nHost: lab\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Remaining-Ms: 2000\r\nContent-Length: 0\r\n\r\n", category, id, category)
+	in, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	in.Body.Close()
+	return in.StatusCode, nil
+}
+
+func (r *relayed) served() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	good, asked := 0, 0
+	for i := range r.good {
+		good, asked = good+r.good[i], asked+r.asked[i]
+	}
+	return float64(good) / float64(max(asked, 1))
+}
+
+// by is whose list holds at a node, by its console.
+func (r *relayed) by(node int) string {
+	var says struct {
+		By string `json:"by"`
+	}
+	if status, text, err := Ask(r.Console(node), "GET", "/relays"); err != nil || status != 200 || json.Unmarshal(text, &says) != nil {
+		return fmt.Sprint(status, err)
+	}
+	return says.By
+}
+
+// gauge is how late this process runs: what servers and clients note here is as late.
+type gauge struct {
+	mu    sync.Mutex
+	slots map[int64]int64
+}
+
+const slot = int64(100 * time.Millisecond)
+
+func (g *gauge) run(from time.Time, over chan struct{}) {
+	for last := int64(0); ; {
+		select {
+		case <-over:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+		now := int64(time.Since(from))
+		g.mu.Lock()
+		for i := last / slot; i <= now/slot; i++ {
+			g.slots[i] = max(g.slots[i], now-last-int64(2*time.Millisecond))
+		}
+		g.mu.Unlock()
+		last = now
+	}
+}
+
+// late is the worst within half a second, twice over, as nodes on the same machine suffer the same.
+func (g *gauge) late(at int64) (worst int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := at/slot - 5; i <= at/slot+5; i++ {
+		worst = max(worst, 2*g.slots[i])
+	}
+	return worst
+}
+
+// used are the servers that a node sent to after a moment, by what came to servers.
+func (r *relayed) used(node int, after time.Time) (servers [8]int) {
+	r.book.Update(func() {
+		for _, h := range r.book.HandOffs {
+			if h.Node == node && h.First > r.at(after) {
+				servers[h.Server]++
+			}
+		}
+	})
+	return servers
+}
+
+// TestRelaysWithFaults has three nodes follow two relays while ways are lossy, late and cut, a relay is killed, frozen and started
+// anew with nothing, and two regions lose each other: no rule is broken, all nodes end with the same servers, and tasks are served as
+// by nodes that watch discovery themselves.
+func TestRelaysWithFaults(t *testing.T) {
+	r, plain := newRelayed(t, false), newRelayed(t, true)
+	for i := range 3 {
+		for tries := 0; r.by(i) != "relays"; tries++ {
+			if tries > 500 {
+				t.Fatalf("n%d goes by %s", i, r.by(i))
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	both := []*relayed{r, plain}
+	over := make(chan struct{})
+	defer close(over)
+	machine := &gauge{slots: map[int64]int64{}}
+	go machine.run(r.from, over)
+	var ends []func()
+	for _, one := range both {
+		ends = append(ends, one.load())
+	}
+	set := func(server int, health string, apart bool) {
+		for _, one := range both {
+			one.set(server, health, apart)
+		}
+	}
+	nodes, relays, origin := []links.End{end(0), end(1), end(2)}, []links.End{end(relayA), end(relayB)}, []links.End{end(theOne)}
+	lossy := func(from, to []links.End, seed uint64) []links.Fault {
+		return []links.Fault{{Trouble: links.Drop, From: from, To: to, Share: 0.1, Burst: 1, Seed: seed},
+			{Trouble: links.Delay, From: from, To: to, How: "drawn", Wait: int64(80 * time.Millisecond), Burst: 1, Seed: seed + 1}}
+	}
+	time.Sleep(500 * time.Millisecond)
+
+	// Ways are lossy and late; a server drains, for longer than it may take to be told.
+	r.Break(append(lossy(nodes, relays, 1), lossy(relays, origin, 3)...)...)
+	set(0, "draining", false)
+	time.Sleep(2 * time.Second)
+	// A relay is killed; a second later it is there again, with nothing.
+	r.finish("a")
+	time.Sleep(time.Second)
+	set(1, "draining", false)
+	r.begin("a")
+	time.Sleep(4500 * time.Millisecond)
+	r.Mend()
+	set(0, "up", false)
+	// The other one stands still.
+	r.procs["b"].Signal(syscall.SIGSTOP)
+	time.Sleep(3500 * time.Millisecond)
+	set(1, "up", false)
+	set(2, "draining", false)
+	time.Sleep(3500 * time.Millisecond)
+	r.procs["b"].Signal(syscall.SIGCONT)
+	time.Sleep(4 * time.Second)
+	// Two regions lose each other: relay b and one node on one side, all others on the other.
+	here := []links.End{end(0), end(1), end(relayA), end(theOne), end(theirs)}
+	there := []links.End{end(apartOne), end(relayB)}
+	cut := links.Fault{Trouble: links.Cut, From: here, To: there, Seed: 5}
+	r.Break(cut)
+	plain.Break(links.Fault{Trouble: links.Cut, From: []links.End{end(theirs)}, To: []links.End{end(apartOne)}, Seed: 5})
+	time.Sleep(time.Second)
+	set(2, "up", true)
+	set(3, "draining", true)
+	time.Sleep(7 * time.Second)
+	for _, one := range both {
+		one.Mend()
+		one.book.Tell(ledger.Told{Node: apartOne, Life: 1, Server: 2, Health: model.Up, At: one.at(time.Now())},
+			ledger.Told{Node: apartOne, Life: 1, Server: 3, Health: model.Draining, At: one.at(time.Now().Add(toldWithin))})
+	}
+	time.Sleep(toldWithin + time.Second)
+	last := time.Now()
+	time.Sleep(2 * time.Second)
+	for _, e := range ends {
+		e()
+	}
+
+	for name, one := range map[string]*relayed{"relays": r, "discovery": plain} {
+		for node := range 3 {
+			used := one.used(node, last)
+			for server, n := range used[:len(one.plain)] {
+				if up := one.state[server] == "up"; up != (n > 0) {
+					t.Errorf("%s: in the end n%d sent %d tasks to s%d, which is %s; all: %v", name, node, n, server, one.state[server], used)
+				}
+			}
+		}
+		one.book.Close()
+		breaks := one.book.Judge(kinds, ledger.Rules{StopSending: int64(500 * time.Millisecond), Slack: int64(50 * time.Millisecond),
+			Late: func(at int64) int64 { return machine.late(at + int64(one.from.Sub(r.from))) }})
+		for _, b := range breaks[:min(5, len(breaks))] {
+			t.Errorf("%s: %d breaks, %s", name, len(breaks), b)
+		}
+	}
+	for i := range 3 {
+		if by := r.by(i); by != "relays" {
+			t.Errorf("in the end n%d goes by %s", i, by)
+		}
+		_, text, _ := Ask(r.Console(i), "GET", "/relays")
+		t.Logf("n%d: %s", i, text)
+	}
+	if with, without := r.served(), plain.served(); with < without-0.01 {
+		t.Errorf("%.4f of the tasks served in time with relays, %.4f with plain discovery", with, without)
+	} else {
+		t.Logf("%.4f of %v tasks served in time with relays, %.4f of %v with plain discovery", with, r.asked, without, plain.asked)
+	}
+}
--- a/internal/lab/fleet/outside.go
+++ b/internal/lab/fleet/outside.go
@@ -24,6 +24,20 @@
 	tasks map[string]int
 	open  map[net.Conn]bool
 	down  bool
+	note  func(Arrival)
+}
+
+// Arrival is one task as a server saw it.
+type Arrival struct {
+	Task           string
+	Came, Answered time.Time
+}
+
+// Note has every task told to a function once it is answered, by the server's goroutine.
+func (s *Server) Note(one func(Arrival)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.note = one
 }
 
 // Down has the server close all connections, and every new one at once, or brings it back.
@@ -75,10 +89,16 @@
 			return
 		}
 		io.Copy(io.Discard, r.Body)
+		a := Arrival{Task: r.Header.Get("X-Txn"), Came: time.Now()}
 		s.mu.Lock()
-		s.came = append(s.came, time.Now())
-		s.tasks[r.Header.Get("X-Txn")]++
+		s.came = append(s.came, a.Came)
+		s.tasks[a.Task]++
+		note := s.note
 		s.mu.Unlock()
+		a.Answered = time.Now() // before the answer is written, so that nobody can know of it earlier
+		if note != nil {
+			note(a)
+		}
 		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Pressure: queue=0\r\nContent-Length: 2\r\n\r\nok"); err != nil {
 			return
 		}
@@ -115,6 +135,9 @@
 	return d, err
 }
 
+// Address is where it takes calls.
+func (d *Discovery) Address() string { return d.l.Addr().String() }
+
 // Tell has all watches told a list of a version, which may be lower than one before.
 func (d *Discovery) Tell(version int64, list ...Listing) {
 	d.mu.Lock()
--- a/internal/lab/fleet/processes.go
+++ b/internal/lab/fleet/processes.go
@@ -43,6 +43,9 @@
 	List     bool      // nodes ask one another for the list
 	Log      io.Writer // of all nodes
 
+	More         func(node int) string // beside the members in a node's features file
+	DiscoveryFor func(node int) string // where a node reaches discovery; nil: directly
+
 	dir   string
 	board *relay.Board
 	mesh  *relay.Mesh
@@ -136,6 +139,9 @@
 	for k := range p.nodes {
 		fmt.Fprintf(&b, "[[members.node]]\nname = \"n%d\"\naddress = %q\n", k, p.mesh.Address(node, k))
 	}
+	if p.More != nil {
+		b.WriteString(p.More(node))
+	}
 	return b.String()
 }
 
@@ -162,8 +168,12 @@
 	if len(n.lives) > 0 {
 		listen, console = p.at(node, 8443+n.starts), p.at(node, 9443+n.starts)
 	}
+	discovery := p.asks.Address()
+	if p.DiscoveryFor != nil {
+		discovery = p.DiscoveryFor(node)
+	}
 	config := fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"console":%q,"seed":"%x","news":{"listen":"127.0.0.1:0"},"settings":%s}`,
-		node, listen, p.asks.l.Addr(), console, node+1, fmt.Sprintf(p.Settings, len(p.nodes), node))
+		node, listen, discovery, console, node+1, fmt.Sprintf(p.Settings, len(p.nodes), node))
 	base := filepath.Join(p.dir, fmt.Sprintf("n%d-%d", node, n.starts))
 	tmp := base + ".tmp"
 	for path, text := range map[string]string{base + ".json": config, base + ".toml": p.Features(node)} {
--- a/internal/lab/tree/judge.go
+++ b/internal/lab/tree/judge.go
@@ -31,6 +31,7 @@
 	Deliveries int     `json:"deliveries"`
 	Connects   int     `json:"connects"`   // of nodes to relays, with those that begin
 	Returned   int     `json:"returned"`   // of them to a node\'s first choice, which it had left
+	Left       Left    `json:"left"`       // by nodes, and why; or not reached
 	Superseded int     `json:"superseded"` // deliveries that a later change of the same record took the place of
 	Missing    int     `json:"missing"`    // deliveries that never came, and nothing in their place
 	Doubled    int     `json:"doubled"`    // told twice to one life of a node
@@ -52,6 +53,14 @@
 	OriginMB   float64 `json:"origin_mb"`
 }
 
+// Left is how often nodes left a relay, or did not reach one.
+type Left struct {
+	Silent int `json:"silent"`
+	Closed int `json:"closed"` // ended, refused or reset
+	Behind int `json:"behind"`
+	Spoilt int `json:"spoilt"`
+}
+
 // Result of a run.
 type Result struct {
 	Day     string  `json:"day"`
--- a/internal/lab/tree/processes.go
+++ b/internal/lab/tree/processes.go
@@ -34,6 +34,7 @@
 	address string
 	config  string
 	log     *os.File
+	read    int64    // of the log
 	proc    rig.Proc // nil: none runs
 	held    bool     // by a signal
 }
@@ -220,6 +221,27 @@
 	return all
 }
 
+// complaints are the kinds of warnings in the relays' logs since the last call.
+func (p *processes) complaints() map[string]int {
+	all := map[string]int{}
+	for _, r := range append(append([]*relayProcess(nil), p.upper...), p.lower...) {
+		text, err := os.ReadFile(r.log.Name())
+		if err != nil || int64(len(text)) <= r.read {
+			continue
+		}
+		for line := range strings.Lines(string(text[r.read:])) {
+			var is struct{ Level, Msg, Why, Error string }
+			if json.Unmarshal([]byte(line), &is) != nil {
+				all[strings.TrimSpace(line)]++
+			} else if is.Level != "info" {
+				all[strings.TrimSpace(is.Msg+" "+is.Why+" "+is.Error)]++
+			}
+		}
+		r.read = int64(len(text))
+	}
+	return all
+}
+
 // close ends all processes.
 func (p *processes) close() {
 	var group sync.WaitGroup
