--- a/internal/lab/tree/processes.go
+++ b/internal/lab/tree/processes.go
@@ -230,11 +230,11 @@
 			continue
 		}
 		for line := range strings.Lines(string(text[r.read:])) {
-			var is struct{ Level, Msg, Why, Error string }
+			var is struct{ Level, Msg, Why string }
 			if json.Unmarshal([]byte(line), &is) != nil {
 				all[strings.TrimSpace(line)]++
 			} else if is.Level != "info" {
-				all[strings.TrimSpace(is.Msg+" "+is.Why+" "+is.Error)]++
+				all[strings.TrimSpace(is.Msg+" "+is.Why)]++
 			}
 		}
 		r.read = int64(len(text))
