Lab: a node told that a record is gone which is there counts against a run; a start that fails ends in order

Two faults of the run. Nodes now come to it while what is above it stands still, and every word that takes away what is there is counted. A program that isn't there made close run on nil (newProcesses returned nil before its deferred close): found by the test that is added.

--- a/cmd/fawnglade-lab/main_test.go
+++ b/cmd/fawnglade-lab/main_test.go
@@ -69,6 +69,9 @@
 		"too short":        {[]string{"demo", "--seconds", "1"}, "expected 6 to 600"},
 		"no such order":    {[]string{"play"}, "unknown command"},
 		"a node that ends": {[]string{"demo", "--node", "false x"}, "ended before it was ready"},
+		"over its memory":  {[]string{"distribution", "--take", "5000", "--shared", "5000"}, "half of the machine's memory"},
+		"too many at once": {[]string{"distribution", "--lower", "400"}, "expected 200 at most"},
+		"no relay there":   {[]string{"distribution", "--quick", "--relay", "/nowhere/fawnglade"}, "/nowhere/fawnglade"},
 		"no result there":  {[]string{"report", t.TempDir()}, "no such file"},
 	} {
 		if code, out, complaint := lab(t, c.args...); code != exitNoRun || out != "" || !strings.Contains(complaint, c.want) {
--- a/internal/lab/tree/judge.go
+++ b/internal/lab/tree/judge.go
@@ -36,6 +36,7 @@
 	Missing    int     `json:"missing"`    // deliveries that never came, and nothing in their place
 	Doubled    int     `json:"doubled"`    // told twice to one life of a node
 	Revived    int     `json:"revived"`    // told again in a version that is not newer than the record's end
+	Taken      int     `json:"taken"`      // told to be gone while they were there
 	Spoilt     int     `json:"spoilt"`     // frames that a node refused
 	Wrong      int     `json:"wrong"`      // nodes whose records are not the origin's, at the end
 	Example    string  `json:"example,omitempty"`
@@ -87,7 +88,7 @@
 
 // Held tells whether all verdicts by numbers and versions held.
 func (a *Act) Held() bool {
-	return a.Missing == 0 && a.Doubled == 0 && a.Revived == 0 && a.Spoilt == 0 && a.Wrong == 0
+	return a.Missing == 0 && a.Doubled == 0 && a.Revived == 0 && a.Taken == 0 && a.Spoilt == 0 && a.Wrong == 0
 }
 
 // Held tells whether all acts did.
@@ -196,6 +197,12 @@
 			if n, ok := ends[e.dead]; ok {
 				h.came = append(h.came, told{int32(n), e.at})
 			}
+			if is := r.world.scopes[e.scope][e.key]; is != nil && !is.gone {
+				a.Taken++ // a host that went never comes back under its name, so it was there all the time
+				if a.Example == "" {
+					a.Example = fmt.Sprintf("node %d was told that %s of %s is gone", h.index, e.key, e.scope)
+				}
+			}
 		}
 		clear(seen)
 		for _, t := range h.came {
@@ -311,7 +318,7 @@
 	}
 	verdict := "held"
 	if !a.Held() {
-		verdict = fmt.Sprintf("FELL: %d wrong, %d missing, %d doubled, %d revived, %d frames spoilt; %s", a.Wrong, a.Missing, a.Doubled, a.Revived, a.Spoilt, a.Example)
+		verdict = fmt.Sprintf("FELL: %d wrong, %d missing, %d doubled, %d revived, %d taken, %d frames spoilt; %s", a.Wrong, a.Missing, a.Doubled, a.Revived, a.Taken, a.Spoilt, a.Example)
 	}
 	return fmt.Sprintf(entry, a.Name, a.Changes, a.Deliveries, a.Connects, typical, worst, a.Bytes, a.Worst10, a.NodeCPU, a.NodeMB, a.RelayCPU, a.RelayWorst, a.RelayMB, verdict)
 }
--- a/internal/lab/tree/processes.go
+++ b/internal/lab/tree/processes.go
@@ -58,56 +58,60 @@
 )
 
 // newProcesses starts the origin and waits until it has all records.
-func newProcesses(size Size, programs Programs) (p *processes, err error) {
-	p = &processes{size: size, programs: programs}
-	defer func() {
-		if err != nil {
-			p.close()
-		}
-	}()
-	if p.dir, err = os.MkdirTemp("", "fawnglade-tree-"); err != nil {
+func newProcesses(size Size, programs Programs) (*processes, error) {
+	p := &processes{size: size, programs: programs}
+	if err := p.begin(); err != nil {
+		p.close()
 		return nil, err
 	}
+	return p, nil
+}
+
+func (p *processes) begin() (err error) {
+	size, programs := p.size, p.programs
+	if p.dir, err = os.MkdirTemp("", "fawnglade-tree-"); err != nil {
+		return err
+	}
 	p.origin = exec.Command(programs.Origin[0], programs.Origin[1:]...)
 	p.origin.Stderr = os.Stderr
 	p.origin.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if p.orders, err = p.origin.StdinPipe(); err != nil {
-		return nil, err
+		return err
 	}
 	out, err := p.origin.StdoutPipe()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if err := p.origin.Start(); err != nil {
 		p.origin = nil
-		return nil, err
+		return err
 	}
 	p.answers = bufio.NewScanner(out)
 	line, err := p.order(size)
 	if err != nil {
-		return nil, fmt.Errorf("origin: %w", err)
+		return fmt.Errorf("origin: %w", err)
 	}
 	var up []string
 	for i := range size.Upper {
 		r, err := p.place(fmt.Sprintf("u%d", i), []string{line.Address}, []string{"*"}, 0)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		p.upper, up = append(p.upper, r), append(up, r.address)
 	}
 	for i := range size.Lower {
 		r, err := p.place(fmt.Sprintf("l%d", i), append(append([]string(nil), up[i%len(up):]...), up[:i%len(up)]...), p.scopes(i), size.Bytes)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		p.lower = append(p.lower, r)
 	}
 	for _, r := range append(append([]*relayProcess(nil), p.upper...), p.lower...) {
 		if err := p.start(r); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return p, nil
+	return nil
 }
 
 // scopes of lower relay i: its regions whole, and the configuration that its nodes follow.
--- a/internal/lab/tree/run.go
+++ b/internal/lab/tree/run.go
@@ -39,6 +39,8 @@
 	replaced = 3 * time.Second        // and another machine in a failed one's place
 	lookAt   = 250 * time.Millisecond // at the nodes, while an act settles
 	worstOf  = 10                     // seconds
+	// A relay that was started anew has nothing for so long: time for nodes to come, and less than makes a relay leave its upstream.
+	nothingFor = 1200 * time.Millisecond
 )
 
 // Play plays a size and tells the result; an error where it could not be played.
@@ -111,8 +113,14 @@
 		{fmt.Sprintf("%d of a zone go", r.size.Burst), func(ctx context.Context, _ *Act) error { return r.burst(ctx) }},
 		{"a relay is killed", during(func() error { r.procs.kill(first); return nil }, nothing)},
 		{"a relay anew with nothing, another killed", during(func() error {
+			// Nodes come to it while it has nothing, and while it fills: what is above stands still for a moment.
+			for _, u := range r.procs.upper {
+				r.procs.freeze(u)
+				defer r.procs.thaw(u)
+			}
 			err := r.procs.start(first)
 			r.procs.kill(second)
+			time.Sleep(nothingFor)
 			return err
 		}, func(context.Context) error { return r.procs.start(second) })},
 		{"a relay is frozen, and thawed", during(func() error { r.procs.freeze(other); return nil }, func(ctx context.Context) error {
--- a/internal/lab/tree/tree_test.go
+++ b/internal/lab/tree/tree_test.go
@@ -211,6 +211,13 @@
 			old.Gone, old.Version, old.Body = false, old.Version-1, []byte(`{"n":0}`)
 			return append(all, old)
 		}, func(a *Act) bool { return a.Revived == 1 && a.Wrong == 1 }},
+		"one that is there is taken away": {func(all []distribution.Change, f *fake) []distribution.Change {
+			c := all[0]
+			c.Gone, c.Version, c.Body = true, 1e6, nil
+			back := all[0]
+			back.Version = 1e6 + 1
+			return append(append(all[1:], c), back)
+		}, func(a *Act) bool { return a.Taken == 1 && a.Wrong == 0 && strings.Contains(a.Example, "is gone") }},
 		"an older body is kept": {func(all []distribution.Change, f *fake) []distribution.Change {
 			c := all[0]
 			c.Body = []byte(`{"n":0}`)
