--- a/internal/lab/fleet/outside.go
+++ b/internal/lab/fleet/outside.go
@@ -31,9 +31,11 @@
 type Arrival struct {
 	Task           string
 	Came, Answered time.Time
+	Closed         time.Time // when the connection was seen to end, for the last task on it
 }
 
-// Note has every task told to a function once it is answered, by the server's goroutine.
+// Note has every task told to a function once it is answered, by the server's goroutine, and the last one of a connection again when
+// that has ended.
 func (s *Server) Note(one func(Arrival)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,28 +85,40 @@
 	if !s.begin(c) {
 		return
 	}
+	var last Arrival
+	defer func() {
+		if last.Closed = time.Now(); last.Task != "" {
+			s.tell(last)
+		}
+	}()
 	for in := bufio.NewReader(c); ; {
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
 		}
 		io.Copy(io.Discard, r.Body)
-		a := Arrival{Task: r.Header.Get("X-Txn"), Came: time.Now()}
+		last = Arrival{Task: r.Header.Get("X-Txn"), Came: time.Now()}
 		s.mu.Lock()
-		s.came = append(s.came, a.Came)
-		s.tasks[a.Task]++
-		note := s.note
+		s.came = append(s.came, last.Came)
+		s.tasks[last.Task]++
 		s.mu.Unlock()
-		a.Answered = time.Now() // before the answer is written, so that nobody can know of it earlier
-		if note != nil {
-			note(a)
-		}
+		last.Answered = time.Now() // before the answer is written, so that nobody can know of it earlier
+		s.tell(last)
 		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Pressure: queue=0\r\nContent-Length: 2\r\n\r\nok"); err != nil {
 			return
 		}
 	}
 }
 
+func (s *Server) tell(a Arrival) {
+	s.mu.Lock()
+	note := s.note
+	s.mu.Unlock()
+	if note != nil {
+		note(a)
+	}
+}
+
 // Listing is one server as discovery tells it.
 type Listing struct {
 	Server  *Server
