--- a/internal/lab/fleet/outside.go
+++ b/internal/lab/fleet/outside.go
@@ -24,6 +24,22 @@
 	tasks map[string]int
 	open  map[net.Conn]bool
 	down  bool
+	note  func(Arrival)
+}
+
+// Arrival is one task as a server saw it.
+type Arrival struct {
+	Task           string
+	Came, Answered time.Time
+	Closed         time.Time // when the connection was seen to end, for the last task on it
+}
+
+// Note has every task told to a function once it is answered, by the server's goroutine, and the last one of a connection again when
+// that has ended.
+func (s *Server) Note(one func(Arrival)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.note = one
 }
 
 // Down has the server close all connections, and every new one at once, or brings it back.
@@ -69,22 +85,40 @@
 	if !s.begin(c) {
 		return
 	}
+	var last Arrival
+	defer func() {
+		if last.Closed = time.Now(); last.Task != "" {
+			s.tell(last)
+		}
+	}()
 	for in := bufio.NewReader(c); ; {
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
 		}
 		io.Copy(io.Discard, r.Body)
+		last = Arrival{Task: r.Header.Get("X-Txn"), Came: time.Now()}
 		s.mu.Lock()
-		s.came = append(s.came, time.Now())
-		s.tasks[r.Header.Get("X-Txn")]++
+		s.came = append(s.came, last.Came)
+		s.tasks[last.Task]++
 		s.mu.Unlock()
+		last.Answered = time.Now() // before the answer is written, so that nobody can know of it earlier
+		s.tell(last)
 		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Pressure: queue=0\r\nContent-Length: 2\r\n\r\nok"); err != nil {
 			return
 		}
 	}
 }
 
+func (s *Server) tell(a Arrival) {
+	s.mu.Lock()
+	note := s.note
+	s.mu.Unlock()
+	if note != nil {
+		note(a)
+	}
+}
+
 // Listing is one server as discovery tells it.
 type Listing struct {
 	Server  *Server
@@ -115,6 +149,9 @@
 	return d, err
 }
 
+// Address is where it takes calls.
+func (d *Discovery) Address() string { return d.l.Addr().String() }
+
 // Tell has all watches told a list of a version, which may be lower than one before.
 func (d *Discovery) Tell(version int64, list ...Listing) {
 	d.mu.Lock()
