Idle clients leave a descriptor for discovery, each attempt and operators' orders

Seen: a node of 32 descriptors, with RLIMIT_NOFILE at 32 and 64 idle clients that come back at once, could not dial discovery ("socket: too many open files"), and operators' orders were answered 500. A node of 256 with 512 idle clients and 90 requests at once (servers that take 0.2 s) declined 250 of 900: 750 attempts "found no descriptor" while idle clients held 130. Of 52 orders, four at once, with a memory on a slow disk, 5 were answered 500 ("held by another"). During an upgrade of a node of 64, 4 requests at once were declined 5 times.

Checked: descriptors of a plain process by /proc (10, 12 with a memory; two are the runtime's for the cgroup); discovery with 64, 256 and 1,024, asked and pushed: called, none short. Ruled out: requests of 1,024 that were declined on a busy machine were connections beyond connect_timeout_us, not descriptors.

Lines at fault: allot() set aside a quarter of the descriptors for the process's own files, 8 of 32 where 17 to 24 are needed; reserve() refused beyond a fixed third, whatever idle clients held; change() opened the file's lock once for each caller, who spent the wait meant for another process behind each other; allot() of clients shut nobody, so after a hand-over idle clients beyond the half stayed until their time.

Change: up to 24 of a small node's descriptors are its own. Attempts beyond their third have places that clients lend: free ones, or of idle clients that are asked to go, until both have as many; given back each second. One order at a time has the lock open. Idle clients beyond the half go when another process comes. internal/sockstate holds what the machine is asked of a connection, moved from conn.go.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -20,17 +20,16 @@
 )
 
 const (
-	idleClient = 20 * time.Second        // some keep a connection for good
-	longIdle   = 2 * time.Second         // after which a connection may have to make room
-	slowHead   = 2500 * time.Millisecond // until a head that has begun is whole, the first from its connection's start
-	longLinger = 3 * time.Second         // for a client that is still sending what nobody wants
-	pipelined  = 4                       // tasks read ahead on one connection
-	lingers    = 25 * time.Millisecond
-	lastLook   = 5 * time.Millisecond // for connections that wait to be accepted
-	// without anybody at the door: then an accept stands
-	standsAfter = 200 * time.Millisecond
-	// of silence within a message, while others wait for a connection
-	slowUnderFlood = time.Second
+	idleClient     = 20 * time.Second        // some keep a connection for good
+	longIdle       = 2 * time.Second         // after which a connection may have to make room
+	slowHead       = 2500 * time.Millisecond // until a head that has begun is whole, the first from its connection's start
+	longLinger     = 3 * time.Second         // for a client that is still sending what nobody wants
+	pipelined      = 4                       // tasks read ahead on one connection
+	lingers        = 25 * time.Millisecond
+	lentWithin     = 4 * lingers            // until an attempt has the place of a client that goes
+	lastLook       = 5 * time.Millisecond   // for connections that wait to be accepted
+	standsAfter    = 200 * time.Millisecond // without anybody at the door: then an accept stands
+	slowUnderFlood = time.Second            // of silence within a message, while others wait for a connection
 )
 
 type clients struct {
@@ -49,6 +48,8 @@
 	most  int // connections at work; beyond these only a few, to say that there is no room
 	spare int
 	usual int // connections that have brought tasks; of more, those that stand idle are closed
+
+	mayLend, lent atomic.Int64 // places of these that attempts may have, and have now
 }
 
 // client is one connection. Its reader and its writer meet in turns, where exchanges stand in the order of their
@@ -82,13 +83,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.most, s.spare, s.usual = most, spare, usual
+	s.dismiss(len(s.open) - most) // another process of this node may have what stands idle beyond it
 }
 
 // room is how many connections may be at work.
 func (s *clients) room() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.most
+	return s.places()
+}
+
+// places is how many may be at work beside the attempts that have some of the places; the lock is held.
+func (s *clients) places() int { return s.most - int(s.lent.Load()) }
+
+// lend gives an attempt the place of a client: a free one, or one whose client stands idle and is asked to go, which may come soon.
+// Guards against idle clients who keep attempts from getting a connection.
+func (s *clients) lend() (lent, soon bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lent.Load() >= s.mayLend.Load() {
+		return false, false
+	}
+	if len(s.open) < s.places()+s.spare {
+		s.lent.Add(1)
+		return true, true
+	}
+	s.dismiss(1 + s.most/16)
+	return false, int(s.atWork.Load()) < len(s.open)
 }
 
 // until sets by when the wait for a new connection ends.
@@ -190,10 +211,10 @@
 func (s *clients) enter(c *client) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.open) >= s.most || s.crowded() {
+	if len(s.open) >= s.places() || s.crowded() {
 		s.dismiss(1 + s.most/16) // some ahead, as each takes a moment to go
 	}
-	if len(s.open) >= s.most+s.spare {
+	if len(s.open) >= s.places()+s.spare {
 		return false
 	}
 	s.open[c] = struct{}{}
@@ -233,8 +254,8 @@
 		}
 		return a.last.Compare(b.last)
 	})
-	for _, one := range idle[:min(n, len(idle))] {
-		if !one.used || !fresh || s.crowded() || len(s.open) >= s.most+s.spare || n >= len(s.open) ||
+	for _, one := range idle[:max(0, min(n, len(idle)))] {
+		if !one.used || !fresh || s.crowded() || len(s.open) >= s.places()+s.spare || n >= len(s.open) ||
 			now.Sub(one.last) > longIdle {
 			one.c.dismiss(now)
 		}
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -7,7 +7,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -17,6 +16,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"fawnglade/internal/sockstate"
 )
 
 const (
@@ -298,49 +299,10 @@
 	return n > 0 && err == nil
 }
 
-// States of a connection as the machine counts them; the others are those in which the peer has ended its side.
-const (
-	tcpEstablished = 1
-	tcpFinWait1    = 4
-	tcpFinWait2    = 5
-)
-
-// ended tells whether the peer has ended its side, also where bytes that nobody has read stand before the end, which a read
-// would come to only behind them. It may be called beside reads and writes. A peer that has only ended its sending looks the
-// same: the pages have a client that closes gone, and nothing but a write would tell the two apart.
-func (c *conn) ended() (ended bool) {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return true // closed on this side
-	}
-	broken := control.Control(func(fd uintptr) {
-		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO) // its first byte is the state
-		var b [4]byte
-		binary.NativeEndian.PutUint32(b[:], uint32(info))
-		ended = err == nil && b[0] != tcpEstablished && b[0] != tcpFinWait1 && b[0] != tcpFinWait2
-	})
-	return ended || broken != nil
-}
+// ended tells whether the peer has ended its side, also where bytes that nobody has read stand before the end. It may be called beside
+// reads and writes. A peer that has only ended its sending looks the same: the pages have a client that closes gone, and nothing but
+// a write would tell the two apart.
+func (c *conn) ended() bool { return sockstate.Ended(c.Conn) }
 
 // peek looks at what the machine holds for the connection, taking nothing.
-func (c *conn) peek() (n int, err error) {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, syscall.EAGAIN
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var one [1]byte
-	if broken := control.Control(func(fd uintptr) {
-		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	}); broken != nil {
-		return 0, broken
-	}
-	return n, err
-}
+func (c *conn) peek() (n int, err error) { return sockstate.Peek(c.Conn) }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -57,9 +57,7 @@
 	return &handover{node: n, path: filepath.Join(n.config.dir, n.fileName(".sock"))}
 }
 
-func (h *handover) hello() hello {
-	return hello{Version: handoverVersion, Node: h.node.orders.whose()}
-}
+func (h *handover) hello() hello { return hello{Version: handoverVersion, Node: h.node.orders.whose()} }
 
 // find looks for the node's other process and asks what it knows; nil where there is none.
 func (h *handover) find() *heritage {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,7 +36,7 @@
 	killedAfter = 700 * time.Millisecond
 	lastWords   = 150 * time.Millisecond // before that all that has no answer is given up: what a kill finds is lost
 	lastExit    = 40 * time.Millisecond  // and so long before it the process ends
-	ownFiles    = 24                     // standard files, the poller, the listener, discovery, what the runtime opens
+	ownFiles    = 24                     // standard files, poller, listeners and those at them, discovery, orders, state, peers, the runtime
 	fewest      = 32                     // descriptors with which a node can do anything
 	spareShare  = 16                     // a sixteenth of the descriptors is kept to tell clients that there is no room
 	usualPart   = 4                      // clients hold a third of the descriptors at most, so a quarter leaves them room
@@ -248,10 +248,13 @@
 	sockets := all / processes
 	spare := sockets / spareShare
 	callers := min(mostCalls, sockets/callsPart)
-	rest := sockets - min(ownFiles, sockets/4) - spare - callers
-	n.servers.allot(rest / serversPart)
+	rest := sockets - min(ownFiles, sockets/2+4) - spare - callers
+	toServers := max(rest/serversPart, 1)
+	toClients := max(rest-toServers, 1)
+	n.servers.allot(toServers)
 	n.console.allot(callers)
-	n.clients.allot(rest-rest/serversPart, spare, all/usualPart)
+	n.clients.allot(toClients, spare, all/usualPart)
+	n.clients.mayLend.Store(int64(toClients-toServers) / 2) // each attempt has a client that waits for it
 	held := int64(defaultHeld)
 	if mb := n.config.Limits.MemoryMB; mb > 0 {
 		held = mb << 20 / heldShare
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -72,6 +72,7 @@
 	now  atomic.Pointer[standingOrders]
 	seen os.FileInfo // the file as it was read last; of watch and change, under mu
 	mu   sync.Mutex
+	turn sync.Mutex // of those who change: one at a time has the file's lock open and waits for it, as each open file is a descriptor
 
 	names struct {
 		sync.Mutex
@@ -99,9 +100,7 @@
 	return fmt.Sprintf("fawnglade-%016x%s", h.Sum64(), ending)
 }
 
-func (o *orders) whose() string {
-	return strconv.Quote(o.node.config.Name) + " " + o.node.config.Listen
-}
+func (o *orders) whose() string { c := o.node.config; return strconv.Quote(c.Name) + " " + c.Listen }
 
 // isOut tells whether a server was taken out; any goroutine may ask, and does so just before it writes to the server.
 func (o *orders) isOut(id policy.ServerID) bool { return o.now.Load().ids[id] }
@@ -142,6 +141,8 @@
 
 // change has one order carried out by this process: read the file again, change, write it whole, then let it count.
 func (o *orders) change(order func(*standingOrders) string) (done string, err error) {
+	o.turn.Lock()
+	defer o.turn.Unlock()
 	lock, err := lockFile(o.path+".lock", ordersLock)
 	if err != nil {
 		return "", err
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -204,9 +204,17 @@
 	s.mayRest.Store(int64(min(mostResting, max(most/restingPart, 1))))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.most = most; s.open > s.most && s.order.Len() > 0; {
+	s.most = most
+	s.trim()
+}
+
+// trim closes what is idle beyond the places of attempts, and gives back what they don't need of the clients'; the lock is held.
+func (s *servers) trim() {
+	for s.open > s.most && s.order.Len() > 0 {
 		s.drop(s.order.Front().Value.(*serverConn).place, 1)
 	}
+	lent := &s.node.clients.lent
+	lent.Add(min(0, int64(max(0, s.open-s.most))-lent.Load()))
 }
 
 // begin has a hand-off carried without waiting. A carrier that rests is taken before a new one: a goroutine that is
@@ -460,8 +468,14 @@
 			s.node.counters.add(serversFoundClosed)
 		}
 	}
-	if !s.reserve() {
-		return nil, errNoRoom
+	for by := time.Now().Add(lentWithin); !s.reserve(); {
+		switch lent, soon := s.node.clients.lend(); {
+		case lent:
+		case !soon || h.exchange == nil || h.isStopped() || time.Now().After(by):
+			return nil, errNoRoom
+		default:
+			time.Sleep(2 * time.Millisecond)
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -512,7 +526,7 @@
 func (s *servers) reserve() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.open >= s.most {
+	if s.open >= s.most+int(s.node.clients.lent.Load()) {
 		oldest := s.order.Front()
 		if oldest == nil {
 			return false
@@ -596,4 +610,5 @@
 			delete(s.idle, at)
 		}
 	}
+	s.trim()
 }
