--- /dev/null
+++ b/cmd/fawnglade/pause_test.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A node that stands still while its clients leave, with their requests at its door, behind others, or out at a server that has failed
+// meanwhile, begins no attempt for them when it goes on.
+func TestClientsLeaveWhileTheNodeStands(t *testing.T) {
+	fail := make(chan struct{})
+	var begun, going atomic.Int64
+	server := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					for in := bufio.NewReader(c); ; {
+						r, err := http.ReadRequest(in)
+						if err != nil {
+							return
+						}
+						if !strings.HasPrefix(r.Header.Get("X-Txn"), "last") {
+							if begun.Add(1) > 6 {
+								t.Logf("%q %v, since going on %v", r.Header.Get("X-Txn"), r.URL, time.Since(time.Unix(0, going.Load())))
+							}
+							<-fail
+							io.WriteString(c, "HTTP/1.1 500 Bad\r\nContent-Length: 0\r\n\r\n")
+							continue
+						}
+						io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+				}()
+			}
+		}()
+		return l.Addr().String()
+	}
+	var servers []string
+	for range 20 { // so that most have failed nobody
+		servers = append(servers, server())
+	}
+	listen := freeAddress(t)
+	node := startCrowded(t, 1024, "ask", listen, "127.0.0.1:1", t.TempDir(), nil, servers)
+	request := func(id string) string { return "GET /view HTTP/1.1\r\nHost: h\r\nX-Txn: " + id + "\r\n\r\n" }
+	connect := func(text string) net.Conn {
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		io.WriteString(c, text)
+		return c
+	}
+	leave := func(i int, c net.Conn) {
+		switch i % 3 {
+		case 0:
+			c.Close()
+		case 1:
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		default:
+			c.(*net.TCPConn).CloseWrite()
+		}
+	}
+	var clients []net.Conn
+	for i := range 6 {
+		clients = append(clients, connect(request(fmt.Sprint("out", i)))) // out at a server
+	}
+	until(t, "all out", func() bool { return begun.Load() == 6 })
+	node.Process.Signal(syscall.SIGSTOP)
+	until(t, "all of it to stand", func() bool { return stands(node.Process.Pid) })
+	close(fail)
+	var many strings.Builder
+	for i := range 40 {
+		many.WriteString(request(fmt.Sprint("many", i)))
+	}
+	for i := range 6 {
+		clients = append(clients, connect(request(fmt.Sprint("door", i))), connect(strings.ReplaceAll(many.String(), "many", fmt.Sprint("many", i, "-"))))
+	}
+	time.Sleep(100 * time.Millisecond) // the failures are at the node before the ends are
+	for i, c := range clients {
+		leave(i/2, c)
+	}
+	until(t, "all ends at the node's machine", func() bool { return standing(t, listen) == 0 })
+	time.Sleep(150 * time.Millisecond)
+	going.Store(time.Now().UnixNano())
+	node.Process.Signal(syscall.SIGCONT)
+	until(t, "an answer for a client that came last", func() bool {
+		_, status := view(listen, fmt.Sprint("last", time.Now().UnixNano()))
+		return status == 200
+	})
+	node.Process.Signal(syscall.SIGTERM)
+	if err := node.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if begun.Load() != 6 {
+		t.Errorf("%d attempts began, want the 6 of before", begun.Load())
+	}
+}
+
+// stands tells whether all threads of a process are stopped.
+func stands(pid int) bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	for _, one := range threads {
+		text, _ := os.ReadFile(one)
+		if _, state, _ := strings.Cut(string(text), ") "); !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return err == nil && len(threads) > 0
+}
+
+// standing is how many connections to an address neither side has ended, as far as the machine knows.
+func standing(t *testing.T, at string) (n int) {
+	text, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := netip.MustParseAddrPort(at).Port()
+	for line := range strings.Lines(string(text)) {
+		if f := strings.Fields(line); len(f) > 3 && strings.HasSuffix(f[1], fmt.Sprintf(":%04X", port)) && f[3] == "01" { // ESTABLISHED
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/node/leaving_test.go
@@ -0,0 +1,356 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// This file owns clients that leave: on each way that an attempt may be on, and on a day of many. What the machine takes in for a client
+// that is gone is not counted, only attempts that begin.
+
+// leavings are the ways to go; the pages know no client that half-closes and waits.
+var leavings = map[string]func(c net.Conn){
+	"close":      func(c net.Conn) { c.Close() },
+	"reset":      func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+	"half-close": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+}
+
+// long is a request whose body flows, with so much of it as the machine takes in: an end behind more than that waits at the client.
+func long(category, id string) string {
+	return strings.TrimSuffix(taskText(category, id, strings.Repeat("x", 2<<20)), strings.Repeat("x", 2<<20-(80<<10)))
+}
+
+// firstBytes is a server that counts attempts as they begin, whether or not all of them comes.
+func firstBytes(t *testing.T, answer func(c net.Conn, r *http.Request)) (address string, begun *atomic.Int64) {
+	begun = new(atomic.Int64)
+	return listen(t, func(c net.Conn) {
+		for in := bufio.NewReader(c); ; {
+			if _, err := in.Peek(1); err != nil {
+				return
+			}
+			begun.Add(1)
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			answer(c, r)
+		}
+	}), begun
+}
+
+// An attempt that is anywhere before its first byte when the client leaves does not begin, however it came to be and however the client left.
+func TestNoAttemptBeginsOnceTheClientLeft(t *testing.T) {
+	type stage struct {
+		text string
+		// reach brings attempts so far that only their connection is missing; in lets answers of the first server go
+		reach func(t *testing.T, n *Node, other string, dials, answers *gate)
+		blind bool // the reader does not come to the end
+		first int  // attempts that have begun before the client leaves
+	}
+	another := func(t *testing.T, n *Node, other string, dials, answers *gate) {
+		answers.held(t, 1)
+		n.learn(t, listText(2, false, listEntry("s-1", other, "up")))
+	}
+	for name, s := range map[string]stage{
+		"a first attempt": {text: taskText("batch", "t0", "")},
+		"a second copy": {text: taskText("batch", "t0", ""), first: 1, reach: func(t *testing.T, n *Node, other string, dials, answers *gate) {
+			another(t, n, other, dials, answers)
+			n.loop.enter(func() { n.loop.HandOff("t0", serverID("s-1"), 20*second) })
+		}},
+		"a retry behind an error": {text: taskText("batch", "t0", ""), first: 1, reach: func(t *testing.T, n *Node, other string, dials, answers *gate) {
+			another(t, n, other, dials, answers)
+			answers.pass()
+		}},
+		"a retry behind a recall": {text: taskText("batch", "t0", ""), first: 1, reach: func(t *testing.T, n *Node, other string, dials, answers *gate) {
+			another(t, n, other, dials, answers)
+			n.loop.enter(func() { n.loop.Recall("t0", 0) })
+			soon(t, "the recall's end", func() bool { return n.count(handOffsRecalled) == 1 })
+			n.loop.enter(func() { // where the decisions have not by themselves
+				if n.count(handOffsSent) == 1 {
+					n.loop.HandOff("t0", serverID("s-1"), 20*second)
+				}
+			})
+		}},
+		"an upload that flows": {text: long("batch", "t0"), blind: true},
+		"many on one connection": {text: func() (text string) {
+			for i := range 20 {
+				text += taskText("batch", fmt.Sprint("t", i), "")
+			}
+			return text
+		}(), blind: true},
+	} {
+		for how, leave := range leavings {
+			t.Run(name+", "+how, func(t *testing.T) {
+				t.Parallel()
+				answers := newGate(t)
+				first, atFirst := firstBytes(t, func(c net.Conn, r *http.Request) {
+					answers.wait()
+					say(c, "500 Bad", "")
+				})
+				other, atOther := firstBytes(t, func(c net.Conn, r *http.Request) { echo(c, r, "") })
+				n := newNode(t, func(c *Config) {
+					with(`"may_duplicate":false`, `"may_duplicate":true`, `800000`, `8000000`, `75000`, `5000000`,
+						`"cancelling":true`, `"cancelling":false`)(c) // nothing is recalled on its way, which would do as well
+					c.Discovery, _ = watchOf(t)
+				}, first)
+				dials := newGate(t)
+				n.servers.dial = func(_ context.Context, address string, limit time.Time) (net.Conn, error) {
+					if s.first == 0 || address == other {
+						dials.wait()
+					}
+					return n.servers.connect(context.Background(), address, limit)
+				}
+				n.start()
+				client, _ := dial(t, n)
+				io.WriteString(client, s.text)
+				if s.reach != nil {
+					s.reach(t, n, other, dials, answers)
+				}
+				dials.held(t, 1)
+				at := n.atClients(t)
+				leave(client)
+				soon(t, "its end", at.hasLeft)
+				if !s.blind {
+					soon(t, "the withdrawal", func() bool { return n.count(tasksWithdrawn) == 1 })
+				}
+				dials.pass()
+				answers.pass()
+				soon(t, "the end of all attempts", func() bool { n.passed(); return n.nobodyOut() })
+				if atFirst.Load() != int64(s.first) || atOther.Load() != 0 || n.count(handOffsNeverSent) == 0 {
+					t.Errorf("%d attempts began at the first server, want %d; %d at the other; %d did not begin", atFirst.Load(), s.first,
+						atOther.Load(), n.count(handOffsNeverSent))
+				}
+			})
+		}
+	}
+}
+
+// nobodyOut tells that all attempts have ended.
+func (n *Node) nobodyOut() bool {
+	ended := int64(0)
+	for _, how := range outcomeCounters {
+		if how != handOffsReset {
+			ended += n.count(how)
+		}
+	}
+	return ended+n.count(handOffsReset)+n.count(handOffsFaulted) == n.count(handOffsSent)
+}
+
+// stamped reads from a socket and notes when the machine had what was read last, however late the reader is.
+type stamped struct {
+	raw syscall.RawConn
+	at  time.Time
+}
+
+func newStamped(c net.Conn) (*stamped, error) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_TIMESTAMPNS, 1) })
+	return &stamped{raw: raw}, err
+}
+
+func (s *stamped) Read(p []byte) (n int, err error) {
+	var beside [128]byte
+	var size int
+	broken := s.raw.Read(func(fd uintptr) bool {
+		n, size, _, _, err = syscall.Recvmsg(int(fd), p, beside[:], 0)
+		return err != syscall.EAGAIN
+	})
+	if broken != nil || err != nil || n == 0 {
+		return 0, io.EOF
+	}
+	s.at = time.Now()
+	list, _ := syscall.ParseSocketControlMessage(beside[:size])
+	for _, one := range list {
+		if one.Header.Type == syscall.SO_TIMESTAMPNS && len(one.Data) >= 16 {
+			var sec, ns int64
+			for i := range 8 {
+				sec |= int64(one.Data[i]) << (8 * i)
+				ns |= int64(one.Data[8+i]) << (8 * i)
+			}
+			s.at = time.Unix(sec, ns)
+		}
+	}
+	return n, nil
+}
+
+// attendance is what the sockets show of a day: when each client was gone, and when each attempt's first byte was at a server.
+type attendance struct {
+	mu       sync.Mutex
+	gone     map[string]time.Time
+	attempts map[string][]time.Time
+}
+
+func (a *attendance) left(at time.Time, ids ...string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, id := range ids {
+		a.gone[id] = at
+	}
+}
+
+func (a *attendance) began(id string, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attempts[id] = append(a.attempts[id], at)
+}
+
+// troubled answers as a seed says: late, with errors, turning away, or not at all.
+func (a *attendance) troubled(t *testing.T, seed uint64) string {
+	var mu sync.Mutex
+	luck := rand.New(rand.NewPCG(seed, 1))
+	return listen(t, func(c net.Conn) {
+		stamps, err := newStamped(c)
+		if err != nil {
+			return
+		}
+		in := bufio.NewReader(stamps)
+		for {
+			if _, err := in.Peek(1); err != nil {
+				return
+			}
+			at := stamps.at
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			a.began(r.Header.Get(headerTask), at)
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			mu.Lock()
+			wait, what := time.Duration(luck.IntN(250))*time.Millisecond, luck.IntN(10)
+			mu.Unlock()
+			if what < 4 {
+				wait /= 20
+			}
+			time.Sleep(wait)
+			switch {
+			case what < 3:
+				say(c, "500 Bad", "")
+			case what == 3:
+				say(c, "503 Full", "")
+			case what == 4:
+				return
+			default:
+				echo(c, r, "")
+			}
+		}
+	})
+}
+
+// On a day on which clients leave at any moment, from three nodes before six servers in trouble whose connections come up late, no attempt
+// begins more than 0.1 s behind the end of its client.
+func TestDayOfClientsThatLeave(t *testing.T) {
+	day := &attendance{gone: map[string]time.Time{}, attempts: map[string][]time.Time{}}
+	var servers []string
+	for i := range 6 {
+		servers = append(servers, day.troubled(t, uint64(i)))
+	}
+	var nodes []*Node
+	for i := range 3 {
+		var mu sync.Mutex
+		luck := rand.New(rand.NewPCG(50, uint64(i)))
+		n := newNode(t, func(c *Config) {
+			with(`"may_duplicate":false`, `"may_duplicate":true`, `800000`, `3000000`, `20000000`, `3000000`, `75000`, `1500000`)(c)
+			c.Name, c.Seed = fmt.Sprint("n", i), fmt.Sprintf("%x", 7+i)
+			c.Discovery, _ = watchOf(t)
+			c.Limits.MemoryMB = 64
+		}, servers...)
+		n.servers.dial = func(ctx context.Context, address string, limit time.Time) (net.Conn, error) {
+			mu.Lock()
+			wait := time.Duration(max(0, luck.IntN(900)-300)) * time.Millisecond
+			mu.Unlock()
+			time.Sleep(wait) // a connection that comes up late, whoever has been told to stop
+			return n.servers.connect(ctx, address, limit)
+		}
+		n.start()
+		nodes = append(nodes, n)
+	}
+	var done sync.WaitGroup
+	luck := rand.New(rand.NewPCG(50, 99))
+	ways := []string{"close", "reset", "half-close"}
+	for i := range 300 {
+		n, category := nodes[luck.IntN(3)], []string{"view", "update", "pay", "batch"}[luck.IntN(4)]
+		var text string
+		var ids []string
+		switch kind := luck.IntN(10); {
+		case kind < 2:
+			ids = []string{fmt.Sprintf("u%d", i)}
+			text = long(category, ids[0])
+		default:
+			for k := range []int{1, 1, 1, 1, 3, 12, 1, 1}[kind-2] {
+				ids = append(ids, fmt.Sprintf("t%d-%d", i, k))
+				text += taskText(category, ids[k], "")
+			}
+		}
+		after, leave := time.Duration(luck.IntN(600))*time.Millisecond, leavings[ways[luck.IntN(3)]]
+		stays := luck.IntN(4) == 0 && len(ids) == 1 && !strings.HasPrefix(ids[0], "u")
+		done.Go(func() {
+			c, err := net.Dial("tcp", n.address())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(10 * time.Second))
+			io.WriteString(c, text)
+			if stays {
+				if status, body, _ := answerOn(bufio.NewReader(c)); status == 0 {
+					t.Errorf("%s, who stayed, has no answer: %s", ids[0], body)
+				}
+				return
+			}
+			time.Sleep(after)
+			leave(c)
+			day.left(time.Now(), ids...)
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	done.Wait()
+	for _, n := range nodes {
+		soon(t, "the end of all attempts", func() bool { n.passed(); return n.nobodyOut() })
+	}
+	day.mu.Lock()
+	defer day.mu.Unlock()
+	var attempts, never, late int
+	var latest time.Duration
+	for id, gone := range day.gone {
+		if len(day.attempts[id]) == 0 {
+			never++
+		}
+		for k, at := range day.attempts[id] {
+			behind := at.Sub(gone)
+			if latest = max(latest, behind); behind > 100*time.Millisecond {
+				late++
+				t.Logf("attempt %d of %s began %v behind the end of its client", k+1, id, behind)
+			}
+		}
+	}
+	var further int
+	for _, list := range day.attempts {
+		attempts += len(list)
+		further += len(list) - 1
+	}
+	t.Logf("%d attempts, %d of them further ones, %d clients' requests left, %d of these never begun, the latest %v behind", attempts, further,
+		len(day.gone), never, latest)
+	if late > 0 || attempts < 200 || further < 20 || never < 50 {
+		t.Errorf("%d attempts began more than 0.1 s behind, want 0", late)
+	}
+}
