--- a/internal/lab/scale/show.go
+++ b/internal/lab/scale/show.go
@@ -79,6 +79,7 @@
 	panelX   = 9 * vg.Centimeter
 	panelY   = 7 * vg.Centimeter
 	leastLog = 1e-9
+	dots     = 60 // an inch: a picture of fifty panels stays under a megabyte
 )
 
 // Plot leaves a picture with a panel for each slope that has points and a limit, or for all with points where none has one: both axes by
@@ -101,7 +102,7 @@
 	}
 	rows := (len(panels) + columns - 1) / columns
 	wide := min(columns, len(panels))
-	image := vgimg.New(panelX*vg.Length(wide), panelY*vg.Length(rows))
+	image := vgimg.NewWith(vgimg.UseWH(panelX*vg.Length(wide), panelY*vg.Length(rows)), vgimg.UseDPI(dots))
 	tiles := draw.Tiles{Rows: rows, Cols: wide, PadX: vg.Millimeter * 3, PadY: vg.Millimeter * 4, PadTop: vg.Millimeter, PadBottom: vg.Millimeter,
 		PadLeft: vg.Millimeter, PadRight: vg.Millimeter * 4}
 	page := draw.New(image)
