Lab: hollow nodes get ports that are free for datagrams too

Cause: with 200 hollow nodes one port of 603 was free for connections and taken for datagrams, and the size was not measured. Change: a place is free for both.

--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -39,15 +39,19 @@
 	Dir       string
 }
 
-// places finds addresses that nobody listens at, all at once, so that none comes twice.
+// places finds addresses that nobody listens at, for connections or datagrams, all at once, so that none comes twice.
 func places(n int) (out []string, err error) {
-	for range n {
+	for len(out) < n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
 		defer l.Close()
-		out = append(out, l.Addr().String())
+		at := l.Addr().String()
+		if c, err := net.ListenPacket("udp", at); err == nil {
+			defer c.Close()
+			out = append(out, at)
+		}
 	}
 	return out, nil
 }
