Lab: three nodes with faults, with a while in which no relay answers; a drain that ended counts for nobody

Now one relay is frozen and the other killed for 7.5 s while a server drains. What a node could be told is put in order first.

--- a/internal/lab/fleet/distribution_test.go
+++ b/internal/lab/fleet/distribution_test.go
@@ -50,7 +50,8 @@
 	asked   [3]int
 	good    [3]int
 	version int64
-	state   map[int]string // health of each server
+	state   map[int]string     // health of each server
+	heard   map[[2]int][]heard // by node and server, of the test's own goroutine
 }
 
 type handOff struct {
@@ -82,7 +83,7 @@
 func newRelayed(t *testing.T, plain bool) *relayed {
 	t.Helper()
 	r := &relayed{Processes: processes(t, 3), t: t, ways: map[[2]int]*relay.Stream{}, files: map[string]string{}, addr: map[string]string{},
-		procs: map[string]rig.Proc{}, book: &ledger.Ledger{}, open: map[handOff]*ledger.HandOff{}, from: time.Now(), version: 1, state: map[int]string{}}
+		procs: map[string]rig.Proc{}, book: &ledger.Ledger{}, open: map[handOff]*ledger.HandOff{}, from: time.Now(), version: 1, state: map[int]string{}, heard: map[[2]int][]heard{}}
 	for i := range r.plain {
 		r.state[i] = "up"
 	}
@@ -179,18 +180,37 @@
 	}
 	r.mu.Unlock()
 	r.asks.Tell(version, list...)
-	h := model.Up
-	if health != "up" {
-		h = model.Draining
-	}
 	for node := range 3 {
 		if !apart || node != apartOne {
-			// Counted from when it is taken to know; a server that is up again may be used from the moment it is.
-			at := r.at(time.Now())
-			if h != model.Up {
-				at += int64(toldWithin)
+			r.hear(node, server, health)
+		}
+	}
+}
+
+// heard is a change that a node could be told from a moment on.
+type heard struct {
+	health string
+	at     time.Time
+}
+
+func (r *relayed) hear(node, server int, health string) {
+	k := [2]int{node, server}
+	r.heard[k] = append(r.heard[k], heard{health, time.Now()})
+}
+
+// tell enters what nodes are taken to know: a drain six seconds after each could be told of it, unless it had ended by then; and that a
+// server is up at once, as a node may use it from when it hears of it.
+func (r *relayed) tell() {
+	for k, all := range r.heard {
+		for i, h := range all {
+			t := ledger.Told{Node: k[0], Life: 1, Server: k[1], Health: model.Up, At: r.at(h.at)}
+			if h.health != "up" {
+				t.Health, t.At = model.Draining, t.At+int64(toldWithin)
+				if i+1 < len(all) && r.at(all[i+1].at) <= t.At {
+					continue
+				}
 			}
-			r.book.Tell(ledger.Told{Node: node, Life: 1, Server: server, Health: h, At: at})
+			r.book.Tell(t)
 		}
 	}
 }
@@ -374,8 +394,8 @@
 	return all
 }
 
-// TestRelaysWithFaults has three nodes follow two relays while ways are lossy, late and cut, a relay is killed, frozen and started
-// anew with nothing, and two regions lose each other: no rule is broken, all nodes end with the same servers, and tasks are served as
+// TestRelaysWithFaults has three nodes follow two relays while ways are lossy, late and cut, a relay is killed and started anew with
+// nothing, the other frozen while none is left, and two regions lose each other: no rule is broken, all nodes end with the same servers, and tasks are served as
 // by nodes that watch discovery themselves.
 func TestRelaysWithFaults(t *testing.T) {
 	r, plain := newRelayed(t, false), newRelayed(t, true)
@@ -420,14 +440,16 @@
 	time.Sleep(4500 * time.Millisecond)
 	r.Mend()
 	set(0, "up", false)
-	// The other one stands still.
+	// The other one stands still, and then the first is killed again: no relay answers, so that discovery has to tell.
 	r.procs["b"].Signal(syscall.SIGSTOP)
-	time.Sleep(3500 * time.Millisecond)
+	time.Sleep(time.Second)
+	r.finish("a")
 	set(1, "up", false)
 	set(2, "draining", false)
-	time.Sleep(3500 * time.Millisecond)
+	time.Sleep(toldWithin + 1500*time.Millisecond)
+	r.begin("a")
 	r.procs["b"].Signal(syscall.SIGCONT)
-	time.Sleep(4 * time.Second)
+	time.Sleep(3 * time.Second)
 	// Two regions lose each other: relay b and one node on one side, all others on the other.
 	here := []links.End{end(0), end(1), end(relayA), end(theOne), end(theirs)}
 	there := []links.End{end(apartOne), end(relayB)}
@@ -440,8 +462,8 @@
 	time.Sleep(7 * time.Second)
 	for _, one := range both {
 		one.Mend()
-		one.book.Tell(ledger.Told{Node: apartOne, Life: 1, Server: 2, Health: model.Up, At: one.at(time.Now())},
-			ledger.Told{Node: apartOne, Life: 1, Server: 3, Health: model.Draining, At: one.at(time.Now().Add(toldWithin))})
+		one.hear(apartOne, 2, "up")
+		one.hear(apartOne, 3, "draining")
 	}
 	time.Sleep(toldWithin + time.Second)
 	last := time.Now()
@@ -461,6 +483,7 @@
 		}
 		late := func(at int64) int64 { return machine.late(at + int64(one.from.Sub(r.from))) }
 		one.order(late)
+		one.tell()
 		one.book.Close()
 		breaks := one.book.Judge(kinds, ledger.Rules{StopSending: int64(500 * time.Millisecond), Slack: int64(50 * time.Millisecond),
 			Late: late})
