A move of discovery while a call waits, on sockets

Measured: go test ./internal/node -run MoveWhile -count 5 passed; red with the place's end not heard in discover.Call.

--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -271,3 +271,19 @@
 	n.discovery.move("127.0.0.1:1")
 	n.learn(t, listText(3, true)) // what stays of it costs the tests after it nothing
 }
+
+// A new address is called at once while a call to the old one waits, and that one is let go.
+func TestMoveWhileACallWaits(t *testing.T) {
+	text := listText(2, true, listEntry("s-0", "127.0.0.1:1", "up"))
+	old, young := turnsOf(t, 0, 1000, text), turnsOf(t, 0, 0, text)
+	n := atATenth(t, "push", old.address)
+	n.discovery.head, n.discovery.wait = time.Hour, time.Hour
+	go n.start()
+	soon(t, "the call that waits", func() bool { return old.now.Load() == 1 })
+	n.discovery.move(young.address)
+	soon(t, "the list of the new place", func() bool { return n.count(listLines) == 1 })
+	soon(t, "the old place let go", func() bool { return old.now.Load() == 0 })
+	if n.count(listCallsFailed) != 0 || old.calls.Load() != 1 || young.calls.Load() != 1 {
+		t.Errorf("%d calls at the old place, %d at the new, %d failed", old.calls.Load(), young.calls.Load(), n.count(listCallsFailed))
+	}
+}
