Rig: the answer to a try its client gave up was taken for a second answer to the one before

By reading: a rider kept the try answered last on its connection (last) while the next was out. Where that next client left, or its time ended, and its answer came between that moment and the look before the close, what stood on the connection was written down as a second answer to the try before. The node had written one answer to each. Ruled out by reading in internal/node: no way writes on a client's connection without a task of its own (a 408 is its task's one answer and the last; answers and bodies of this scenario are too short to flow; 100 Continue is not asked for).

What is written down as second is now only what comes while nothing has been asked for since. TestWhatStandsOnAConnection forces both orders on real sockets: failed with the line taken out ("a second answer: true"), passes with it, also under -race; a second answer with nothing asked for is still caught there and by TestLedgerCatches.

--- a/internal/lab/rig/client.go
+++ b/internal/lab/rig/client.go
@@ -88,7 +88,7 @@
 	conn net.Conn
 	in   *reader
 	work chan *try
-	last *ledger.Try
+	last *ledger.Try // the try whose answer came last, while nothing has been written behind it
 	text []byte
 }
 
@@ -326,6 +326,7 @@
 		r.pool.side.after(t, record.Lost, true, 0)
 		return false, nil
 	}
+	r.last = nil // what comes from here on is this try's answer, also where nobody waits for it any more
 	now := d.now()
 	rec := &ledger.Try{ID: t.id, Task: t.task.N, Node: r.pool.node.index, Life: life, Category: t.task.Category, Whole: now, Hard: t.hard,
 		From: t.crossed}
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"runtime"
 	"strings"
@@ -16,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"fawnglade/internal/lab/ledger"
+	"fawnglade/internal/lab/plan"
 	"fawnglade/internal/lab/record"
 	"fawnglade/internal/lab/scenario"
 )
@@ -319,3 +321,70 @@
 		b.Close()
 	}
 }
+
+// What comes behind an answer is a second one only while the client has asked for nothing since: the answer to a try that its client
+// has just given up comes on the same connection, and was owed.
+func TestWhatStandsOnAConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		asked  bool // a second try, which its client gives up before it is answered
+		second bool
+	}{
+		"nothing was asked":             {second: true},
+		"the try behind it is given up": {asked: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			speak := make(chan struct{})
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				in := bufio.NewReader(conn)
+				const answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+				if _, err := http.ReadRequest(in); err == nil {
+					io.WriteString(conn, answer)
+				}
+				<-speak
+				io.WriteString(conn, answer)
+			}()
+			d := &Day{scenario: parse(t, small), t0: time.Now(), ledger: &ledger.Ledger{}, over: make(chan struct{})}
+			n := &node{day: d, address: l.Addr().String()}
+			side := &clients{day: d, outcomes: make([]record.Outcome, 2), wake: make(chan struct{}, 1)}
+			r := &rider{pool: &pool{side: side, node: n, all: map[*rider]struct{}{}}}
+			try := func(id int, leaves time.Duration) *try {
+				now := d.now()
+				return &try{task: &plan.Task{N: id, Due: now, Leaves: int64(leaves), Customer: -1, Key: -1}, hard: now + int64(5*time.Second),
+					id: fmt.Sprint("t", id)}
+			}
+			if goesOn, again := r.do(try(0, 0)); !goesOn || again != nil {
+				t.Fatal("the first try ended its connection")
+			}
+			first := r.last
+			if c.asked {
+				r.do(try(1, 20*time.Millisecond))
+				if r.conn == nil || side.outcomes[1].State != record.Left {
+					t.Fatalf("the second try ended as %v", side.outcomes[1].State)
+				}
+			}
+			close(speak)
+			r.conn.SetReadDeadline(time.Time{})
+			for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+				if more, _ := standing(r.conn); more {
+					break
+				}
+				if time.Now().After(end) {
+					t.Fatal("nothing came")
+				}
+			}
+			r.close()
+			if got := first.Extra != ledger.Never; got != c.second {
+				t.Errorf("a second answer: %t", got)
+			}
+		})
+	}
+}
