A keyed request stays in its group also where its server leaves the list while it is out

By reading: a resend or second copy compared its target's zone and cell with what the earlier attempt's server is listed with now.

An attempt now holds the zone and cell in which its server stood when it was sent. TestServerLeavesTheListWhileARequestIsOut, 16 cases over real sockets (zone and cell; a whole list without it, a line alone, a line with other places, a move), fails without it in 14: sent outside the group, or broken off though a fellow stood there. go test ./policy passes.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -219,6 +219,55 @@
 	}
 }
 
+// A keyed request that may have run stays in its group also where its server leaves the list while it is out: a whole list that lacks a
+// server, or a line that only calls it removed, tells nothing of where it stood.
+func TestServerLeavesTheListWhileARequestIsOut(t *testing.T) {
+	in := func(site string, block int, entry string) string {
+		return strings.NewReplacer(`"site":"a"`, fmt.Sprintf(`"site":%q`, site), `"block":1`, fmt.Sprintf(`"block":%d`, block)).Replace(entry)
+	}
+	for group, there := range map[string]func(entry string) string{
+		"zone": func(entry string) string { return in("b", 0, entry) },
+		"cell": func(entry string) string { return in("a", 3, entry) },
+	} {
+		other := func(entry string) string { return in("a", 0, entry) } // the first zone and cell by number
+		for name, list := range map[string]func(gone, fellow, outside string) string{
+			"a whole list without it": func(_, fellow, outside string) string { return listText(2, true, fellow, outside) },
+			"a line of its own": func(gone, fellow, outside string) string {
+				return listText(2, false, `{"host":"s-0","health":"removed"}`, fellow, outside)
+			},
+			"a line, and a list": func(gone, fellow, outside string) string { return listText(2, false, fellow, outside, gone) },
+			"it moves, as listed": func(_, fellow, outside string) string {
+				return listText(2, false, other(listEntry("s-0", "127.0.0.1:1", "draining")), fellow, outside)
+			},
+		} {
+			for _, outside := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s, %s, somebody else there: %t", group, name, !outside), func(t *testing.T) {
+					t.Parallel()
+					gate := newGate(t)
+					first, _ := serverOf(t, func(net.Conn, *http.Request, string) bool { gate.wait(); return false }) // cut: it may have run
+					fellow, _ := serverOf(t, echo)
+					elsewhere, strangers := serverOf(t, echo)
+					n := newNode(t, with(`"group":"zone"`, fmt.Sprintf(`"group":%q`, group)))
+					n.start()
+					n.learn(t, listText(1, true, there(listEntry("s-0", first, "up"))))
+					client, answers := dial(t, n)
+					io.WriteString(client, taskText("update", "t1", "x"))
+					gate.held(t, 1)
+					inGroup, want := there(listEntry("s-1", fellow, "up")), 200
+					if outside {
+						inGroup, want = there(listEntry("s-1", fellow, "draining")), 502
+					}
+					n.learn(t, list(listEntry("s-0", first, "removed"), inGroup, other(listEntry("s-2", elsewhere, "up"))))
+					gate.pass()
+					if status, _, _ := answerOn(answers); status != want || strangers.Load() != 0 {
+						t.Errorf("answered %d, want %d; sent outside its group %d times", status, want, strangers.Load())
+					}
+				})
+			}
+		}
+	}
+}
+
 // A second copy that is still on its way to a server when the first is answered is not written, also where none may be recalled.
 func TestAnswerCrossesACopyThatDials(t *testing.T) {
 	answers := newGate(t)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,12 +54,12 @@
 )
 
 type handOff struct {
-	server                   *server
-	sentAt, gap              int64 // gap: for how long its connection had been idle
-	crowd, cost, predicted   float64
-	wait, alone              float64 // for which its kinds wait anywhere; its time alone at the server
-	open, mayHaveRun, blamed bool
-	home, dead               bool // of its key; its connection was taken for one that died idle
+	server                               *server
+	sentAt, gap                          int64 // gap: for how long its connection had been idle
+	crowd, cost, predicted               float64
+	wait, alone                          float64 // for which its kinds wait anywhere; its time alone at the server
+	zone, pod                            int     // where its server stood: by now it may be listed elsewhere, or nowhere
+	open, mayHaveRun, blamed, home, dead bool    // home: of its key; dead: its connection was taken for one that died idle
 }
 
 type task struct {
@@ -270,7 +270,7 @@
 		}
 	}
 	s.usedAt = now
-	t.handOffs = append(t.handOffs, handOff{server: s, sentAt: now, gap: gap, cost: cost, open: true,
+	t.handOffs = append(t.handOffs, handOff{server: s, zone: s.Zone, pod: s.Pod, sentAt: now, gap: gap, cost: cost, open: true,
 		home: s.home, wait: t.kinds.Wait(now), alone: p.Way[s.Zone] + cost*s.pod.Level()*s.Own.Level(),
 		crowd: float64(s.out), predicted: float64(p.predict(s, cost))})
 	t.open++
@@ -503,7 +503,7 @@
 		}
 		group := t.category.Group
 		if t.category.Repeat == Exclusive || now-h.sentAt >= t.category.Memory ||
-			group == SamePod && h.server.Pod != s.Pod || group == SameZone && h.server.Zone != s.Zone {
+			group == SamePod && h.pod != s.Pod || group == SameZone && h.zone != s.Zone {
 			return false
 		}
 	}
