A server that a list leaves out keeps its zone, cell and start for the decisions

Where removal_not_binding lets it be sent to, it then stood in the first zone and cell by number, so a keyed request could be sent to it from outside its group, and counted as warm.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -268,6 +268,56 @@
 	}
 }
 
+// Where being left out of the list binds nothing, a server that is left out still stands in its zone and cell.
+func TestServerThatIsLeftOutStandsWhereItStood(t *testing.T) {
+	for group, change := range map[string]*strings.Replacer{
+		"zone": strings.NewReplacer(`"site":"a"`, `"site":"b"`),
+		"cell": strings.NewReplacer(`"block":1`, `"block":3`),
+	} {
+		for name, list := range map[string]string{"a whole list without it": "", "a line of its own": `{"host":"s-0","health":"removed"}`} {
+			t.Run(group+", "+name, func(t *testing.T) {
+				t.Parallel()
+				var mu sync.Mutex
+				ran, both := map[string]bool{}, 0
+				failing, attempts := serverOf(t, func(c net.Conn, r *http.Request, _ string) bool {
+					mu.Lock()
+					ran[r.Header.Get(headerTask)] = true
+					mu.Unlock()
+					return say(c, "500 Bad", "")
+				})
+				left, served := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
+					mu.Lock()
+					if ran[r.Header.Get(headerTask)] {
+						both++
+					}
+					mu.Unlock()
+					return echo(c, r, body)
+				})
+				n := newNode(t, with(`"group":"zone"`, fmt.Sprintf(`"group":%q`, group), `"rules":{`, `"rules":{"removal_not_binding":true,`))
+				n.start()
+				stays := listEntry("s-1", failing, "up")
+				if group == "cell" {
+					stays = strings.Replace(stays, `"block":1`, `"block":0`, 1)
+				}
+				n.learn(t, listText(1, true, change.Replace(listEntry("s-0", left, "up"))))
+				if list == "" {
+					n.learn(t, listText(2, true, stays))
+				} else {
+					n.learn(t, listText(2, false, list, stays))
+				}
+				for i := 0; i < 200 && (attempts.Load() == 0 || served.Load() == 0 || i < 20); i++ {
+					ask(t, n, "update", fmt.Sprint("t", i), "")
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if attempts.Load() == 0 || served.Load() == 0 || both > 0 {
+					t.Errorf("%d attempts failed, %d served where the list lacks the server, %d of them outside their group", attempts.Load(), served.Load(), both)
+				}
+			})
+		}
+	}
+}
+
 // A second copy that is still on its way to a server when the first is answered is not written, also where none may be recalled.
 func TestAnswerCrossesACopyThatDials(t *testing.T) {
 	answers := newGate(t)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -32,10 +32,10 @@
 
 func (c clock) at(ns int64) time.Time { return c.start.Add(time.Duration(ns - c.start.UnixNano())) }
 
-// listedAs is what the list calls a server, and where it is.
+// listedAs is what the list calls a server, where it is, and what it said of it last.
 type listedAs struct {
 	name, address string
-	started       int64
+	policy.Listed
 }
 
 type loop struct {
@@ -239,19 +239,23 @@
 func (l *loop) take(entries []entry, whole bool) {
 	list := make([]policy.Listed, 0, len(entries))
 	for _, e := range entries {
+		old, known := l.fleet[e.Server]
+		if known && e.State == policy.Gone { // who is left out or only called removed stands where it stood, and started when it did
+			e.Listed = old.Listed
+			e.State = policy.Gone
+		}
 		list = append(list, e.Listed)
 		if e.State == policy.Gone && l.node.settings.Policy.GoneMayServe && len(l.fleet) <= mostKept {
 			continue // it may still be sent to: what it is called and where it is stays known, and its connections open
 		}
 		l.node.servers.listed(e.Server, e.address, e.State == policy.Active)
-		old := l.fleet[e.Server]
-		if old.address != "" && (old.address != e.address || e.State != policy.Active || e.Started > old.started) {
+		if old.address != "" && (old.address != e.address || e.State != policy.Active || e.Started > old.Started) {
 			go l.node.servers.forget(place{e.Server, old.address})
 		}
 		if e.State == policy.Gone {
 			delete(l.fleet, e.Server)
 		} else if e.address != "" {
-			l.fleet[e.Server] = listedAs{e.name, e.address, e.Started}
+			l.fleet[e.Server] = listedAs{e.name, e.address, e.Listed}
 		}
 	}
 	l.handle(nil, func() { l.policy.ListLearned(l.now, list, whole) })
