--- a/internal/lab/world/discovery.go
+++ b/internal/lab/world/discovery.go
@@ -203,8 +203,10 @@
 	}
 	if n.set.Policy.MustAsk {
 		n.enter(func() { n.decider.ListFailed(n.clock()) })
+		n.failures++
+		last := n.failures
 		d.in(mostApart, func() {
-			if n.alive && n.life == w.life {
+			if n.alive && n.life == w.life && n.failures == last { // else the decisions have asked sooner, and that failed too
 				n.call()
 			}
 		})
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -65,6 +65,7 @@
 	woken    int
 	watch    *watch
 	version  int64
+	failures int   // of calls for the list
 	wait     int64 // until it calls for the list by itself again
 	view     *members.Members
 	hearing  *hearing
