A keyed request that the whole group of servers may have forgotten is not declined

Cause, by reading: a decline tells a client that asking again does no harm. For a keyed request whose group is the whole fleet it was given at any time, also behind the span for which servers remember it, so the client's next try could run it again; the same where a process that ends gives up what is out (loop.giveUp).

Now only within the span, else a break-off.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -584,6 +584,39 @@
 	}
 }
 
+// A keyed request that may have run is declined only where every server would drop its repeat, and only for as long as they would.
+func TestDeclineOfAKeyedRequest(t *testing.T) {
+	silent, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool { io.Copy(io.Discard, c); return false })
+	for name, c := range map[string]struct {
+		group  string
+		span   string
+		ends   bool // the process does, else the request's time
+		status int
+	}{
+		"all, remembered":                  {"all", "30000000", false, 503},
+		"all, forgotten by then":           {"all", "1000", false, 502},
+		"its zone":                         {"zone", "30000000", false, 502},
+		"at the end, all, remembered":      {"all", "30000000", true, 503},
+		"at the end, all, forgotten":       {"all", "1000", true, 502},
+		"at the end, its zone, remembered": {"zone", "30000000", true, 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := nodeWith(t, with(`"group":"zone"`, fmt.Sprintf(`"group":%q`, c.group), `"memory_span_us":2000000`, `"memory_span_us":`+c.span), silent)
+			client, in := dial(t, n)
+			io.WriteString(client, taskText("update", "t1", ""))
+			soon(t, "it is out", func() bool { return n.count(handOffsSent) == 1 })
+			time.Sleep(5 * time.Millisecond) // longer than the short memory
+			if c.ends {
+				n.loop.enter(n.loop.giveUp)
+			}
+			if status, _, _ := answerOn(in); status != c.status {
+				t.Errorf("answered %d, want %d", status, c.status)
+			}
+		})
+	}
+}
+
 // What has no answer shortly before the platform kills a process is given up: a decline where another try does no harm.
 func TestWhatIsOutAtTheEndIsGivenUp(t *testing.T) {
 	silent, tasks := serverOf(t, func(c net.Conn, r *http.Request, body string) bool {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -111,8 +111,9 @@
 	l.over = true
 	for id, x := range l.tasks {
 		c := l.node.settings.Policy.Categories[x.task.Category]
-		mayHaveRun := slices.ContainsFunc(x.handOffs, func(h *handOff) bool { return !h.neverRan })
-		if !mayHaveRun || c.Repeat == policy.Rerunnable || c.Repeat == policy.Ticketed && c.Group == policy.WholeFleet {
+		again := c.Repeat == policy.Ticketed && c.Group == policy.WholeFleet
+		mayHaveRun := slices.ContainsFunc(x.handOffs, func(h *handOff) bool { return !h.neverRan && !(again && l.now < h.sentAt+c.Memory) })
+		if !mayHaveRun || c.Repeat == policy.Rerunnable {
 			l.Decline(id, 0)
 		} else {
 			l.BreakOff(id)
--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -103,8 +103,8 @@
 	}
 	c := w.set.Categories[t.task.Category]
 	for _, h := range t.handOffs {
-		if !h.neverOK && c.Repeat != Rerunnable && (c.Repeat == Exclusive || c.Group != WholeFleet) {
-			w.fail("rule 2: declined though it may have run")
+		if !h.neverOK && c.Repeat != Rerunnable && (c.Repeat == Exclusive || c.Group != WholeFleet || w.now-h.at >= c.Memory) {
+			w.fail("rule 2: declined though it may have run, after %d of a memory of %d", w.now-h.at, c.Memory)
 		}
 	}
 	if comeBackIn < 0 || comeBackIn > w.set.MaxAdvice {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -300,9 +300,10 @@
 }
 
 // mayDecline tells whether a client may be told that asking again does no harm.
-func mayDecline(t *task) bool {
-	return t.category.Repeat == Rerunnable || t.category.Repeat == Ticketed && t.category.Group == WholeFleet ||
-		!slices.ContainsFunc(t.handOffs, func(h handOff) bool { return h.open || h.mayHaveRun })
+func mayDecline(now int64, t *task) bool {
+	return t.category.Repeat == Rerunnable || !slices.ContainsFunc(t.handOffs, func(h handOff) bool {
+		return (h.open || h.mayHaveRun) && (t.category.Repeat != Ticketed || t.category.Group != WholeFleet || now-h.sentAt >= t.category.Memory)
+	})
 }
 
 // giveUp answers at once: a decline where asking again does no harm, else a break-off.
@@ -310,7 +311,7 @@
 	if t.kinds.Away(); t.kinds.Wait(now) < float64(t.category.SoftLimit)/2 { // else others yield in vain
 		p.of[t.Task.Category].Fare(false)
 	}
-	if mayDecline(t) {
+	if mayDecline(now, t) {
 		p.host.Decline(t.ID, min(p.set.MaxAdvice, t.category.SoftLimit/4))
 	} else {
 		p.host.BreakOff(t.ID)
@@ -501,8 +502,7 @@
 		if !h.mayHaveRun && !h.open || t.category.Repeat == Rerunnable {
 			continue
 		}
-		group := t.category.Group
-		if t.category.Repeat == Exclusive || now-h.sentAt >= t.category.Memory ||
+		if group := t.category.Group; t.category.Repeat == Exclusive || now-h.sentAt >= t.category.Memory ||
 			group == SamePod && h.pod != s.Pod || group == SameZone && h.zone != s.Zone {
 			return false
 		}
