--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -195,7 +195,7 @@
 // next to end: a task may already be written to this one, so it can't be closed without an answer.
 func (s *clients) admit(raw net.Conn) {
 	now := time.Now()
-	c := &client{side: s, conn: newConn(raw), turns: make(chan *exchange, pipelined), opened: now, lastUse: now}
+	c := &client{side: s, conn: newConn(raw), turns: make(chan *exchange, pipelined), lastUse: now}
 	s.atDoor.Add(1)
 	defer s.atDoor.Add(-1)
 	for waited := false; !s.enter(c); waited = true {
@@ -204,6 +204,7 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
+	c.opened = time.Now() // what it waited at the door is not its doing
 	go c.write()
 	go c.read()
 }
@@ -432,7 +433,7 @@
 	first := !c.used
 	for len(c.conn.pending()) == 0 {
 		if first {
-			c.readFor(time.Until(c.opened.Add(slowHead)))
+			c.readFor(max(time.Until(c.opened.Add(slowHead)), lingers)) // what is there is read, also where its time has just ended
 		} else {
 			c.readFor(idleClient)
 		}
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -598,6 +598,45 @@
 	}
 }
 
+// A connection whose first bytes come just as its time for them ends is read, and is no endless loop.
+func TestFirstBytesComeAsTheirTimeEnds(t *testing.T) {
+	n := nodeWith(t, nil)
+	l, err := net.Listen("tcp", address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	own, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer own.Close()
+	io.WriteString(peer, "GET "+pathReady+" HTTP/1.1\r\nHost: h\r\n\r\n")
+	c := &client{side: n.clients, conn: newConn(own), turns: make(chan *exchange, 1), opened: time.Now().Add(-slowHead)}
+	soon(t, "the request", c.conn.has)
+	read := make(chan error, 1)
+	go func() {
+		r, err := c.next(newExchange())
+		if err == nil && r.URL.Path != pathReady {
+			err = fmt.Errorf("read %s", r.URL.Path)
+		}
+		read <- err
+	}()
+	select {
+	case err := <-read:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the reader goes round and round")
+	}
+}
+
 // A keyed request that may have run is declined only where every server would drop its repeat, and only for as long as they would.
 func TestDeclineOfAKeyedRequest(t *testing.T) {
 	silent, _ := serverOf(t, func(c net.Conn, r *http.Request, body string) bool { io.Copy(io.Discard, c); return false })
