--- a/internal/lab/rig/client.go
+++ b/internal/lab/rig/client.go
@@ -256,8 +256,8 @@
 		r.conn.Close()
 		r.pool.mu.Lock()
 		delete(r.pool.all, r)
+		r.conn, r.in = nil, nil // the day's end asks for it as well
 		r.pool.mu.Unlock()
-		r.conn, r.in = nil, nil
 	}
 }
 
@@ -309,8 +309,8 @@
 			r.pool.side.after(t, record.Lost, true, 0)
 			return false, nil
 		}
-		r.conn, r.in, r.last = c, newReader(c, d.now), nil
 		r.pool.mu.Lock()
+		r.conn, r.in, r.last = c, newReader(c, d.now), nil
 		r.pool.all[r] = struct{}{}
 		r.pool.mu.Unlock()
 	}
@@ -425,8 +425,8 @@
 	r.pool.mu.Lock()
 	delete(r.pool.all, r)
 	r.pool.all[parked] = struct{}{}
-	r.pool.mu.Unlock()
 	r.conn, r.in, r.last = nil, nil, nil
+	r.pool.mu.Unlock()
 }
 
 // after ends a try that did not satisfy, and sends the task again where a client would.
@@ -474,15 +474,9 @@
 func (c *clients) close() {
 	for _, p := range c.pools {
 		p.mu.Lock()
-		var all []*rider
 		for r := range p.all {
-			all = append(all, r)
+			r.conn.Close() // who is in all has one
 		}
 		p.mu.Unlock()
-		for _, r := range all {
-			if conn := r.conn; conn != nil {
-				conn.Close()
-			}
-		}
 	}
 }
