--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,12 +54,13 @@
 )
 
 type handOff struct {
-	server                               *server
-	sentAt, gap                          int64 // gap: for how long its connection had been idle
-	crowd, cost, predicted               float64
-	wait, alone                          float64 // for which its kinds wait anywhere; its time alone at the server
-	zone, pod                            int     // where its server stood: by now it may be listed elsewhere, or nowhere
-	open, mayHaveRun, blamed, home, dead bool    // home: of its key; dead: its connection was taken for one that died idle
+	server                 *server
+	sentAt, gap            int64 // gap: for how long its connection had been idle
+	crowd, cost, predicted float64
+	wait, alone            float64 // for which its kinds wait anywhere; its time alone at the server
+	zone, pod              int     // where its server stood: by now it may be listed elsewhere, or nowhere
+	open, mayHaveRun       bool
+	blamed, home, dead     bool // home: of its key; dead: its connection was taken for one that died idle
 }
 
 type task struct {
@@ -270,9 +271,9 @@
 		}
 	}
 	s.usedAt = now
-	t.handOffs = append(t.handOffs, handOff{server: s, zone: s.Zone, pod: s.Pod, sentAt: now, gap: gap, cost: cost, open: true,
+	t.handOffs = append(t.handOffs, handOff{server: s, zone: s.Zone, pod: s.Pod, sentAt: now, gap: gap,
 		home: s.home, wait: t.kinds.Wait(now), alone: p.Way[s.Zone] + cost*s.pod.Level()*s.Own.Level(),
-		crowd: float64(s.out), predicted: float64(p.predict(s, cost))})
+		crowd: float64(s.out), predicted: float64(p.predict(s, cost)), cost: cost, open: true})
 	t.open++
 	t.kinds.Out(now, 1)
 	if now >= s.recalculate { // no report came for the design's longest time
@@ -301,8 +302,9 @@
 
 // mayDecline tells whether a client may be told that asking again does no harm.
 func mayDecline(now int64, t *task) bool {
+	all := t.category.Repeat == Ticketed && t.category.Group == WholeFleet
 	return t.category.Repeat == Rerunnable || !slices.ContainsFunc(t.handOffs, func(h handOff) bool {
-		return (h.open || h.mayHaveRun) && (t.category.Repeat != Ticketed || t.category.Group != WholeFleet || now-h.sentAt >= t.category.Memory)
+		return (h.open || h.mayHaveRun) && !(all && now-h.sentAt < t.category.Memory)
 	})
 }
 
