--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -231,9 +231,9 @@
 func (d *Decider) giveUp(r *request, class *policy.Class) {
 	r.done = true
 	if class.Idempotency == policy.Idempotent || !r.mayHaveRun {
-		d.effects.Reject(r.ID, min(d.settings.MaxRetryAfter, class.LatencyObjective/4))
+		d.effects.Reject(r.ID, min(d.settings.MaxRetryAfter, class.LatencyObjective/4), policy.ReasonNone)
 	} else {
-		d.effects.Fail(r.ID)
+		d.effects.Fail(r.ID, policy.ReasonNone)
 	}
 	delete(d.requests, r.ID)
 }
--- a/internal/lab/result/page.go
+++ b/internal/lab/result/page.go
@@ -204,6 +204,7 @@
 <h2>Hand-offs</h2><p>{{with .Result.Attempts}}{{.Sent}} sent: {{.Succeeded}} satisfied, {{.Rejected}} turned away, {{.Errors}} errors, {{.Unanswered}} unanswered; double effects {{.DoubleEffects}}{{end}}</p>
 <h2>Nodes</h2><table><tr><th>node</th><th>CPU s</th><th>MB at most</th><th>descriptors at most</th><th>starts</th><th>crashes</th></tr>
 {{range .Result.Nodes}}<tr><td>{{.Node}}</td><td>{{printf "%.2f" .CPUSeconds}}</td><td>{{printf "%.0f" .MaxMemoryMB}}</td><td>{{.MaxDescriptors}}</td><td>{{.Starts}}</td><td>{{.Crashes}}</td></tr>{{end}}</table>
+{{if .Result.GivenUp}}<h2>Given up, by the nodes' reasons</h2><ul>{{range $reason, $n := .Result.GivenUp}}<li>{{$reason}}: {{$n}}</li>{{end}}</ul>{{end}}
 {{if .Result.Oddities}}<h2>Seen besides</h2><ul>{{range $what, $n := .Result.Oddities}}<li>{{$what}}: {{$n}}</li>{{end}}</ul>{{end}}
 </body></html>
 `))
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -51,7 +51,8 @@
 	Attempts        Attempts               `json:"hand_offs"`
 	Nodes           []trace.NodeUsage      `json:"nodes"`
 	BadClients      trace.BadClientCounts  `json:"bad_clients"`
-	Oddities        map[string]int         `json:"odd,omitempty"` // by description: how often
+	Oddities        map[string]int         `json:"odd,omitempty"`      // by description: how often
+	GivenUp         map[string]int         `json:"given_up,omitempty"` // requests, by the node's reason: no evidence, but a cause to look for
 	Faults          []FaultSpan            `json:"faults,omitempty"`
 	SlowStart       *SlowStart             `json:"cold,omitempty"`
 	Endpoints       []string               `json:"servers"`
--- a/internal/lab/result/text.go
+++ b/internal/lab/result/text.go
@@ -32,6 +32,9 @@
 	if b := r.BadClients; b.Came > 0 {
 		fmt.Fprintf(&out, "bad clients %d: %d got neither an error nor a close, %d were served\n", b.Came, b.Unanswered, b.Served)
 	}
+	for _, reason := range slices.Sorted(maps.Keys(r.GivenUp)) {
+		fmt.Fprintf(&out, "given up: %s, %d times\n", reason, r.GivenUp[reason])
+	}
 	for _, what := range slices.Sorted(maps.Keys(r.Oddities)) {
 		fmt.Fprintf(&out, "seen: %s, %d times\n", what, r.Oddities[what])
 	}
--- a/internal/lab/scale/balancer.go
+++ b/internal/lab/scale/balancer.go
@@ -39,10 +39,10 @@
 func (*discardEffects) Cancel(policy.RequestID, int) {}
 
 // Reject implements policy.Effects.
-func (*discardEffects) Reject(policy.RequestID, time.Duration) {}
+func (*discardEffects) Reject(policy.RequestID, time.Duration, policy.Reason) {}
 
 // Fail implements policy.Effects.
-func (*discardEffects) Fail(policy.RequestID) {}
+func (*discardEffects) Fail(policy.RequestID, policy.Reason) {}
 
 // SetTimer implements policy.Effects.
 func (*discardEffects) SetTimer(policy.Time, uint64) {}
--- a/internal/lab/simulation/node.go
+++ b/internal/lab/simulation/node.go
@@ -481,14 +481,16 @@
 	h.notifyCanceled()
 }
 
-func (n *node) Reject(id policy.RequestID, comeBackIn time.Duration) {
+func (n *node) Reject(id policy.RequestID, comeBackIn time.Duration, reason policy.Reason) {
 	if x := n.requests[id]; x != nil {
+		n.sim.givenUp[reason.String()]++
 		n.respond(x, 503, int64(comeBackIn))
 	}
 }
 
-func (n *node) Fail(id policy.RequestID) {
+func (n *node) Fail(id policy.RequestID, reason policy.Reason) {
 	if x := n.requests[id]; x != nil {
+		n.sim.givenUp[reason.String()]++
 		n.respond(x, 502, 0)
 	}
 }
--- a/internal/lab/simulation/simulation.go
+++ b/internal/lab/simulation/simulation.go
@@ -98,6 +98,7 @@
 	deduplicators map[dedupKey]*model.Deduplicator
 	waits         map[int]int64
 	oddities      map[string]int
+	givenUp       map[string]int // by reason
 	loads         []trace.LoadSample
 	activity      []trace.FleetActivity
 	links         *netfault.Schedule
@@ -132,7 +133,7 @@
 		scenario: o.Scenario, plan: workload.Draw(o.Scenario, o.Seed), newDecider: o.NewDecider,
 		history: &invariant.History{}, random: rand.New(rand.NewPCG(o.Seed, 11)),
 		byID: map[policy.EndpointID]*endpoint{}, deduplicators: map[dedupKey]*model.Deduplicator{},
-		waits: map[int]int64{}, oddities: map[string]int{}, messageCounts: map[[2]netfault.End]uint64{},
+		waits: map[int]int64{}, oddities: map[string]int{}, givenUp: map[string]int{}, messageCounts: map[[2]netfault.End]uint64{},
 	}
 	d.links = d.plan.LinkFaults(d.scenario)
 	d.idPrefix = fmt.Sprintf("%08x", uint32(d.plan.Seed*2654435761))
@@ -175,7 +176,7 @@
 		Plan: d.plan, Virtual: true, Outcomes: d.clients.outcomes, History: d.history,
 		Violations: d.history.Check(trace.Classes(d.scenario), rules),
 		Loads:      d.loads, Activity: d.activity, Reach: trace.ReachOf(d.scenario, d.links, 0),
-		Views: d.views, Running: d.running, Oddities: d.oddities,
+		Views: d.views, Running: d.running, Oddities: d.oddities, GivenUp: d.givenUp,
 	}
 	r.Peaks.All, r.Peaks.Known = d.history.Peaks(rules)
 	for _, m := range d.endpoints {
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -90,6 +90,7 @@
 	Views      []MembershipView
 	Running    []RunningNodes
 	Oddities   map[string]int // violations of the protocol that are no rule's, by what was seen
+	GivenUp    map[string]int // requests that nodes gave up, by reason, as they say themselves
 	Void       bool           // the lab itself ran too late for a verdict
 	Lag        time.Duration  // of the lab, in all but the worst twentieth of the time
 	BadClients BadClientCounts
--- a/internal/node/attempt_test.go
+++ b/internal/node/attempt_test.go
@@ -104,7 +104,7 @@
 			[]string{`"cancelling":true`, `"cancelling":false`},
 			"batch",
 			func(t *testing.T, n *Node, _ net.Conn, _ string) {
-				n.loop.post(func() { n.loop.Reject("t1", 0) })
+				n.loop.post(func() { n.loop.Reject("t1", 0, policy.ReasonNone) })
 				n.flushLoop()
 			}, 503,
 		},
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 
 	"go.uber.org/zap"
+
+	"fawnglade/policy"
 )
 
 // counter is an event that is counted since the start of the process. Counters are for operators, who see them under
@@ -59,6 +61,20 @@
 	counterCount
 )
 
+// givenUpFor is the counter of the requests that were rejected or failed for a reason of the decisions.
+func givenUpFor(reason policy.Reason) counter { return counterCount + counter(reason) }
+
+// allCounters is the number of the counters, those of givenUpFor among them.
+const allCounters = counterCount + counter(policy.ReasonCount)
+
+// name returns the name of a counter in the log.
+func (c counter) name() string {
+	if c >= counterCount {
+		return "requests given up: " + policy.Reason(c-counterCount).String()
+	}
+	return counterNames[c]
+}
+
 var counterNames = [counterCount]string{
 	clientsAccepted:          "client connections accepted",
 	clientsEvicted:           "client connections evicted",
@@ -106,16 +122,16 @@
 	panics:                   "panics",
 }
 
-type counters [counterCount]atomic.Int64
+type counters [allCounters]atomic.Int64
 
 // add counts one event; any goroutine may call it.
 func (c *counters) add(what counter) { c[what].Add(1) }
 
 // log writes all counters into one log entry.
 func (c *counters) log(log *zap.Logger, why string) {
-	fields := make([]zap.Field, counterCount)
+	fields := make([]zap.Field, allCounters)
 	for i := range fields {
-		fields[i] = zap.Int64(counterNames[i], c[i].Load())
+		fields[i] = zap.Int64(counter(i).name(), c[i].Load())
 	}
 	log.Info("counters "+why, fields...)
 }
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -62,16 +62,25 @@
 
 // Reject answers with 503: the client may retry without harm, as the request has not run, or running it again is
 // harmless (policy.MayReject). retryAfter goes to the client as Retry-After; 0: without one.
-func (l *eventLoop) Reject(id policy.RequestID, retryAfter time.Duration) {
-	if request := l.requests[id]; request != nil {
-		l.finish(request, requestsRejected, response{status: http.StatusServiceUnavailable, retryAfter: retryAfter})
+func (l *eventLoop) Reject(id policy.RequestID, retryAfter time.Duration, reason policy.Reason) {
+	request := l.requests[id]
+	if request == nil {
+		return
+	}
+	answer := response{status: http.StatusServiceUnavailable, retryAfter: retryAfter}
+	if l.finish(request, requestsRejected, answer) {
+		l.node.counters.add(givenUpFor(reason))
 	}
 }
 
 // Fail answers with 502: the request may have run, and running it again may do harm.
-func (l *eventLoop) Fail(id policy.RequestID) {
-	if request := l.requests[id]; request != nil {
-		l.finish(request, requestsFailed, response{status: http.StatusBadGateway})
+func (l *eventLoop) Fail(id policy.RequestID, reason policy.Reason) {
+	request := l.requests[id]
+	if request == nil {
+		return
+	}
+	if l.finish(request, requestsFailed, response{status: http.StatusBadGateway}) {
+		l.node.counters.add(givenUpFor(reason))
 	}
 }
 
--- a/internal/simadapter/actions.go
+++ b/internal/simadapter/actions.go
@@ -50,12 +50,12 @@
 }
 
 // Reject implements policy.Effects.
-func (i *instance) Reject(request policy.RequestID, retryAfter time.Duration) {
+func (i *instance) Reject(request policy.RequestID, retryAfter time.Duration, _ policy.Reason) {
 	i.action(actionReject).text(string(request)).int(roundUpToMicroseconds(int64(retryAfter))).write()
 }
 
 // Fail implements policy.Effects.
-func (i *instance) Fail(request policy.RequestID) {
+func (i *instance) Fail(request policy.RequestID, _ policy.Reason) {
 	i.action(actionFail).text(string(request)).write()
 }
 
--- a/policy/digest_test.go
+++ b/policy/digest_test.go
@@ -190,12 +190,12 @@
 	r.canceled[fmt.Sprint(req, number)] = true
 }
 
-func (r *digestRun) Reject(req policy.RequestID, advice time.Duration) {
+func (r *digestRun) Reject(req policy.RequestID, advice time.Duration, _ policy.Reason) {
 	r.note("reject", req, int64(advice))
 	r.answered[req] = true
 }
 
-func (r *digestRun) Fail(req policy.RequestID) {
+func (r *digestRun) Fail(req policy.RequestID, _ policy.Reason) {
 	r.note("fail", req)
 	r.answered[req] = true
 }
--- a/policy/hedging.go
+++ b/policy/hedging.go
@@ -57,7 +57,7 @@
 }
 
 func (b *Balancer) hedge(now Time, req *request) {
-	ep := b.selectEndpoint(now, req)
+	ep, _ := b.selectEndpoint(now, req)
 	if ep != nil && b.hedging.available >= 1 {
 		b.hedging.available--
 		b.sendTo(now, req, ep)
--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -19,6 +19,7 @@
 	gossiped         []GossipMessage
 	checked          []EndpointID
 	retryAfter       time.Duration
+	reason           Reason // of the last request that was given up
 }
 
 func (r *recorder) Send(_ RequestID, s EndpointID, wait time.Duration) {
@@ -27,11 +28,11 @@
 
 func (r *recorder) Cancel(RequestID, int) { r.canceled++ }
 
-func (r *recorder) Reject(_ RequestID, advice time.Duration) {
-	r.rejected, r.retryAfter = r.rejected+1, advice
+func (r *recorder) Reject(_ RequestID, advice time.Duration, reason Reason) {
+	r.rejected, r.retryAfter, r.reason = r.rejected+1, advice, reason
 }
 
-func (r *recorder) Fail(RequestID) { r.failed++ }
+func (r *recorder) Fail(_ RequestID, reason Reason) { r.failed, r.reason = r.failed+1, reason }
 
 func (r *recorder) SetTimer(_ Time, timer uint64) { r.timers = append(r.timers, timer) }
 
@@ -130,9 +131,9 @@
 
 func (*lastSendRecorder) Cancel(RequestID, int) {}
 
-func (*lastSendRecorder) Reject(RequestID, time.Duration) {}
+func (*lastSendRecorder) Reject(RequestID, time.Duration, Reason) {}
 
-func (*lastSendRecorder) Fail(RequestID) {}
+func (*lastSendRecorder) Fail(RequestID, Reason) {}
 
 func (*lastSendRecorder) SetTimer(Time, uint64) {}
 
--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -100,7 +100,7 @@
 	return t
 }
 
-func (w *model) Reject(id RequestID, comeBackIn time.Duration) {
+func (w *model) Reject(id RequestID, comeBackIn time.Duration, _ Reason) {
 	t := w.finalAnswer(id)
 	if t == nil {
 		return
@@ -120,7 +120,7 @@
 	}
 }
 
-func (w *model) Fail(id RequestID) { w.finalAnswer(id) }
+func (w *model) Fail(id RequestID, _ Reason) { w.finalAnswer(id) }
 
 func (w *model) SetTimer(at Time, timer uint64) {
 	if at < w.now {
--- a/policy/recovery_test.go
+++ b/policy/recovery_test.go
@@ -158,14 +158,14 @@
 	}
 }
 
-func (n *simulatedNode) Reject(id RequestID, _ time.Duration) {
+func (n *simulatedNode) Reject(id RequestID, _ time.Duration, _ Reason) {
 	a := n.open[id]
 	if delete(n.open, id); a.tries < 3 {
 		n.after(ms, func() { n.send(a) })
 	}
 }
 
-func (n *simulatedNode) Fail(id RequestID) { delete(n.open, id) }
+func (n *simulatedNode) Fail(id RequestID, _ Reason) { delete(n.open, id) }
 func (n *simulatedNode) SetTimer(at Time, timer uint64) {
 	n.after(max(at.Sub(n.now), 1), func() { n.balancer.TimerFired(n.now, timer) })
 }
--- a/policy/request.go
+++ b/policy/request.go
@@ -119,11 +119,12 @@
 
 // sendOrGiveUp sends the request to a drawn endpoint, or gives it up if no endpoint may get it.
 func (b *Balancer) sendOrGiveUp(now Time, req *request) {
-	if ep := b.selectEndpoint(now, req); ep != nil {
-		b.sendTo(now, req, ep)
-	} else {
-		b.giveUp(now, req)
+	ep, reason := b.selectEndpoint(now, req)
+	if ep == nil {
+		b.giveUp(now, req, reason)
+		return
 	}
+	b.sendTo(now, req, ep)
 }
 
 func (b *Balancer) sendTo(now Time, req *request, ep *endpoint) {
@@ -163,7 +164,7 @@
 		}
 		b.finish(req)
 	case result.BodyConsumed:
-		b.giveUp(now, req)
+		b.giveUp(now, req, ReasonBodyConsumed)
 	case req.inFlight == 0:
 		b.sendOrGiveUp(now, req)
 	}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -17,21 +17,24 @@
 // still count for the success rate by which the other classes make room for it (latencyBudget).
 const maxSharedDelay = 0.5
 
-// mayAttempt reports whether the request may be sent to an endpoint now.
-func (b *Balancer) mayAttempt(now Time, req *request, ep *endpoint) bool {
-	if ep.State != StateActive || len(req.attempts) >= b.settings.MaxAttempts {
-		return false
+// forbidsAttempt returns why the request must not be sent to an endpoint now; ReasonNone: it may.
+func (b *Balancer) forbidsAttempt(now Time, req *request, ep *endpoint) Reason {
+	if ep.State != StateActive {
+		return ReasonNoEndpoint
+	}
+	if len(req.attempts) >= b.settings.MaxAttempts {
+		return ReasonAttemptsUsed
 	}
 	for i := range req.attempts {
 		a := &req.attempts[i]
 		if a.inFlight && (!b.settings.MayHedge || a.endpoint == ep) {
-			return false
+			return ReasonLastTried
 		}
 		if (a.inFlight || a.mayHaveRun) && !req.classSettings.mayRepeat(now, a, ep) {
-			return false
+			return ReasonMayHaveRun
 		}
 	}
-	return true
+	return ReasonNone
 }
 
 // mayRepeat reports whether an endpoint may run a request that an earlier attempt may have run.
@@ -80,7 +83,7 @@
 }
 
 // giveUp answers the client at once: it rejects the request if a retry does no harm, else it fails it.
-func (b *Balancer) giveUp(now Time, req *request) {
+func (b *Balancer) giveUp(now Time, req *request, reason Reason) {
 	req.delays.CountGivenUp()
 	if req.delays.Delay(int64(now)) < maxSharedDelay*float64(req.classSettings.LatencyObjective) {
 		// Guards against other classes being shed in vain: one that waits for a cause of its own, such as a slow
@@ -88,9 +91,9 @@
 		b.estimator.classes[req.Class].RecordResult(false)
 	}
 	if MayReject(req.classSettings, now, req.attempts, (*attempt).ranSince) {
-		b.effects.Reject(req.ID, b.retryAfter(req.classSettings))
+		b.effects.Reject(req.ID, b.retryAfter(req.classSettings), reason)
 	} else {
-		b.effects.Fail(req.ID)
+		b.effects.Fail(req.ID, reason)
 	}
 	b.finish(req)
 }
--- a/policy/runtime.go
+++ b/policy/runtime.go
@@ -126,10 +126,11 @@
 	Send(request RequestID, endpoint EndpointID, timeout time.Duration)
 	// Cancel ends an attempt in flight, named by its number from 0; its AttemptResult still follows.
 	Cancel(request RequestID, attempt int)
-	// Reject answers the client (503) that a retry does no harm, after retryAfter; 0: no advice.
-	Reject(request RequestID, retryAfter time.Duration)
-	// Fail answers the client (502) that the request may have run.
-	Fail(request RequestID)
+	// Reject answers the client (503) that a retry does no harm, after retryAfter; 0: no advice. The reason is for
+	// operators alone.
+	Reject(request RequestID, retryAfter time.Duration, reason Reason)
+	// Fail answers the client (502) that the request may have run. The reason is for operators alone.
+	Fail(request RequestID, reason Reason)
 	// SetTimer has Balancer.TimerFired called with the number at a moment.
 	SetTimer(at Time, timer uint64)
 	// WatchEndpoints asks for a watch: a long-lived call for the endpoint list and what changes in it. Where the list
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -46,6 +46,7 @@
 type selector struct {
 	candidates []*endpoint
 	weights    []float64
+	reason     Reason // why the endpoint that came closest is no candidate
 }
 
 // criteria is what makes an endpoint a candidate for a request in one round.
@@ -59,12 +60,16 @@
 	latencyFactor   float64
 	classDelayNanos float64 // what the class and the tenant wait at any endpoint
 	budgetNanos     float64
+	overQuota       bool // the tenant is over its quota, and that shortens the budget
 }
 
-// selectEndpoint returns the endpoint for the request's next attempt, or nil if there is none.
-func (b *Balancer) selectEndpoint(now Time, req *request) *endpoint {
-	if now >= req.effectiveDeadline || b.overload.rests(now) {
-		return nil
+// selectEndpoint returns the endpoint for the request's next attempt, or nil and the reason if there is none.
+func (b *Balancer) selectEndpoint(now Time, req *request) (*endpoint, Reason) {
+	switch {
+	case now >= req.effectiveDeadline:
+		return nil, ReasonDeadline
+	case b.overload.rests(now):
+		return nil, ReasonResting
 	}
 	all, window := b.selectionPool(req)
 	b.findHomes(now, req)
@@ -74,6 +79,7 @@
 		work:            b.estimator.work(req),
 		latencyFactor:   b.latencyFactor(req),
 		classDelayNanos: b.classDelay(now, req),
+		overQuota:       req.overQuota && b.estimator.worstSuccessRate() < 1,
 	}
 	for c.round = range numberOfSelectionRounds {
 		answerBy, from := req.effectiveDeadline, window
@@ -87,10 +93,10 @@
 		b.findCandidates(&c, from)
 		if len(b.selector.candidates) > 0 {
 			b.computeWeights(now, from)
-			return b.selector.draw(b.random)
+			return b.selector.draw(b.random), ReasonNone
 		}
 	}
-	return nil
+	return nil, b.selector.reason
 }
 
 // selectionPool returns the endpoints that the request is drawn from, and the window of them that the first rounds
@@ -111,35 +117,63 @@
 func (b *Balancer) findCandidates(c *criteria, from []*endpoint) {
 	s := &b.selector
 	s.candidates = s.candidates[:0]
+	s.reason = ReasonNoEndpoint
 	for _, ep := range from {
-		if b.isCandidate(c, ep) {
-			s.candidates = append(s.candidates, ep)
-		}
+		b.considerCandidate(c, ep)
 	}
 	for _, ep := range b.affinity.homes {
-		if !slices.Contains(s.candidates, ep) && b.isCandidate(c, ep) {
-			s.candidates = append(s.candidates, ep)
+		if !slices.Contains(s.candidates, ep) {
+			b.considerCandidate(c, ep)
 		}
 	}
 }
 
-// isCandidate reports whether the rules let the request go to an endpoint, and whether that is expected to answer in
-// time. An ejected endpoint is held to the rules alone, as what is predicted of it may be what ejected it.
-func (b *Balancer) isCandidate(c *criteria, ep *endpoint) bool {
-	if !b.mayAttempt(c.now, c.request, ep) || c.request.lastEndpoint() == ep {
-		return false
+func (b *Balancer) considerCandidate(c *criteria, ep *endpoint) {
+	reason := b.exclusion(c, ep)
+	if reason == ReasonNone {
+		b.selector.candidates = append(b.selector.candidates, ep)
+	}
+	b.selector.reason = max(b.selector.reason, reason)
+}
+
+// exclusion returns why an endpoint is no candidate: the rules do not let the request go to it, or it is not expected to
+// answer in time. ReasonNone: it is one.
+func (b *Balancer) exclusion(c *criteria, ep *endpoint) Reason {
+	if reason := b.forbidsAttempt(c.now, c.request, ep); reason != ReasonNone {
+		return reason
 	}
+	if c.request.lastEndpoint() == ep {
+		return ReasonLastTried
+	}
+	return b.unpromising(c, ep)
+}
+
+// unpromising returns why an endpoint is not expected to answer in time, whatever the earlier attempts of the request.
+// An ejected endpoint is held to no prediction, as what is predicted of it may be what ejected it.
+func (b *Balancer) unpromising(c *criteria, ep *endpoint) Reason {
 	if c.now < ep.backoffUntil {
-		return false
+		return ReasonBackoff
 	}
 	if ep.slowStartCredit < 1 && b.slowStart.capacity(c.now, ep) < 1 {
-		return false
+		return ReasonSlowStart
 	}
 	if health := &ep.health[c.request.Class]; health.ejected {
-		return mayTryEjected(c, ep, health)
+		if mayTryEjected(c, ep, health) {
+			return ReasonNone
+		}
+		return ReasonEjected
 	}
 	work := c.work * b.affinity.workFactor(ep)
-	return !b.estimator.isSilent(c.now, ep, work) && b.estimator.isInTime(c, ep, work)
+	switch {
+	case b.estimator.isSilent(c.now, ep, work):
+		return ReasonSilent
+	case b.estimator.isInTime(c, ep, work):
+		return ReasonNone
+	case c.overQuota:
+		return ReasonOverQuota
+	default:
+		return ReasonNotInTime
+	}
 }
 
 // lastEndpoint returns the endpoint of the last attempt, to which the next one does not go; nil before the first.
--- a/policy/selection_test.go
+++ b/policy/selection_test.go
@@ -54,7 +54,7 @@
 // taking returns who takes part in a draw, with w.
 func candidateWeights(p *Balancer, now Time) map[*endpoint]float64 {
 	out := map[*endpoint]float64{}
-	if p.selectEndpoint(now, anyRequest(p, now)) != nil {
+	if ep, _ := p.selectEndpoint(now, anyRequest(p, now)); ep != nil {
 		for i, s := range p.selector.candidates {
 			out[s] = p.selector.weights[i]
 		}
@@ -115,7 +115,8 @@
 	}
 	got := map[*endpoint]int{}
 	for range draws {
-		got[p.selectEndpoint(now, req)]++
+		ep, _ := p.selectEndpoint(now, req)
+		got[ep]++
 	}
 	chi, kinds, restWant, restGot := 0.0, 0.0, 0.0, 0
 	add := func(want float64, got int) { chi, kinds = chi+(float64(got)-want)*(float64(got)-want)/want, kinds+1 }
@@ -160,7 +161,7 @@
 		}
 		checkFrequencies(t, "one left", p, now, 200)
 		p.endpoints.all[n/2].backoffUntil = now + ms
-		if s := p.selectEndpoint(now, anyRequest(p, now)); s != nil {
+		if s, _ := p.selectEndpoint(now, anyRequest(p, now)); s != nil {
 			t.Errorf("drew %v with none left", s)
 		}
 	}
@@ -180,7 +181,8 @@
 		have[s.Load]++
 	}
 	for range 60000 {
-		got[p.selectEndpoint(now, req).Load]++
+		ep, _ := p.selectEndpoint(now, req)
+		got[ep.Load]++
 	}
 	for _, w := range []float64{2, 4} {
 		if ratio := got[1] / have[1] / (got[w] / have[w]); math.Abs(ratio/w-1) > 0.06 {
@@ -220,7 +222,7 @@
 			}
 			c := &countingSource{Source: rand.NewPCG(1, 2)}
 			p.random = rand.New(c)
-			s := p.selectEndpoint(now, anyRequest(p, now))
+			s, _ := p.selectEndpoint(now, anyRequest(p, now))
 			if (s != nil) != (fit == 1) || s != nil && s != p.endpoints.all[0] {
 				t.Errorf("%s, %d fit: drew %v", name, fit, s)
 			}
