A class's success rate counts what less load would have helped, nothing else

What callers saw: with one class ejected at healthy endpoints, requests of the other class were rejected too ('not in time'), up to 24,000 times in ten seconds, at endpoints with one attempt in flight.

Cause: every request that was given up lowered its class's success rate, and the success rate of the worst class shortens the time of all others and lengthens their predictions. For an ejection, an endpoint list without endpoints, or an attempt that may have run, shedding other classes makes no room. Evidence: rejections by reason in the closed loop of a fresh node: 'ejected' of one class first, then 'not in time' of the other, budget 107 of 2,000 ms.

Why it works: Reason.isOfLoad says for which reasons less load would have helped; only those count.

--- a/policy/reason.go
+++ b/policy/reason.go
@@ -49,5 +49,15 @@
 	ReasonNotInTime:    "not in time",
 }
 
+// isOfLoad reports whether less load on the endpoints would have helped the request.
+func (r Reason) isOfLoad() bool {
+	switch r {
+	case ReasonDeadline, ReasonResting, ReasonBackoff, ReasonSlowStart, ReasonSilent, ReasonOverQuota, ReasonNotInTime:
+		return true
+	default:
+		return false
+	}
+}
+
 // String names the reason for logs, counters and reports.
 func (r Reason) String() string { return nameOf(reasonNames[:], int(r)) }
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -85,7 +85,7 @@
 // giveUp answers the client at once: it rejects the request if a retry does no harm, else it fails it.
 func (b *Balancer) giveUp(now Time, req *request, reason Reason) {
 	req.delays.CountGivenUp()
-	if req.delays.Delay(int64(now)) < maxSharedDelay*float64(req.classSettings.LatencyObjective) {
+	if reason.isOfLoad() && req.delays.Delay(int64(now)) < maxSharedDelay*float64(req.classSettings.LatencyObjective) {
 		// Guards against other classes being shed in vain: one that waits for a cause of its own, such as a slow
 		// dependency, would not succeed on endpoints with less load either.
 		b.estimator.classes[req.Class].RecordResult(false)
