An ejected class comes back while other classes are busy, and spares the only endpoint

Cause: an endpoint ejected for a class got a trial or a last resort with nothing at all in flight, and trials were for idempotent classes alone; so no evidence could ever come. And a sole endpoint was ejected though it has no peers to be told apart from.

Change: from its trial time on, the last resort asks for nothing of the class alone in flight. A class that may not be retried gets trials too, with all nodes together at most one for an endpoint in four seconds (retryAt plus four seconds times the number of nodes), as a failure reaches its client. Where one active endpoint is left it counts, in the last round, as not ejected, and as not silent while it has no more in flight than it usually answers; the prediction still bounds it. An ejected endpoint that is silent is not tried.

--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -47,6 +47,7 @@
 // classHealth is how an endpoint did lately with one class of requests.
 type classHealth struct {
 	failureRate  float64 // exponentially weighted average of attempts that failed (1) or did not (0)
+	inFlight     int     // attempts of this node
 	samples      float64 // decayed count of the attempts in failureRate
 	ejected      bool
 	ejectionTime time.Duration // doubles while it stays ejected
--- a/policy/endpointlist.go
+++ b/policy/endpointlist.go
@@ -90,11 +90,15 @@
 // with none, hundreds of nodes that gain less than one request each would never send any, with a full one all would
 // send theirs at once.
 func (ep *endpoint) reset(random *rand.Rand, classes int) {
+	health := make([]classHealth, classes)
+	for class := range ep.health {
+		health[class].inFlight = ep.health[class].inFlight
+	}
 	*ep = endpoint{
 		inFlight:        ep.inFlight,
 		inSubset:        ep.inSubset,
 		slowStartCredit: random.Float64(),
-		health:          make([]classHealth, classes),
+		health:          health,
 	}
 }
 
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -110,16 +110,44 @@
 }
 
 // mayTryEjected reports whether an endpoint that is ejected for the request's class may get the request all the same:
-// as a trial in any round, or as a last resort in the last one. Neither asks for a prediction in time.
-func mayTryEjected(c *criteria, ep *endpoint, health *classHealth) bool {
-	if ep.inFlight > 0 {
+// as a trial in any round, or as a last resort in the last one, with nothing in flight there; from its trial time on the
+// last resort asks for nothing of the class alone. Neither asks for a prediction in time.
+func (b *Balancer) mayTryEjected(c *criteria, ep *endpoint, health *classHealth) bool {
+	if health.inFlight > 0 {
 		return false
 	}
+	isLastResort := c.round == roundLastResort && ep.isWellKnown()
+	if ep.inFlight > 0 {
+		// Guards against a class that is out for ever while other classes keep its endpoints busy.
+		return isLastResort && c.now >= health.retryAt
+	}
 	// Guards against a cascade: pauses eject endpoints one by one, and the rest, asked for too much, times out too.
-	if c.round == roundLastResort && ep.isWellKnown() {
+	if isLastResort {
 		return true
 	}
-	return c.now >= health.retryAt && c.request.classSettings.Idempotency == Idempotent
+	wait := time.Duration(0)
+	if c.request.classSettings.Idempotency != Idempotent {
+		// Guards against an endpoint that is out for ever for a class that may not be retried. All nodes together try an
+		// endpoint with one such request in maxEjectionTime at most, as a failure reaches its client.
+		wait = maxEjectionTime * time.Duration(max(b.settings.NodeCount, 1))
+	}
+	return c.now >= health.retryAt.Add(wait)
+}
+
+// onlyActive returns the only active endpoint among some; nil if there are several, or none. Guards against a class being
+// given up because of an endpoint that has no peers to be told apart from.
+func onlyActive(endpoints []*endpoint) *endpoint {
+	var only *endpoint
+	for _, ep := range endpoints {
+		if ep.State != StateActive {
+			continue
+		}
+		if only != nil {
+			return nil
+		}
+		only = ep
+	}
+	return only
 }
 
 // isWellKnown reports whether this node had many answers from an endpoint lately.
@@ -147,6 +175,12 @@
 	return ep.inFlight > 0 && ep.HasLatency && now.Sub(ep.lastActiveAt) > e.overdueAfter(ep, max(work, e.MeanWork))
 }
 
+// isUsuallyAsBusy reports whether an endpoint has no more attempts of this node in flight than it answered lately.
+func (e *estimator) isUsuallyAsBusy(ep *endpoint) bool {
+	_, usualInFlight := e.expectedLatency(ep)
+	return float64(ep.inFlight) < usualInFlight+1
+}
+
 // backOff leaves an endpoint alone that rejected an attempt, or took no connection. Guards against one that rejects at
 // once using up all attempts.
 func (ep *endpoint) backOff(now Time, meanWork time.Duration) {
--- a/policy/request.go
+++ b/policy/request.go
@@ -115,6 +115,7 @@
 	a.mayHaveRun = outcome.MayHaveRun()
 	req.inFlight--
 	a.endpoint.inFlight -= req.loadPerAttempt
+	a.endpoint.health[req.Class].inFlight--
 	req.delays.CountInFlight(int64(now), -1)
 }
 
@@ -149,6 +150,7 @@
 	req.inFlight++
 	req.delays.CountInFlight(int64(now), 1)
 	ep.countSend(now, req.loadPerAttempt)
+	ep.health[req.Class].inFlight++
 	ep.slowStartCredit -= max(b.estimator.relativeWork(work), 1)
 	b.effects.Send(req.ID, ep.ID, req.effectiveDeadline.Sub(now))
 	b.setOverdueTimer(now, req, ep, work)
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -60,7 +60,8 @@
 	latencyFactor   float64
 	classDelayNanos float64 // what the class and the tenant wait at any endpoint
 	budgetNanos     float64
-	overQuota       bool // the tenant is over its quota, and that shortens the budget
+	overQuota       bool      // the tenant is over its quota, and that shortens the budget
+	spared          *endpoint // in the last round: the only active one, which has no peers to be judged by; nil: none
 }
 
 // selectEndpoint returns the endpoint for the request's next attempt, or nil and the reason if there is none.
@@ -82,6 +83,9 @@
 		overQuota:       req.overQuota && b.estimator.worstSuccessRate() < 1,
 	}
 	for c.round = range numberOfSelectionRounds {
+		if c.round == roundLastResort {
+			c.spared = onlyActive(all)
+		}
 		answerBy, from := req.effectiveDeadline, window
 		if c.round == roundByObjective {
 			answerBy = req.objectiveAt
@@ -157,15 +161,16 @@
 	if ep.slowStartCredit < 1 && b.slowStart.capacity(c.now, ep) < 1 {
 		return ReasonSlowStart
 	}
-	if health := &ep.health[c.request.Class]; health.ejected {
-		if mayTryEjected(c, ep, health) {
+	work := c.work * b.affinity.workFactor(ep)
+	isSilent := b.estimator.isSilent(c.now, ep, work) && (ep != c.spared || !b.estimator.isUsuallyAsBusy(ep))
+	if health := &ep.health[c.request.Class]; health.ejected && ep != c.spared {
+		if b.mayTryEjected(c, ep, health) && !isSilent {
 			return ReasonNone
 		}
 		return ReasonEjected
 	}
-	work := c.work * b.affinity.workFactor(ep)
 	switch {
-	case b.estimator.isSilent(c.now, ep, work):
+	case isSilent:
 		return ReasonSilent
 	case b.estimator.isInTime(c, ep, work):
 		return ReasonNone
