--- a/policy/estimator.go
+++ b/policy/estimator.go
@@ -190,3 +190,13 @@
 		e.classes[i].Decay()
 	}
 }
+// givesUpAll reports whether this node gave up requests, and none was answered, in the second that ends.
+func (e *estimator) givesUpAll() bool {
+	answered, givenUp := 0, 0
+	for i := range e.classes {
+		answered += e.classes[i].AnsweredCount
+		givenUp += e.classes[i].GivenUpCount
+	}
+	return answered == 0 && givenUp > 0
+}
+
