Cancel an overdue attempt only where another endpoint may take its request

What callers saw: a 503 from a healthy service with nearly all of the deadline left.

Why it works: the attempt is canceled only if another active endpoint would be a candidate now; else it may still answer. TestHeavyRequestIsNotCanceled asked for the cancel in a fleet of one endpoint, which is the fault; it asks for the same in a fleet of two now, the other request at the same endpoint.

--- a/policy/hedging.go
+++ b/policy/hedging.go
@@ -6,8 +6,8 @@
 // flight. Inputs: the latency at which an answer of the endpoint is overdue, the time left until the effective
 // deadline, and a budget of one hedged request for every ten requests. There is none for a non-idempotent class, nor
 // where the settings forbid two attempts at once; there an overdue idempotent attempt is canceled and sent elsewhere,
-// if its endpoint has answered no other since: one that answers others is at work on a heavy request, which would be
-// heavy elsewhere too. A request whose body is still coming is never overdue. docs/design.md: "Hedging".
+// if another endpoint may take it now, and if its own has answered no other since: one that answers others is at work
+// on a heavy request, which would be heavy elsewhere too. A request whose body is still coming is never overdue. docs/design.md: "Hedging".
 
 const (
 	hedgesPerRequest = 0.1
@@ -50,8 +50,8 @@
 	switch {
 	case b.settings.MayHedge && class.Idempotency != NonIdempotent:
 		b.hedge(now, req)
-	case len(req.attempts) < b.settings.MaxAttempts && b.settings.MayCancel &&
-		class.Idempotency == Idempotent && !a.endpoint.wasActiveAfter(a.sentAt):
+	case b.settings.MayCancel && class.Idempotency == Idempotent && !a.endpoint.wasActiveAfter(a.sentAt) &&
+		b.hasAlternative(now, req):
 		b.effects.Cancel(req.ID, number)
 	}
 }
--- a/policy/hedging_test.go
+++ b/policy/hedging_test.go
@@ -51,13 +51,14 @@
 // Guards against heavy requests being begun again and again: an endpoint that has answered others meanwhile is at work.
 func TestHeavyRequestIsNotCanceled(t *testing.T) {
 	for _, answers := range []bool{false, true} {
-		b := newTestFleet(t, 1, func(s *Settings) { s.MayHedge = false })
+		b := newTestFleet(t, 2, func(s *Settings) { s.MayHedge = false })
 		b.serve(40, answersPromptly)
 		id := b.arrive(0)
-		timer := b.timers[len(b.timers)-1]
-		if answers {
+		timer, endpoint := b.timers[len(b.timers)-1], b.last()
+		b.now += 50 * ms
+		for atSameEndpoint := false; answers && !atSameEndpoint; {
 			other := b.arrive(0)
-			b.now += 50 * ms
+			atSameEndpoint = b.last() == endpoint
 			b.end(other, 0, OutcomeSucceeded, 50*ms)
 		}
 		b.now += 300 * ms
@@ -69,6 +70,44 @@
 	}
 }
 
+// Guards against a request being given up with time left, since it was canceled at the only endpoint that could answer.
+func TestOverdueRequestStaysWhereNoOtherMayTakeIt(t *testing.T) {
+	for name, leaveOne := range map[string]func(*testFleet, *endpoint){
+		"others drain": func(_ *testFleet, other *endpoint) { other.State = StateDraining },
+		"others eject": func(b *testFleet, other *endpoint) {
+			other.health[0].ejected = true
+			other.health[0].retryAt = b.now.Add(10e9)
+		},
+		"others back off": func(b *testFleet, other *endpoint) { other.backoffUntil = b.now.Add(10e9) },
+		"others are in slow start": func(b *testFleet, other *endpoint) {
+			other.StartedAt, other.slowStartCredit = b.now, 0
+		},
+		"others are late":                    func(_ *testFleet, other *endpoint) { other.Latency.FirstSum = 1e6 },
+		"the request is at its last attempt": func(b *testFleet, _ *endpoint) { b.settings.MaxAttempts = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestFleet(t, 3, func(s *Settings) { s.MayHedge = false })
+			b.serve(60, answersPromptly)
+			b.tick()
+			id := b.arrive(0)
+			for _, other := range b.endpoints.all {
+				if other.ID != b.last() {
+					leaveOne(b, other)
+				}
+			}
+			b.now += 200 * ms
+			b.TimerFired(b.now, b.timers[len(b.timers)-1])
+			if b.canceled != 0 {
+				t.Fatalf("%d attempts were canceled with no endpoint to go to", b.canceled)
+			}
+			b.end(id, 0, OutcomeSucceeded, 240*ms)
+			if b.rejected+b.failed > 0 {
+				t.Errorf("%d rejected, %d failed", b.rejected, b.failed)
+			}
+		})
+	}
+}
+
 func TestHedgeBudgetIsBounded(t *testing.T) {
 	var budget hedgeBudget
 	for range 9 {
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -74,14 +74,7 @@
 	}
 	all, window := b.selectionPool(req)
 	b.findHomes(now, req)
-	c := criteria{
-		now:             now,
-		request:         req,
-		work:            b.estimator.work(req),
-		latencyFactor:   b.latencyFactor(req),
-		classDelayNanos: b.classDelay(now, req),
-		overQuota:       req.overQuota && b.estimator.worstSuccessRate() < 1,
-	}
+	c := b.criteriaFor(now, req)
 	for c.round = range numberOfSelectionRounds {
 		if c.round == roundLastResort {
 			c.spared = onlyActive(all)
@@ -103,6 +96,34 @@
 	return nil, b.selector.reason
 }
 
+// criteriaFor returns what all rounds share of the criteria for a request.
+func (b *Balancer) criteriaFor(now Time, req *request) criteria {
+	return criteria{
+		now:             now,
+		request:         req,
+		work:            b.estimator.work(req),
+		latencyFactor:   b.latencyFactor(req),
+		classDelayNanos: b.classDelay(now, req),
+		overQuota:       req.overQuota && b.estimator.worstSuccessRate() < 1,
+	}
+}
+
+// hasAlternative reports whether an endpoint other than that of the request's last attempt would be a candidate if that
+// attempt ended now. It is asked for idempotent requests with one attempt in flight. Endpoints of last resort are none.
+func (b *Balancer) hasAlternative(now Time, req *request) bool {
+	if now >= req.effectiveDeadline || b.overload.rests(now) || len(req.attempts) >= b.settings.MaxAttempts {
+		return false
+	}
+	b.findHomes(now, req)
+	c := b.criteriaFor(now, req)
+	c.round = roundWholeSubset
+	c.budgetNanos = float64(b.latencyBudget(req, req.effectiveDeadline.Sub(now)))
+	isAlternative := func(ep *endpoint) bool {
+		return ep.State == StateActive && ep != req.lastEndpoint() && b.unpromising(&c, ep) == ReasonNone
+	}
+	return slices.ContainsFunc(b.subset.members, isAlternative) || slices.ContainsFunc(b.affinity.homes, isAlternative)
+}
+
 // selectionPool returns the endpoints that the request is drawn from, and the window of them that the first rounds
 // weigh. A window is a run of neighbors by rank, which says nothing of their load. A retry that is idempotent by key is
 // drawn from all endpoints, as its deduplication group may lie outside the subset.
