What is late is judged with more patience the fewer answers tell it

Cause: one attempt overdue at an endpoint that answers others counted as an error, in full where little was seen of it, so one in the first few ejected; and what is overdue, or silent, came from as few answers, capped by twice an initial value that was not scaled to the latencies seen.

Why it works: until 12 answers have come the time after which an answer is late is longer by 12 over their number; the initial high quantile is taken over the fleet's latency; and an overdue attempt is judged like an error only where none of its class was answered lately, the case that the rule was made for (TestClassLeftUnansweredIsEjectedAlone holds).

--- a/policy/estimator.go
+++ b/policy/estimator.go
@@ -46,6 +46,8 @@
 	// minOverdueTicks is how many ticks of the clock an answer is not overdue: this process itself may have been
 	// paused.
 	minOverdueTicks = 4
+	// minAnswersToJudge is how many answers tell what is late.
+	minAnswersToJudge = 1 / learningRate
 	// overdueFactor: an answer is overdue after its high quantile times this.
 	overdueFactor = 2
 )
@@ -91,16 +93,33 @@
 
 // overdueAfter is how long an answer may take, by the high quantile of the endpoint or of its healthy peers.
 func (e *estimator) overdueAfter(ep *endpoint, work float64) time.Duration {
-	high := e.HighLatency
+	high := e.usualHighLatency()
 	if ep.HasLatency && !ep.isAvoided(ep.lastActiveAt) {
 		high = min(maxHighLatencyFactor*high, ep.HighLatency)
 	}
 	_, inFlight := e.expectedLatency(ep)
 	work *= high * (1 + float64(ep.inFlight)) / (1 + min(inFlight, float64(ep.inFlight)))
-	overdue := time.Duration(overdueFactor * (e.ZoneDelay[ep.Zone] + work))
+	overdue := time.Duration(e.patience() * overdueFactor * (e.ZoneDelay[ep.Zone] + work))
 	return max(minOverdueTicks*e.clockResolution, overdue)
 }
 
+// patience is how many times longer an answer may take while few have come, of any class, to tell by how long they take.
+func (e *estimator) patience() float64 {
+	answers := 0
+	for i := range e.classes {
+		answers += e.classes[i].WorkSamples
+	}
+	return max(1, minAnswersToJudge/float64(max(answers, 1)))
+}
+
+// usualHighLatency is the mean of the endpoints' high quantiles of the latency for each unit of work.
+func (e *estimator) usualHighLatency() float64 {
+	if e.HighLatency == initialHighLatency { // not learned yet
+		return initialHighLatency * e.Fleet.Level()
+	}
+	return e.HighLatency
+}
+
 // work is the expected work of a request where its key is not at home, in nanoseconds; 0: not known yet.
 func (e *estimator) work(req *request) float64 {
 	if req.CostHint > 0 {
@@ -185,11 +204,6 @@
 	ep.Latency.Decay(1 - learningRate)
 }
 
-func (e *estimator) decayClasses() {
-	for i := range e.classes {
-		e.classes[i].Decay()
-	}
-}
 // givesUpAll reports whether this node gave up requests, and none was answered, in the second that ends.
 func (e *estimator) givesUpAll() bool {
 	answered, givenUp := 0, 0
@@ -200,3 +214,8 @@
 	return answered == 0 && givenUp > 0
 }
 
+func (e *estimator) decayClasses() {
+	for i := range e.classes {
+		e.classes[i].Decay()
+	}
+}
--- a/policy/hedging.go
+++ b/policy/hedging.go
@@ -42,9 +42,8 @@
 	b.foundConnectionDead(now, a, OutcomeTimedOut)
 	b.observeUnansweredDelay(now, req, a)
 	if a.endpoint.wasActiveAfter(a.sentAt) && !a.heldAgainstClass {
-		// Guards against endpoints that leave one class unanswered and serve the others.
 		a.heldAgainstClass = true
-		b.recordOutcome(now, a.endpoint, req, true, OutcomeError)
+		b.recordOverdue(now, req, a)
 	}
 	class := req.classSettings
 	switch {
@@ -56,6 +55,17 @@
 	}
 }
 
+// recordOverdue judges an endpoint that answers others by an attempt that is overdue. Guards against endpoints that leave
+// one class unanswered: where none of the class was answered lately, one is judged like an error. Where some were, a
+// single late answer says little.
+func (b *Balancer) recordOverdue(now Time, req *request, a *attempt) {
+	outcome := OutcomeTimedOut
+	if a.endpoint.health[req.Class].samples < 1 {
+		outcome = OutcomeError
+	}
+	b.recordOutcome(now, a.endpoint, req, true, outcome)
+}
+
 func (b *Balancer) hedge(now Time, req *request) {
 	ep, _ := b.selectEndpoint(now, req)
 	if ep != nil && b.hedging.available >= 1 {
--- a/policy/request.go
+++ b/policy/request.go
@@ -143,8 +143,8 @@
 		predictedNanos:  float64(b.estimator.predictLatency(ep, work)),
 		unloadedNanos:   b.estimator.unloadedNanos(ep, work),
 		classDelayNanos: req.delays.Delay(int64(now)),
-		inFlight:        true,
 		workIsGuess:     req.CostHint == 0 && !b.estimator.classes[req.Class].IsWorkKnown(),
+		inFlight:        true,
 		atHome:          ep.isHome,
 	})
 	req.inFlight++
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -76,9 +76,6 @@
 	b.findHomes(now, req)
 	c := b.criteriaFor(now, req)
 	for c.round = range numberOfSelectionRounds {
-		if c.round == roundLastResort {
-			c.spared = onlyActive(all)
-		}
 		answerBy, from := req.effectiveDeadline, window
 		if c.round == roundByObjective {
 			answerBy = req.objectiveAt
@@ -86,6 +83,9 @@
 		if c.round >= roundWholeSubset {
 			from = all
 		}
+		if c.round == roundLastResort {
+			c.spared = onlyActive(all)
+		}
 		c.budgetNanos = float64(b.latencyBudget(req, answerBy.Sub(now)))
 		b.findCandidates(&c, from)
 		if len(b.selector.candidates) > 0 {
