A request returns once to its only endpoint after its connection broke

What callers saw: a 503 at once where the connection to the only endpoint was reset, was dead, or was not got in time, with the whole deadline left and the endpoint in order.

Cause: the endpoint of the last attempt is no candidate for the next, also where it is the only one left. And since an overdue attempt is canceled only where another endpoint may take it, one on a connection that something between had dropped would wait until its deadline.

After an error, a rejection or a failed connect it may not: the endpoint itself said no, or is in backoff, and what is given up is answered at once. An overdue attempt on a connection that may be dead is canceled even at the only endpoint. TestRequestReturnsToItsOnlyEndpoint and TestOverdueRequestLeavesDeadConnectionOfItsOnlyEndpoint failed before. TestResetsAmongLongLivedConnectionsAreNoSign left such a request open for ever, now answers its second attempt; its check is the same.

--- a/policy/hedging.go
+++ b/policy/hedging.go
@@ -7,7 +7,8 @@
 // deadline, and a budget of one hedged request for every ten requests. There is none for a non-idempotent class, nor
 // where the settings forbid two attempts at once; there an overdue idempotent attempt is canceled and sent elsewhere,
 // if another endpoint may take it now, and if its own has answered no other since: one that answers others is at work
-// on a heavy request, which would be heavy elsewhere too. A request whose body is still coming is never overdue. docs/design.md: "Hedging".
+// on a heavy request, which would be heavy elsewhere too. On a connection that may be dead it is canceled even where its
+// own endpoint is the only one, for a new connection there. A request whose body is still coming is never overdue. docs/design.md: "Hedging".
 
 const (
 	hedgesPerRequest = 0.1
@@ -50,7 +51,7 @@
 	case b.settings.MayHedge && class.Idempotency != NonIdempotent:
 		b.hedge(now, req)
 	case b.settings.MayCancel && class.Idempotency == Idempotent && !a.endpoint.wasActiveAfter(a.sentAt) &&
-		b.hasAlternative(now, req):
+		(b.hasAlternative(now, req) || a.connectionDead && b.mayTryAgain(now, req)):
 		b.effects.Cancel(req.ID, number)
 	}
 }
@@ -66,6 +67,11 @@
 	b.recordOutcome(now, a.endpoint, req, true, outcome)
 }
 
+// mayTryAgain reports whether a request with one attempt in flight may have another, after a cancel of the first.
+func (b *Balancer) mayTryAgain(now Time, req *request) bool {
+	return now < req.effectiveDeadline && len(req.attempts) < b.settings.MaxAttempts && len(req.attempts) == 1
+}
+
 func (b *Balancer) hedge(now Time, req *request) {
 	ep, _ := b.selectEndpoint(now, req)
 	if ep != nil && b.hedging.available >= 1 {
--- a/policy/hedging_test.go
+++ b/policy/hedging_test.go
@@ -108,6 +108,24 @@
 	}
 }
 
+// Guards against a request waiting until its deadline on a connection that something between has dropped.
+func TestOverdueRequestLeavesDeadConnectionOfItsOnlyEndpoint(t *testing.T) {
+	b := newTestFleet(t, 1, func(s *Settings) { s.MayHedge = false; s.StreamsPerConnection = 1 })
+	b.serve(60, answersPromptly)
+	b.tick()
+	b.endpoints.all[0].maxInFlight = 1
+	b.now = b.now.Add(2 * minDeadIdleTime)
+	id := b.arrive(0)
+	b.now += 200 * ms
+	b.TimerFired(b.now, b.timers[len(b.timers)-1])
+	if b.canceled != 1 {
+		t.Fatalf("%d attempts were canceled on a connection that may be dead", b.canceled)
+	}
+	if b.end(id, 0, OutcomeCanceled, 200*ms); b.rejected > 0 || b.requests.byID[id].inFlight != 1 {
+		t.Error("the request did not go to its only endpoint again")
+	}
+}
+
 func TestHedgeBudgetIsBounded(t *testing.T) {
 	var budget hedgeBudget
 	for range 9 {
--- a/policy/idleconns_test.go
+++ b/policy/idleconns_test.go
@@ -110,6 +110,9 @@
 		}
 		b.now += ms
 		b.end(id, 0, o, ms)
+		if o == OutcomeReset { // the request goes to its only endpoint again
+			b.end(id, 1, OutcomeSucceeded, ms)
+		}
 	}
 	if b.idleConns.trusted.Limit < 1e12 {
 		t.Errorf(
--- a/policy/request.go
+++ b/policy/request.go
@@ -45,10 +45,11 @@
 
 	workIsGuess      bool // work is from fewer answers than tell the work of its class
 	inFlight         bool
-	mayHaveRun       bool // it ended, and may have been executed
-	atHome           bool // of its key
-	heldAgainstClass bool // overdue at an endpoint that answered others, and counted so
-	connectionDead   bool // its connection was dead when used
+	outcome          Outcome // once it has ended
+	mayHaveRun       bool    // it ended, and may have been executed
+	atHome           bool    // of its key
+	heldAgainstClass bool    // overdue at an endpoint that answered others, and counted so
+	connectionDead   bool    // its connection was dead when used
 }
 
 // requestTable holds the requests that are not at their end.
@@ -112,6 +113,7 @@
 
 func (req *request) closeAttempt(now Time, a *attempt, outcome Outcome) {
 	a.inFlight = false
+	a.outcome = outcome
 	a.mayHaveRun = outcome.MayHaveRun()
 	req.inFlight--
 	a.endpoint.inFlight -= req.loadPerAttempt
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -37,6 +37,21 @@
 	return ReasonNone
 }
 
+// mayReturn reports whether a request may go to the endpoint of its last attempt once more, where no other may get it. It
+// may if that attempt ended by what became of its connection, or was never sent: that says little of the endpoint.
+func (req *request) mayReturn() bool {
+	last := len(req.attempts) - 1
+	if last > 0 && req.attempts[last-1].endpoint == req.attempts[last].endpoint {
+		return false
+	}
+	switch req.attempts[last].outcome {
+	case OutcomeReset, OutcomeCanceled, OutcomeNotSent:
+		return true
+	default:
+		return false
+	}
+}
+
 // mayRepeat reports whether an endpoint may run a request that an earlier attempt may have run.
 func (c *Class) mayRepeat(now Time, earlier *attempt, ep *endpoint) bool {
 	switch c.Idempotency {
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -85,3 +85,35 @@
 		}
 	}
 }
+
+// Guards against a request being given up with time left because the connection to its only endpoint broke.
+func TestRequestReturnsToItsOnlyEndpoint(t *testing.T) {
+	for _, c := range []struct {
+		class    int
+		outcomes []Outcome
+		sent     int
+		rejected bool // in the end, where not sent again
+	}{
+		{0, []Outcome{OutcomeReset}, 2, false},
+		{0, []Outcome{OutcomeReset, OutcomeReset}, 2, true}, // once, not again
+		{0, []Outcome{OutcomeNotSent}, 2, false},
+		{0, []Outcome{OutcomeCanceled}, 2, false},
+		{0, []Outcome{OutcomeError}, 1, true},
+		{0, []Outcome{OutcomeConnectFailed}, 1, true}, // it is in backoff
+		{0, []Outcome{OutcomeRejected}, 1, true},
+		{1, []Outcome{OutcomeReset}, 2, false}, // of its deduplication group
+		{2, []Outcome{OutcomeReset}, 1, false}, // may have run: failed
+		{2, []Outcome{OutcomeNotSent}, 2, false},
+	} {
+		b := newTestFleet(t, 1, nil)
+		b.serve(60, answersPromptly)
+		b.sent = nil
+		id := b.arrive(c.class)
+		for number, outcome := range c.outcomes {
+			b.end(id, number, outcome, 10*ms)
+		}
+		if len(b.sent) != c.sent || (b.rejected == 1) != c.rejected || b.failed > 0 != (c.class == 2 && c.sent == 1) {
+			t.Errorf("class %d after %v: %d attempts, %d rejected, %d failed", c.class, c.outcomes, len(b.sent), b.rejected, b.failed)
+		}
+	}
+}
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -167,7 +167,7 @@
 	if reason := b.forbidsAttempt(c.now, c.request, ep); reason != ReasonNone {
 		return reason
 	}
-	if c.request.lastEndpoint() == ep {
+	if c.request.lastEndpoint() == ep && (c.round != roundLastResort || !c.request.mayReturn()) {
 		return ReasonLastTried
 	}
 	return b.unpromising(c, ep)
@@ -202,7 +202,8 @@
 	}
 }
 
-// lastEndpoint returns the endpoint of the last attempt, to which the next one does not go; nil before the first.
+// lastEndpoint returns the endpoint of the last attempt, to which the next one goes as a last resort only (mayReturn); nil
+// before the first.
 func (req *request) lastEndpoint() *endpoint {
 	if len(req.attempts) == 0 {
 		return nil
