Hot restart: a process whose successor died can be found before it says all is as before

What callers saw: an upgrade that was tried again right after a failed one made a plain start: nothing inherited, and two processes with the whole limits each.

Cause: when its successor had ended, the old process took its limits back first and opened its socket for the next successor last; and opening closed the socket that stood there before the new one was in place, so that for a moment nothing answered at the path.

Change: new connections first, then the socket, the full limits last; the new socket is in place before the old is closed.

--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -113,15 +113,14 @@
 func (h *hotRestart) open() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.listener != nil {
-		h.listener.Close()
-		h.listener = nil
-	}
 	listener, err := h.listen()
 	if err != nil {
 		h.node.log.Warn("hot restart: a successor will not find this process", zap.Error(err))
 		return
 	}
+	if h.listener != nil {
+		h.listener.Close() // after the new one is in place, as else nothing would stand at the path for a moment
+	}
 	h.listener = listener
 	go h.serve(listener)
 }
@@ -204,18 +203,18 @@
 	awaitClose(in)
 }
 
-// successorEnded takes the full limits and new connections again, also while this process is shutting down: there is
-// no other that would.
+// successorEnded takes new connections and the full limits again, also while this process is shutting down: there is
+// no other that would. The full limits come last: from then on a further successor must find this process.
 func (h *hotRestart) successorEnded() {
 	h.mu.Lock()
 	h.successor, h.yielded = nil, false
 	h.mu.Unlock()
-	h.node.divideLimits()
 	h.node.frontend.resume()
 	if !h.node.shuttingDown.Load() {
 		h.node.log.Warn("hot restart: the successor has ended, this process goes on")
 		h.open()
 	}
+	h.node.divideLimits()
 }
 
 // sendState makes the caller the successor, if there is none, and sends it the state.
