An override reaches the decisions at once, not with the next poll of its file

What callers saw: for up to 50 ms after an operator was told that an endpoint is out, requests were still given to it; each such attempt was stopped before it was written, and with few endpoints a request used its attempts up so.

Cause: the process that makes a change found it, like the other process of the node, by polling the file (overridesPollInterval). The change now wakes the same goroutine; the poll remains for changes by the other process. TestOverrideReachesTheDecisionsWithoutAPoll, where nothing polls, fails without the wake-up.

--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -169,6 +169,24 @@
 	}
 }
 
+// Guards against decisions that go on choosing an endpoint after an operator was told that it is out.
+func TestOverrideReachesTheDecisionsWithoutAPoll(t *testing.T) {
+	server, _ := startUpstream(t, echo)
+	n := newNode(t, withAdmin, server)
+	n.loop.endpointsUpdated(n.chooseInitialList().entries, true)
+	n.overrides.rememberNames("s-0")
+	go n.loop.run()
+	go n.overrides.watch(nil)
+	if _, err := n.overrides.change(func(o *overrideSet) string { return o.disable("s-0", 1) }); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the decisions know", func() bool {
+		applied := make(chan *overrideSet, 1)
+		n.loop.post(func() { applied <- n.overrides.applied })
+		return (<-applied).disabled[endpointID("s-0")]
+	})
+}
+
 // An attempt checks overrides itself before it is written, as the decisions may not have seen them yet.
 func TestAttemptChecksOverridesBeforeItIsSent(t *testing.T) {
 	server, requests := startUpstream(t, echo)
--- a/internal/node/overrides.go
+++ b/internal/node/overrides.go
@@ -106,6 +106,7 @@
 	mu       sync.Mutex  // guards fileInfo and the replacement of current
 	fileInfo os.FileInfo // of the file as it was last read or written
 	known    knownNames
+	changed  chan struct{} // wakes watch after a change by this process
 
 	entries map[string]*endpointEntry // the list without overrides, by name; of the loop alone
 	applied *overrideSet              // what the decisions have seen; of the loop alone
@@ -116,6 +117,7 @@
 	o := &overrides{
 		node:    n,
 		path:    filepath.Join(n.config.filesDir, n.fileName(".orders")),
+		changed: make(chan struct{}, 1),
 		entries: map[string]*endpointEntry{},
 	}
 	o.known.set = map[string]bool{}
@@ -173,6 +175,10 @@
 		return "", err
 	}
 	o.publish(next)
+	select {
+	case o.changed <- struct{}{}:
+	default: // watch is to look anyway
+	}
 	return answer, nil
 }
 
@@ -246,11 +252,12 @@
 	o.current.Store(set)
 }
 
-// watch polls the file for changes by the other process, and has the loop take in each change.
-func (o *overrides) watch() {
+// watch has the loop take in each change: of this process at once, and of the other one when poll next has it look at
+// the file.
+func (o *overrides) watch(poll <-chan time.Time) {
 	posted := o.current.Load()
 	drained := false
-	for tick := time.NewTicker(overridesPollInterval); ; <-tick.C {
+	for {
 		o.reload()
 		set := o.current.Load()
 		if set != posted {
@@ -261,6 +268,10 @@
 			drained = set.drained
 			o.node.log.Info("drain", zap.Bool("drained", drained))
 		}
+		select {
+		case <-o.changed:
+		case <-poll:
+		}
 	}
 }
 
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -34,7 +34,7 @@
 func (n *Node) startGoroutines() {
 	go n.loop.run()
 	n.persistence.run()
-	go n.overrides.watch()
+	go n.overrides.watch(time.Tick(overridesPollInterval))
 	go n.admin.run()
 	go n.frontend.closeIdleWhileDrained()
 	go n.endpointWatch.run()
