An attempt waits a quarter of its time for the slot of a client that leaves

What callers saw: in a crowd of idle clients on a busy machine an attempt was used up without being sent. Cause: it waited 100 ms for the slot of an idle client that had been asked to leave; there that takes longer. Why it works: while a client is on its way out another attempt would wait for the same slot; three quarters of the time are left for the request itself.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -21,7 +21,7 @@
 	clientIdleTimeout = 20 * time.Second // between requests
 	evictableAfter    = 2 * time.Second  // idle for less, a used connection is spared while others can go
 	closeLinger       = 25 * time.Millisecond
-	lendTimeout       = 4 * closeLinger // the longest wait of an attempt for the slot of an idle client
+	lendTimeout       = 4 * closeLinger // an attempt waits so long for the slot of an idle client, or longer (waitForSlot)
 	evictAheadDivisor = 16              // a sixteenth is asked to close ahead of need, as each takes a moment
 )
 
--- a/internal/node/upstreampool.go
+++ b/internal/node/upstreampool.go
@@ -24,6 +24,7 @@
 	extraInputCooldown = 8 * time.Millisecond
 	extraInputWindow   = time.Minute          // after input beyond a response, all have a cooldown
 	lentSlotPoll       = 2 * time.Millisecond // between looks for the slot of a client that has been asked to leave
+	slotWaitDivisor    = 4                    // the part of an attempt's time that it may wait for a slot
 )
 
 // upstreamConn is a connection to an upstream. One attempt or health check uses it at a time; while it is idle it is
@@ -130,7 +131,7 @@
 	if conn := u.acquireIdle(a.target); conn != nil {
 		return conn, nil
 	}
-	if err := u.waitForSlot(a); err != nil {
+	if err := u.waitForSlot(a, deadline); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -197,10 +198,13 @@
 	}
 }
 
-// waitForSlot reserves a slot for a connection, if need be one that the frontend lends (frontend.go), within
-// lendTimeout. It returns errNoConnectionSlot if there is none.
-func (u *upstreams) waitForSlot(a *attempt) error {
-	giveUp := time.Now().Add(lendTimeout)
+// waitForSlot reserves a slot for a connection, if need be one that the frontend lends (frontend.go). It returns
+// errNoConnectionSlot if there is none. It waits while an idle client is to leave, for lendTimeout or a part of the
+// attempt's time, whichever is longer: on a busy machine a client takes long to leave, and another attempt would wait for
+// the same slot. The rest of the time is for the request.
+func (u *upstreams) waitForSlot(a *attempt, deadline time.Time) error {
+	began := time.Now()
+	giveUp := began.Add(max(lendTimeout, deadline.Sub(began)/slotWaitDivisor))
 	for !u.reserveSlot() {
 		switch u.node.frontend.lendSlot() {
 		case slotLent:
