--- a/cmd/fawnglade-lab/main.go
+++ b/cmd/fawnglade-lab/main.go
@@ -60,7 +60,7 @@
 	root.AddCommand(
 		newDemoCommand(), newRunCommand(), newCompareCommand(), newReportCommand(), newCheckCommand(), newProxyCommand(),
 		newCapacityCommand(), newCostCommand(), newGateCommand(), newHuntCommand(), newSweepCommand(), newMembersCommand(),
-		newScaleCommand(), newDistributionCommand(), newDistributionOriginCommand(),
+		newScaleCommand(), newDistributionCommand(), newDistributionOriginCommand(), newSoakCommand(),
 	)
 	return root
 }
--- a/internal/lab/emulator/faults.go
+++ b/internal/lab/emulator/faults.go
@@ -108,6 +108,9 @@
 	case "kill":
 		n.kill()
 	case "stop":
+		if f.How == scenario.StopAmidSignals {
+			n.signalSeries()
+		}
 		n.end(syscall.SIGTERM, false)
 		d.after(frontLeaves, func() {
 			n.mu.Lock()
--- a/internal/lab/emulator/node.go
+++ b/internal/lab/emulator/node.go
@@ -271,6 +271,23 @@
 	signal(p, s)
 }
 
+// signalSeries sends a node the signals that change nothing of a stop: some before it, and further ones while it goes on.
+func (n *node) signalSeries() {
+	n.mu.Lock()
+	p := n.handle
+	n.mu.Unlock()
+	if p == nil {
+		return
+	}
+	for _, before := range []os.Signal{syscall.SIGUSR1, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGHUP} {
+		signal(p, before)
+	}
+	const apart = 50 * time.Millisecond
+	for i, during := range []os.Signal{syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGHUP, syscall.SIGTERM} {
+		n.run.after(time.Duration(i+1)*apart, func() { signal(p, during) })
+	}
+}
+
 // pause stops a node's process for a time.
 func (n *node) pause(d time.Duration) {
 	n.mu.Lock()
--- a/internal/lab/scenario/faults.go
+++ b/internal/lab/scenario/faults.go
@@ -76,6 +76,9 @@
 	c.checkFaultKind(at, f)
 }
 
+// StopAmidSignals is the Fault.How of a stop among other signals: a reload, a print of the counters, further stops.
+const StopAmidSignals = "signals"
+
 const namesNobody = "a fault that names nobody"
 
 func (c *checker) checkEndpointFault(at string, f *Fault) {
@@ -118,6 +121,8 @@
 	case "clock":
 		c.must(f.Wait != 0 || f.Factor != 1, at+"wait", "a step, or a factor for its drift", "neither")
 		c.must(f.Factor > 0.5 && f.Factor < 2, at+"factor", "between 0.5 and 2", f.Factor)
+	case "stop":
+		c.must(f.How == "" || f.How == StopAmidSignals, at+"how", "nothing or "+StopAmidSignals, f.How)
 	case "state":
 		c.oneOf(at+"how", f.How, StateFaultKinds...)
 	case "wait":
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,97 @@
+// Package soak draws short scenarios from seeds and judges their runs: whatever a seed draws, no rule is broken and no
+// node ends by itself; and where all endpoints are healthy and have capacity to spare, every request is answered.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"fawnglade/internal/lab/result"
+	"fawnglade/internal/lab/scenario"
+)
+
+const (
+	lengthSeconds = 5
+	// requestsPerCore is the load that a core carries with capacity to spare: 20 to 80 ms of work each.
+	requestsPerCore   = 5
+	coresPerEndpoint  = 16
+	maxRate           = 400 // requests a second
+	largeFleet        = 30
+	crowdDescriptors  = 128
+	faultyEndpointOdd = 2 // one seed in so many has faulty endpoints
+	crowdOdd          = 3 // one in so many has a crowd of clients that keep their connections
+)
+
+// Day is what a seed draws.
+type Day struct {
+	Scenario *scenario.Scenario
+	Healthy  bool // no endpoint is at fault, and there is capacity to spare
+}
+
+// Draw returns the day of a seed: the same for the same seed.
+func Draw(seed uint64) (*Day, error) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	endpoints := 1 + random.IntN(3)
+	if random.IntN(2) == 0 {
+		endpoints = largeFleet
+	}
+	day := &Day{Healthy: random.IntN(faultyEndpointOdd) != 0}
+	var text strings.Builder
+	fmt.Fprintf(&text, "name = \"soak-%d\"\nlength = \"%ds\"\nseed = %d\n[nodes]\ncount = 2\n", seed, lengthSeconds, seed)
+	isCrowd := random.IntN(crowdOdd) == 0
+	if isCrowd {
+		fmt.Fprintf(&text, "sockets = %d\n[clients]\nonce = 0.3\n", crowdDescriptors)
+	}
+	fmt.Fprintf(&text, "[[fleet]]\ncount = %d\ncores = %d\nplaces = 64\nspread = 0.2\n", endpoints, coresPerEndpoint)
+	fmt.Fprintf(&text, "[load]\nrate = %d\n", min(endpoints*coresPerEndpoint*requestsPerCore, maxRate))
+	writeClasses(&text, random)
+	writeStops(&text, random)
+	if !day.Healthy {
+		writeEndpointFault(&text, random, endpoints)
+	}
+	var err error
+	day.Scenario, err = scenario.Parse(fmt.Sprintf("soak seed %d", seed), []byte(text.String()))
+	return day, err
+}
+
+// writeClasses writes a class of each kind of idempotency, with work that varies exponentially.
+func writeClasses(text *strings.Builder, random *rand.Rand) {
+	for _, class := range []string{"rerunnable", "ticketed", "exclusive"} {
+		fmt.Fprintf(text, "[[category]]\nname = %q\nrepeat = %q\nsoft_limit = \"1s\"\nhard_limit = \"2s\"\nvary = 1.0\nwork = \"%dms\"\n",
+			class, class, 20+random.IntN(60))
+	}
+}
+
+// writeStops has one node told to stop, and to come back, one to three times, amid other signals.
+func writeStops(text *strings.Builder, random *rand.Rand) {
+	for stop := range 1 + random.IntN(3) {
+		fmt.Fprintf(text, "[[fault]]\nkind = \"stop\"\nhow = \"signals\"\nat = \"%dms\"\nfor = \"200ms\"\nnodes = [%d]\n",
+			500+1500*stop+random.IntN(500), stop%2)
+	}
+}
+
+// writeEndpointFault has some endpoints hang, reset, fail or reject for a while.
+func writeEndpointFault(text *strings.Builder, random *rand.Rand, endpoints int) {
+	kinds := []string{"silent", "reset", "fail", "turn-away"}
+	fmt.Fprintf(text, "[[fault]]\nkind = %q\nat = \"1s\"\nfor = \"2s\"\ncount = %d\n",
+		kinds[random.IntN(len(kinds))], 1+random.IntN(max(1, endpoints/3)))
+}
+
+// Complaints returns what is wrong with the run of a day; none if it held.
+func (d *Day) Complaints(r *result.Result) []string {
+	var complaints []string
+	for _, violation := range r.Violations {
+		complaints = append(complaints, fmt.Sprint(violation))
+	}
+	for _, node := range r.Nodes {
+		if node.Crashes > 0 {
+			complaints = append(complaints, fmt.Sprintf("node %d ended by itself %d times", node.Node, node.Crashes))
+		}
+	}
+	if unanswered := r.Rejected + r.Failed + r.Lost; d.Healthy && unanswered > 0 {
+		complaints = append(complaints, fmt.Sprintf("healthy endpoints with capacity to spare: %d rejected, %d failed, %d lost of %d",
+			r.Rejected, r.Failed, r.Lost, r.Requests))
+	}
+	return complaints
+}
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,51 @@
+package soak
+
+import (
+	"reflect"
+	"testing"
+
+	"fawnglade/internal/lab/invariant"
+	"fawnglade/internal/lab/result"
+	"fawnglade/internal/lab/trace"
+)
+
+func TestEverySeedDrawsTheSameValidDay(t *testing.T) {
+	healthy := 0
+	for seed := range uint64(200) {
+		day, err := Draw(seed)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		again, err := Draw(seed)
+		if err != nil || !reflect.DeepEqual(day, again) {
+			t.Errorf("seed %d draws two days (%v)", seed, err)
+		}
+		if day.Healthy {
+			healthy++
+		}
+	}
+	if healthy < 50 || healthy > 150 {
+		t.Errorf("%d of 200 days are healthy", healthy)
+	}
+}
+
+func TestEachCheckComplains(t *testing.T) {
+	for name, c := range map[string]struct {
+		healthy bool
+		run     result.Result
+		want    int
+	}{
+		"held":                 {true, result.Result{}, 0},
+		"a rule is broken":     {false, result.Result{Violations: make([]invariant.Violation, 1)}, 1},
+		"a node ended":         {false, result.Result{Nodes: []trace.NodeUsage{{Crashes: 1}}}, 1},
+		"rejected, healthy":    {true, result.Result{Tally: result.Tally{Rejected: 1}}, 1},
+		"failed, healthy":      {true, result.Result{Tally: result.Tally{Failed: 1}}, 1},
+		"lost, healthy":        {true, result.Result{Tally: result.Tally{Lost: 1}}, 1},
+		"rejected, not wholly": {false, result.Result{Tally: result.Tally{Rejected: 1}}, 0},
+	} {
+		day := &Day{Healthy: c.healthy}
+		if got := day.Complaints(&c.run); len(got) != c.want {
+			t.Errorf("%s: %q, expected %d complaints", name, got, c.want)
+		}
+	}
+}
