--- a/policy/estimator.go
+++ b/policy/estimator.go
@@ -103,7 +103,7 @@
 	return max(minOverdueTicks*e.clockResolution, overdue)
 }
 
-// patience is how many times longer an answer may take while few have come, of any class, to tell by how long they take.
+// patience is how many times longer an answer may take while few have come, of any class, to tell what is late.
 func (e *estimator) patience() float64 {
 	answers := 0
 	for i := range e.classes {
--- a/policy/hedging.go
+++ b/policy/hedging.go
@@ -7,8 +7,9 @@
 // deadline, and a budget of one hedged request for every ten requests. There is none for a non-idempotent class, nor
 // where the settings forbid two attempts at once; there an overdue idempotent attempt is canceled and sent elsewhere,
 // if another endpoint may take it now, and if its own has answered no other since: one that answers others is at work
-// on a heavy request, which would be heavy elsewhere too. On a connection that may be dead it is canceled even where its
-// own endpoint is the only one, for a new connection there. A request whose body is still coming is never overdue. docs/design.md: "Hedging".
+// on a heavy request, which would be heavy elsewhere too. On a connection that may be dead it is canceled even where
+// its own endpoint is the only one, for a new connection there. A request whose body is still coming is never overdue.
+// docs/design.md: "Hedging".
 
 const (
 	hedgesPerRequest = 0.1
@@ -56,9 +57,9 @@
 	}
 }
 
-// recordOverdue judges an endpoint that answers others by an attempt that is overdue. Guards against endpoints that leave
-// one class unanswered: where none of the class was answered lately, one is judged like an error. Where some were, a
-// single late answer says little.
+// recordOverdue judges an endpoint that answers others by an attempt that is overdue. Guards against endpoints that
+// leave one class unanswered: where none of the class was answered lately, one is judged like an error. Where some
+// were, a single late answer says little.
 func (b *Balancer) recordOverdue(now Time, req *request, a *attempt) {
 	outcome := OutcomeTimedOut
 	if a.endpoint.health[req.Class].samples < 1 {
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -11,13 +11,15 @@
 //   - Ejection: above a failure rate of a quarter, and above twice the rate of all endpoints: where everything fails
 //     together, no endpoint is an outlier.
 //   - Trial: after half a second, which doubles up to four seconds with each failure, one idempotent request at a time
-//     may go to an ejected endpoint, whatever latency is predicted.
+//     may go to an ejected endpoint, whatever latency is predicted; one that may not be repeated much later, so that
+//     all nodes together try an endpoint with one in maxEjectionTime at most.
 //   - Return: when its failure rate is under half of the limit.
 //   - Gossip: messages of other nodes that it fails the class are votes. Three eject it where this node has seen
 //     nothing itself, or failures. Its failure rate is then at least twice the ejection rate, so that it returns after
 //     some successes only, and its first trial follows after a second.
 //   - Last resort: where there is no other candidate, an ejected endpoint is used for any class, if this node knows it
-//     well and has nothing in flight there.
+//     well and has nothing in flight there; from its trial time on, nothing of the class. The only active endpoint
+//     counts as not ejected.
 //   - Backoff: an endpoint that rejects an attempt, or takes no connection, gets nothing for a time that doubles. This
 //     is no ejection, and holds for all classes.
 //
@@ -110,8 +112,8 @@
 }
 
 // mayTryEjected reports whether an endpoint that is ejected for the request's class may get the request all the same:
-// as a trial in any round, or as a last resort in the last one, with nothing in flight there; from its trial time on the
-// last resort asks for nothing of the class alone. Neither asks for a prediction in time.
+// as a trial in any round, or as a last resort in the last one, with nothing in flight there; from its trial time on
+// the last resort asks for nothing of the class alone. Neither asks for a prediction in time.
 func (b *Balancer) mayTryEjected(c *criteria, ep *endpoint, health *classHealth) bool {
 	if health.inFlight > 0 {
 		return false
@@ -134,8 +136,8 @@
 	return c.now >= health.retryAt.Add(wait)
 }
 
-// onlyActive returns the only active endpoint among some; nil if there are several, or none. Guards against a class being
-// given up because of an endpoint that has no peers to be told apart from.
+// onlyActive returns the only active endpoint among some; nil if there are several, or none. Guards against a class
+// being given up because of an endpoint that has no peers to be told apart from.
 func onlyActive(endpoints []*endpoint) *endpoint {
 	var only *endpoint
 	for _, ep := range endpoints {
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -38,7 +38,7 @@
 	roundByObjective selectionRound = iota // predicted in time for the latency objective, of the window
 	roundByDeadline                        // predicted in time for the effective deadline, of the window
 	roundWholeSubset                       // the same, of the complete subset
-	roundLastResort                        // the same, and ejected endpoints that this node knows well
+	roundLastResort                        // the same, ejected endpoints that this node knows well, and the last one again
 	numberOfSelectionRounds
 )
 
