A class that finds no endpoint listed counts as wanting capacity, as before

Change: only reasons of the request or of an ejection do not count: body consumed, attempts used up, may have run, last endpoint, ejected.

--- a/policy/reason.go
+++ b/policy/reason.go
@@ -49,13 +49,13 @@
 	ReasonNotInTime:    "not in time",
 }
 
-// isOfLoad reports whether less load on the endpoints would have helped the request.
+// isOfLoad reports whether less load on the endpoints, or more of them, would have helped the request.
 func (r Reason) isOfLoad() bool {
 	switch r {
-	case ReasonDeadline, ReasonResting, ReasonBackoff, ReasonSlowStart, ReasonSilent, ReasonOverQuota, ReasonNotInTime:
-		return true
-	default:
+	case ReasonBodyConsumed, ReasonAttemptsUsed, ReasonMayHaveRun, ReasonLastTried, ReasonEjected:
 		return false
+	default:
+		return true
 	}
 }
 
