Lab: whether a node's end is expected belongs to its life, not to the node

Cause: the start of the next life reset the mark before the watch of the life that ended had read it. Now the mark names the life.

--- a/internal/lab/emulator/node.go
+++ b/internal/lab/emulator/node.go
@@ -111,9 +111,9 @@
 	mu          sync.Mutex
 	handle      Process
 	process     *invariant.Process
-	stateLost   bool // its directory was tampered with since it ended
-	endExpected bool // its end is the day's own doing
-	admitted    bool // the front sends to it
+	stateLost   bool               // its directory was tampered with since it ended
+	endExpected *invariant.Process // the life whose end is the day's own doing
+	admitted    bool               // the front sends to it
 	usage       trace.NodeUsage
 	earlierCPU  float64 // of earlier lives
 }
@@ -181,7 +181,7 @@
 	n.stateLost = false
 	n.run.history.RecordProcess(life)
 	n.mu.Lock()
-	n.handle, n.process, n.endExpected = p, life, false
+	n.handle, n.process = p, life
 	n.usage.Starts++
 	n.mu.Unlock()
 	n.run.group.Go(func() error { n.watch(p, life); return nil })
@@ -236,7 +236,7 @@
 		return
 	}
 	n.mu.Lock()
-	expected := n.endExpected
+	expected := n.endExpected == life
 	if !expected {
 		n.usage.Crashes++
 	}
@@ -260,7 +260,7 @@
 func (n *node) end(s os.Signal, excused bool) {
 	n.mu.Lock()
 	p, life := n.handle, n.process
-	n.endExpected = true
+	n.endExpected = life
 	n.mu.Unlock()
 	if p == nil {
 		return
