Review: case 1, a long body to a hanging server is answered after 5 s

A stand-in client sends bodies of 3.5 to 6.5 MB beside small requests; three of ten servers hang for 8 s. The node answers such a request 5 s after its last byte, where 1.2 s or 1.5 s and half a second are allowed.

--- /dev/null
+++ b/review/standin/upload.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+)
+
+// load is what clients send for a while.
+type load struct {
+	classes []class
+	rate    float64 // requests per second and node
+	length  time.Duration
+	body    func(c class) int // bytes of a body
+}
+
+// play sends the load to all nodes and returns all requests once they have ended.
+func (l *load) play(p *plan) []*request {
+	var mu sync.Mutex
+	var all []*request
+	var open sync.WaitGroup
+	end := time.Now().Add(l.length)
+	for _, n := range p.Nodes {
+		pool := &clientPool{address: n.Listen}
+		open.Go(func() {
+			for next := time.Now(); next.Before(end); {
+				next = next.Add(time.Duration(rand.ExpFloat64() / l.rate * float64(time.Second)))
+				time.Sleep(time.Until(next))
+				c := l.classes[rand.IntN(len(l.classes))]
+				r := newRequest(c, l.body(c))
+				open.Go(func() {
+					pool.send(r)
+					mu.Lock()
+					defer mu.Unlock()
+					all = append(all, r)
+				})
+			}
+		})
+	}
+	open.Wait()
+	return all
+}
+
+var payroll = []class{
+	{"payslip-view", "GET", 300 * time.Millisecond},
+	{"timesheet-update", "POST", 1200 * time.Millisecond},
+	{"salary-run", "POST", 1500 * time.Millisecond},
+}
+
+func smallBody(c class) int {
+	if c.method == "GET" {
+		return 0
+	}
+	return 200 + rand.IntN(2000)
+}
+
+// uploadCommand sends the usual small requests and some long ones, and judges whether each got its final answer in
+// time.
+func uploadCommand(args []string) error {
+	flags, planPath := newFlags("upload")
+	length := flags.Duration("length", 30*time.Second, "how long requests are sent")
+	rate := flags.Float64("rate", 80, "small requests per second and node")
+	longRate := flags.Float64("long-rate", 2, "long requests per second and node")
+	from := flags.Int("from", 2<<20, "bytes of the shortest long body")
+	to := flags.Int("to", 16<<20, "bytes of the longest long body")
+	recordPath := flags.String("record", "", "file to which the result is added")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	p, err := readPlan(*planPath)
+	if err != nil {
+		return err
+	}
+	small := load{classes: payroll, rate: *rate, length: *length, body: smallBody}
+	long := load{classes: payroll[1:], rate: *longRate, length: *length}
+	long.body = func(class) int { return *from + rand.IntN(*to-*from) }
+	var requests []*request
+	done := make(chan []*request)
+	go func() { done <- long.play(p) }()
+	requests = append(requests, small.play(p)...)
+	requests = append(requests, <-done...)
+	return judge(requests, *recordPath)
+}
+
+// judge adds all requests to the record, the broken ones last, and returns errBroken if there is one.
+func judge(requests []*request, recordPath string) error {
+	record, err := os.OpenFile(recordPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer record.Close()
+	statuses := map[int]int{}
+	var broken []string
+	notTaken := 0
+	for _, r := range requests {
+		statuses[r.status]++
+		if r.sentAt.IsZero() {
+			notTaken++
+		}
+		line := r.line()
+		switch {
+		case r.isForeign():
+			line += fmt.Sprintf(" FOREIGN ANSWER %q", r.answer)
+		case r.isLost():
+			line += " LOST"
+		}
+		if r.isForeign() || r.isLost() {
+			broken = append(broken, line)
+		}
+		fmt.Fprintln(record, line)
+	}
+	summary := fmt.Sprintf("requests %d, by status %v (0: no answer), not taken %d, broken %d\n", len(requests), statuses, notTaken, len(broken))
+	for _, line := range broken {
+		summary += "BROKEN " + line + "\n"
+	}
+	fmt.Fprint(record, summary)
+	fmt.Print(summary)
+	if len(broken) > 0 {
+		return errBroken
+	}
+	return nil
+}
