--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -132,23 +132,20 @@
 
 // sendOn sends a request on a connection and reads the answer. It keeps or closes the connection, and reports whether
 // an answer came.
-func (p *clientPool) sendOn(conn *clientConn, r *request) (answered bool) {
+func (p *clientPool) sendOn(conn *clientConn, r *request) (gotAnswer bool) {
 	r.sentAt = time.Time{}
 	conn.SetDeadline(time.Now().Add(2 * watchTime))
 	written := make(chan struct{})
+	answered := make(chan struct{})
 	go func() {
 		defer close(written)
 		if _, err := conn.Write(append(r.head(), r.body...)); err != nil {
 			return
 		}
-		for r.sentAt = time.Now(); unacknowledged(conn.Conn) > 0; r.sentAt = time.Now() {
-			if time.Since(r.sentAt) > watchTime {
-				r.sentAt = time.Time{}
-				return
-			}
-			time.Sleep(time.Millisecond)
+		if takenAt, ok := awaitTaken(conn.Conn, answered); ok {
+			r.sentAt = takenAt
+			conn.SetReadDeadline(takenAt.Add(watchTime))
 		}
-		conn.SetReadDeadline(r.sentAt.Add(watchTime))
 	}()
 	answer, err := http.ReadResponse(conn.in, &http.Request{Method: r.class.method})
 	var text []byte
@@ -156,6 +153,7 @@
 		text, err = io.ReadAll(answer.Body)
 	}
 	r.answeredAt, r.err = time.Now(), err
+	close(answered)
 	if err == nil {
 		r.status, r.answer = answer.StatusCode, string(text)
 	}
@@ -169,6 +167,25 @@
 	return err == nil
 }
 
+// awaitTaken waits until the other machine has taken all that was written, and returns when. It looks for the last time after the
+// answer or the end of the connection, or after watchTime.
+func awaitTaken(conn net.Conn, answered <-chan struct{}) (takenAt time.Time, ok bool) {
+	for end := time.Now().Add(watchTime); ; time.Sleep(200 * time.Microsecond) {
+		ended := time.Now().After(end)
+		select {
+		case <-answered:
+			ended = true
+		default:
+		}
+		if unacknowledged(conn) == 0 {
+			return time.Now(), true
+		}
+		if ended {
+			return time.Time{}, false
+		}
+	}
+}
+
 // unacknowledged returns how many written bytes the other machine has not taken yet.
 func unacknowledged(conn net.Conn) int {
 	raw, err := conn.(*net.TCPConn).SyscallConn()
@@ -176,10 +193,11 @@
 		return 0
 	}
 	var waiting int32
+	var errno syscall.Errno
 	err = raw.Control(func(fd uintptr) {
-		syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&waiting)))
+		_, _, errno = syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&waiting)))
 	})
-	if err != nil {
+	if err != nil || errno != 0 {
 		return 0
 	}
 	return int(waiting)
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -38,18 +37,20 @@
 func listHandler(line []byte) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/v1/endpoints", func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprintf(w, "%s\n", line)
+		next := append(line, '\n')
 		for r.URL.Query().Get("watch") == "1" {
-			if http.NewResponseController(w).Flush() != nil {
+			_, err := w.Write(next)
+			if err != nil || http.NewResponseController(w).Flush() != nil {
 				return
 			}
+			next = []byte("\n")
 			select {
 			case <-r.Context().Done():
 				return
 			case <-time.After(2 * time.Second):
-				fmt.Fprint(w, "\n")
 			}
 		}
+		_, _ = w.Write(next) // a caller that has gone needs no list
 	})
 	return mux
 }
--- a/review/standin/upload.go
+++ b/review/standin/upload.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -94,6 +95,7 @@
 	statuses := map[int]int{}
 	var broken []string
 	notTaken := 0
+	var lines strings.Builder
 	for _, r := range requests {
 		statuses[r.status]++
 		if r.sentAt.IsZero() {
@@ -109,13 +111,15 @@
 		if r.isForeign() || r.isLost() {
 			broken = append(broken, line)
 		}
-		fmt.Fprintln(record, line)
+		lines.WriteString(line + "\n")
 	}
 	summary := fmt.Sprintf("requests %d, by status %v (0: no answer), not taken %d, broken %d\n", len(requests), statuses, notTaken, len(broken))
 	for _, line := range broken {
 		summary += "BROKEN " + line + "\n"
 	}
-	fmt.Fprint(record, summary)
+	if _, err := record.WriteString(lines.String() + summary); err != nil {
+		return err
+	}
 	fmt.Print(summary)
 	if len(broken) > 0 {
 		return errBroken
