--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -9,9 +9,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 	"unsafe"
@@ -74,10 +74,15 @@
 // clientPool holds the idle connections of clients to one node.
 type clientPool struct {
 	address string
-	mu      sync.Mutex
-	idle    []*clientConn
+	closed  atomic.Bool // the front sends this node no new connections
+
+	mu   sync.Mutex
+	idle []*clientConn
 }
 
+// errNoConnection means that a request was not sent, as no connection to the node is open and no new one may be.
+var errNoConnection = errors.New("not sent: no connection is open")
+
 type clientConn struct {
 	net.Conn
 	in *bufio.Reader
@@ -99,6 +104,9 @@
 }
 
 func (p *clientPool) dial() (*clientConn, error) {
+	if p.closed.Load() {
+		return nil, errNoConnection
+	}
 	conn, err := net.DialTimeout("tcp", p.address, time.Second)
 	if err != nil {
 		return nil, err
@@ -112,22 +120,26 @@
 	p.idle = append(p.idle, conn)
 }
 
-// send sends a request, and waits for its answer for watchTime after its last byte. A node may close a connection
-// between two requests; if nothing of an answer came on a connection that was kept, the request is sent once more on a
-// new one.
+// crossingTime bounds how soon after a request the end of a kept connection may come and still be a crossing: the node
+// closed the connection between two requests, and had not read this one.
+const crossingTime = 100 * time.Millisecond
+
+// send sends a request, and waits for its answer for watchTime after its last byte. If its kept connection ends at once,
+// the request has crossed that end, and is sent once more on a new one.
 func (p *clientPool) send(r *request) {
 	conn, kept, err := p.take()
-	if err == nil && kept && !p.sendOn(conn, r) && r.status == 0 && !errors.Is(r.err, os.ErrDeadlineExceeded) {
+	if err == nil && kept {
+		if p.sendOn(conn, r) || r.answeredAt.Sub(r.sentAt) > crossingTime && !r.sentAt.IsZero() {
+			return
+		}
+		r.sentAt = time.Time{}
 		conn, err = p.dial()
-		kept = false
 	}
 	if err != nil {
 		r.err = err
 		return
 	}
-	if !kept {
-		p.sendOn(conn, r)
-	}
+	p.sendOn(conn, r)
 }
 
 // sendOn sends a request on a connection and reads the answer. It keeps or closes the connection, and reports whether
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,11 +17,12 @@
 	"servers":   serversCommand,
 	"upload":    uploadCommand,
 	"copies":    copiesCommand,
+	"shutdown":  shutdownCommand,
 }
 
 func main() {
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin plan|ready|discovery|servers|upload|copies [flags]")
+		fmt.Fprintln(os.Stderr, "usage: standin plan|ready|discovery|servers|upload|copies|shutdown [flags]")
 		os.Exit(2)
 	}
 	if err := commands[os.Args[1]](os.Args[2:]); err != nil {
--- a/review/standin/plan.go
+++ b/review/standin/plan.go
@@ -22,6 +22,7 @@
 type planNode struct {
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
+	News   string `json:"news"` // where messages of other nodes come, if the settings allow them
 	Zone   int    `json:"zone"`
 }
 
@@ -86,6 +87,9 @@
 			"known":    p.endpointList(n.Zone),
 			"settings": settings,
 		}
+		if limits, _ := settings["limits"].(map[string]any); limits["peer_messages"] == true {
+			config["news"] = map[string]any{"listen": n.News, "peers": p.newsAddresses()}
+		}
 		if err := writeJSON(filepath.Join(*folder, n.Name+".json"), config); err != nil {
 			return err
 		}
@@ -100,7 +104,7 @@
 	for _, zone := range zones {
 		p.Zones = append(p.Zones, fmt.Sprint(zone))
 	}
-	addresses, err := freeAddresses(len(p.Zones) + nodes + servers*(1+len(p.Zones)))
+	addresses, err := freeAddresses(len(p.Zones) + 2*nodes + servers*(1+len(p.Zones)))
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +117,7 @@
 		p.Discovery = append(p.Discovery, next())
 	}
 	for i := range nodes {
-		p.Nodes = append(p.Nodes, planNode{Name: fmt.Sprintf("n%d", i), Listen: next(), Zone: i % len(p.Zones)})
+		p.Nodes = append(p.Nodes, planNode{Name: fmt.Sprintf("n%d", i), Listen: next(), News: next(), Zone: i % len(p.Zones)})
 	}
 	for i := range servers {
 		server := planServer{Name: fmt.Sprintf("s-%d", i), Listen: next(), Zone: i % len(p.Zones), Pod: i % len(p.Zones)}
@@ -151,6 +155,14 @@
 	return map[string]any{"seq": 1, "whole": true, "hosts": hosts}
 }
 
+func (p *plan) newsAddresses() []string {
+	var addresses []string
+	for _, n := range p.Nodes {
+		addresses = append(addresses, n.News)
+	}
+	return addresses
+}
+
 func writeJSON(path string, value any) error {
 	text, err := json.MarshalIndent(value, "", " ")
 	if err != nil {
--- a/review/standin/servers.go
+++ b/review/standin/servers.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +21,7 @@
 // serverOptions say how all servers of a process behave.
 type serverOptions struct {
 	work       time.Duration // mean time of a request
+	report     string        // load report in each answer
 	copyShare  float64       // share of the answers that are followed by a second copy
 	copyAfter  [2]time.Duration
 	linkDelays func(from, to int) time.Duration
@@ -33,6 +33,7 @@
 	flags, planPath := newFlags("servers")
 	names := flags.String("names", "", "names of the servers, separated by commas")
 	work := flags.Duration("work", 5*time.Millisecond, "mean time of a request")
+	report := flags.String("report", "queue=0,eps=0", "load report in each answer")
 	copyShare := flags.Float64("copies", 0, "share of the answers that are followed by a second copy")
 	copyFrom := flags.Duration("copy-from", time.Millisecond, "the earliest second copy, after the answer")
 	copyTo := flags.Duration("copy-to", 5*time.Millisecond, "the latest second copy, after the answer")
@@ -50,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	options := serverOptions{work: *work, copyShare: *copyShare, copyAfter: [2]time.Duration{*copyFrom, *copyTo}}
+	options := serverOptions{work: *work, report: *report, copyShare: *copyShare, copyAfter: [2]time.Duration{*copyFrom, *copyTo}}
 	options.linkDelays = func(from, to int) time.Duration {
 		if from == to {
 			return *same
@@ -172,7 +173,7 @@
 	id := r.Header.Get("X-Txn")
 	switch {
 	case r.URL.Path == "/health" || r.URL.Path == "/status/load":
-		return encode("200 OK", "", "queue=0,eps=0")
+		return encode("200 OK", "", s.options.report)
 	case id == "":
 		return encode("404 Not Found", "", "")
 	}
@@ -181,9 +182,8 @@
 	}
 	s.note("ran", id, length)
 	time.Sleep(time.Duration(float64(s.options.work) * (0.5 + rand.Float64())))
-	queue := s.end()
-	report := "X-Pressure: queue=" + strconv.Itoa(max(0, queue-16)) + ",eps=0\r\n"
-	return encode("200 OK", report, answerBody(id, digest))
+	s.end()
+	return encode("200 OK", "X-Pressure: "+s.options.report+"\r\n", answerBody(id, digest))
 }
 
 // answerBody is the answer made for one request.
@@ -203,12 +203,10 @@
 	return true
 }
 
-// end returns how many requests the server still has.
-func (s *server) end() int {
+func (s *server) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inWork--
-	return s.inWork
 }
 
 // note adds a line to the record.
--- a/review/standin/upload.go
+++ b/review/standin/upload.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"os"
-	"strings"
 	"sync"
 	"time"
 )
@@ -15,6 +12,7 @@
 	rate    float64 // requests per second and node
 	length  time.Duration
 	body    func(c class) int // bytes of a body
+	pools   []*clientPool     // connections by node; none: new ones
 }
 
 // play sends the load to all nodes and returns all requests once they have ended.
@@ -23,8 +21,11 @@
 	var all []*request
 	var open sync.WaitGroup
 	end := time.Now().Add(l.length)
-	for _, n := range p.Nodes {
+	for i, n := range p.Nodes {
 		pool := &clientPool{address: n.Listen}
+		if i < len(l.pools) {
+			pool = l.pools[i]
+		}
 		open.Go(func() {
 			for next := time.Now(); next.Before(end); {
 				next = next.Add(time.Duration(rand.ExpFloat64() / l.rate * float64(time.Second)))
@@ -84,45 +85,3 @@
 	requests = append(requests, <-done...)
 	return judge(requests, *recordPath)
 }
-
-// judge adds all requests to the record, the broken ones last, and returns errBroken if there is one.
-func judge(requests []*request, recordPath string) error {
-	record, err := os.OpenFile(recordPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer record.Close()
-	statuses := map[int]int{}
-	var broken []string
-	notTaken := 0
-	var lines strings.Builder
-	for _, r := range requests {
-		statuses[r.status]++
-		if r.sentAt.IsZero() {
-			notTaken++
-		}
-		line := r.line()
-		switch {
-		case r.isForeign():
-			line += fmt.Sprintf(" FOREIGN ANSWER %q", r.answer)
-		case r.isLost():
-			line += " LOST"
-		}
-		if r.isForeign() || r.isLost() {
-			broken = append(broken, line)
-		}
-		lines.WriteString(line + "\n")
-	}
-	summary := fmt.Sprintf("requests %d, by status %v (0: no answer), not taken %d, broken %d\n", len(requests), statuses, notTaken, len(broken))
-	for _, line := range broken {
-		summary += "BROKEN " + line + "\n"
-	}
-	if _, err := record.WriteString(lines.String() + summary); err != nil {
-		return err
-	}
-	fmt.Print(summary)
-	if len(broken) > 0 {
-		return errBroken
-	}
-	return nil
-}
