--- a/review/common.sh
+++ b/review/common.sh
@@ -46,4 +46,10 @@
 	"$standin" ready --address "$address" || cannot_run "$name is not ready: $(tail -3 "$work/$name.log")"
 }
 
+# check_running PID...: the case cannot run if one of these processes has ended.
+check_running() {
+	local pid
+	for pid in "$@"; do kill -0 "$pid" 2>/dev/null || cannot_run "a process ended: $(tail -qn 3 "$work"/*.log)"; done
+}
+
 [ -x "$standin" ] && [ -x bin/fawnglade ] || cannot_run "build first: the deploy file's build, then review/build.sh"
--- a/review/standin/shutdown.go
+++ b/review/standin/shutdown.go
@@ -1,11 +1,15 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
 )
 
+// maxHold is how long a node may be held up.
+const maxHold = 150 * time.Millisecond
+
 var trips = []class{
 	{"dock-lookup", "GET", 1500 * time.Millisecond},
 	{"dock-status", "GET", 5 * time.Second},
@@ -53,9 +57,13 @@
 	pool.closed.Store(true)
 	if *hold > 0 {
 		time.Sleep(time.Until(termAt.Add(*killAfter - *holdBefore)))
+		heldAt := time.Now()
 		_ = syscall.Kill(*pid, syscall.SIGSTOP) // if it has ended already, so much the better
 		time.Sleep(*hold)
 		_ = syscall.Kill(*pid, syscall.SIGCONT)
+		if held := time.Since(heldAt); held > maxHold {
+			return fmt.Errorf("this machine held the node up for %v, longer than the page allows", held)
+		}
 	}
 	time.Sleep(time.Until(termAt.Add(*killAfter + time.Second)))
 	_ = syscall.Kill(*pid, syscall.SIGKILL)
