Log why requests are retried, given up or refused and why connections are closed

Change: a line with its reason for each retry, each request given up or refused, each unusual close of an upstream or client connection and each change of an endpoint's state, with request IDs, the connection's number, its last two requests and how long it was idle before the last. Every close is counted under its reason. The wire and the configuration are as they were.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -33,6 +33,12 @@
 	dedupDeadline policy.Time // the request must not be written after this; 0: no limit
 	notExecuted   bool        // as proved by its result; used by the event loop only
 
+	// For diagnostics. connection is written by the worker, the others belong to the event loop.
+	connection uint64 // ID of its connection; 0: it has none
+	ended      bool
+	outcome    policy.Outcome
+	failure    string // its error; empty if there was none
+
 	mu       sync.Mutex
 	canceled bool   // canceled, or ended
 	onCancel func() // interrupts the worker's wait; nil: it does not wait
@@ -91,6 +97,14 @@
 	conn          *upstreamConn // connection of a response that is still streamed; nil: none
 	closeAfter    bool          // conn can't be reused after the response
 	clientGone    bool          // the request was not written because its client disconnected
+	failure       string        // the attempt's error, for diagnostics; empty if there was none
+}
+
+// recordEnd keeps what diagnostics tell of the attempt. It is called on the event loop.
+func (a *attempt) recordEnd(result attemptResult) {
+	a.ended = true
+	a.outcome = result.outcome
+	a.failure = result.failure
 }
 
 // isRequestFault reports whether the response goes to the client although it is not a success (see isRequestFault of a
--- a/internal/node/bufferedconn.go
+++ b/internal/node/bufferedconn.go
@@ -140,11 +140,13 @@
 	c.Close()
 }
 
-// isReusable reports whether an idle connection may carry another request: the peer has neither closed it nor sent
-// unsolicited bytes, such as a late response. After a restart of an upstream its connection is closed or reset.
-func (c *bufferedConn) isReusable() bool {
-	_, err := sockstate.Peek(c.Conn)
-	return len(c.buffered()) == 0 && errors.Is(err, syscall.EAGAIN)
+// idleState reports whether an idle connection may carry another request, which is so if the peer has neither closed it
+// nor sent unsolicited bytes, such as a late response; and whether there are such bytes. After a restart of an upstream
+// its connection is closed or reset.
+func (c *bufferedConn) idleState() (reusable, hasInput bool) {
+	n, err := sockstate.Peek(c.Conn)
+	hasInput = len(c.buffered()) > 0 || n > 0 && err == nil
+	return !hasInput && errors.Is(err, syscall.EAGAIN), hasInput
 }
 
 // hasInput reports whether the kernel's receive buffer holds unread bytes. It may be called concurrently with a read.
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -4,6 +4,7 @@
 // decide when the connection is closed. Reading a single request is in requestread.go.
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,35 @@
 	lingerTimeout    time.Duration // the connection is closed after this long without input after the last response
 	lastUsedAt       time.Time     // when the connection was accepted or the last response was written
 	messageStartedAt time.Time     // start of the message that is being read; zero between messages
+	closeReason      clientCloseReason
+}
+
+// setCloseReason records why the connection ends. Only the first reason counts.
+func (c *clientConn) setCloseReason(reason clientCloseReason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closeReason == clientCloseUnknown {
+		c.closeReason = reason
+	}
+}
+
+// setReadEndReason records why the read loop ends with an error, or with a client that has closed its connection.
+func (c *clientConn) setReadEndReason(err error) {
+	c.mu.Lock()
+	evicting := c.evicting
+	c.mu.Unlock()
+	switch {
+	case c.clientGone():
+		c.setCloseReason(clientCloseByClient)
+	case evicting && c.frontend.node.closesClientConns():
+		c.setCloseReason(clientCloseNodeEnds)
+	case evicting:
+		c.setCloseReason(clientCloseEvicted)
+	case errors.Is(err, errClientClosed):
+		c.setCloseReason(clientCloseIdle)
+	default:
+		c.setCloseReason(clientCloseInRequest)
+	}
 }
 
 func newClientConn(f *frontend, raw net.Conn) *clientConn {
@@ -65,6 +95,7 @@
 		// If a client pipelines many requests and disconnects, the remaining ones must not be sent to upstreams one
 		// after another as the preceding responses are written.
 		if err != nil && !isMalformed(err) || c.clientGone() {
+			c.setReadEndReason(err)
 			c.releaseBody(pending)
 			return
 		}
@@ -84,12 +115,21 @@
 		c.responseOrder <- pending
 		bodyFailed := pending.source != nil && !c.awaitStreamedBody(pending)
 		if bodyFailed || pending.closeAfter {
+			c.setCloseReason(closeReasonAfter(bodyFailed))
 			c.discardInput()
 			return
 		}
 	}
 }
 
+// closeReasonAfter returns why the connection ends after a request.
+func closeReasonAfter(bodyFailed bool) clientCloseReason {
+	if bodyFailed {
+		return clientCloseInRequest
+	}
+	return clientCloseAsked
+}
+
 // removeAnswered removes the answered requests from the slice, in place.
 func removeAnswered(requests []*pendingRequest) []*pendingRequest {
 	kept := requests[:0]
@@ -215,6 +255,7 @@
 // the remaining requests to end. Then it closes the connection.
 func (c *clientConn) writeLoop() {
 	defer func() {
+		c.recordClose()
 		c.conn.Close()
 		c.frontend.remove(c)
 	}()
@@ -252,10 +293,14 @@
 		complete = writePaced(c.conn, nil, text) == nil
 	}
 	if !complete {
+		c.setCloseReason(clientCloseWriteFailed)
 		c.conn.abort()
 		return false
 	}
 	if last {
+		if !pending.closeAfter {
+			c.setCloseReason(clientCloseNodeEnds)
+		}
 		c.lingerUntil.Store(time.Now().Add(maxLinger).UnixNano())
 		c.conn.closeWrite()
 		c.setReadTimeout(closeLinger)
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -25,6 +25,7 @@
 	requestsFailed
 	requestsCanceled
 	attemptsSent
+	attemptsRetried
 	attemptsSucceeded
 	attemptsErrored
 	attemptsRequestFault
@@ -64,12 +65,29 @@
 // givenUpCounter returns the counter of the requests that the policy rejected or failed for a reason.
 func givenUpCounter(reason policy.Reason) counter { return counterCount + counter(reason) }
 
-// totalCounters is the number of counters, including one per policy.Reason.
-const totalCounters = counterCount + counter(policy.ReasonCount)
+// closeCounter returns the counter of the upstream connections closed for a reason.
+func closeCounter(reason closeReason) counter { return firstCloseCounter + counter(reason) }
+
+// clientCloseCounter returns the counter of the client connections that ended for a reason.
+func clientCloseCounter(reason clientCloseReason) counter {
+	return firstClientCloseCounter + counter(reason)
+}
+
+// The counters by reason follow those with a name of their own.
+const (
+	firstCloseCounter       = counterCount + counter(policy.ReasonCount)
+	firstClientCloseCounter = firstCloseCounter + counter(closeReasonCount)
+	totalCounters           = firstClientCloseCounter + counter(clientCloseReasonCount)
+)
 
 // name returns the counter's key in the log.
 func (c counter) name() string {
-	if c >= counterCount {
+	switch {
+	case c >= firstClientCloseCounter:
+		return "client connections closed: " + clientCloseReason(c-firstClientCloseCounter).String()
+	case c >= firstCloseCounter:
+		return "upstream connections closed: " + closeReason(c-firstCloseCounter).String()
+	case c >= counterCount:
 		return "requests given up: " + policy.Reason(c-counterCount).String()
 	}
 	return counterNames[c]
@@ -87,6 +105,7 @@
 	requestsFailed:           "requests failed",
 	requestsCanceled:         "requests canceled",
 	attemptsSent:             "attempts sent",
+	attemptsRetried:          "attempts after the first",
 	attemptsSucceeded:        "attempts succeeded",
 	attemptsErrored:          "attempts error",
 	attemptsRequestFault:     "attempts request fault",
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -35,6 +35,10 @@
 		return
 	}
 	l.node.counters.add(attemptsSent)
+	if newAttempt.number > 0 {
+		l.node.counters.add(attemptsRetried)
+		l.recordRetry(newAttempt)
+	}
 	l.node.upstreams.startAttempt(newAttempt)
 }
 
@@ -72,6 +76,7 @@
 	answer := response{status: http.StatusServiceUnavailable, retryAfter: retryAfter}
 	if l.finish(request, requestsRejected, answer) {
 		l.node.counters.add(givenUpCounter(reason))
+		l.recordGivenUp(request, answer.status, reason)
 	}
 }
 
@@ -83,6 +88,7 @@
 	}
 	if l.finish(request, requestsFailed, response{status: http.StatusBadGateway}) {
 		l.node.counters.add(givenUpCounter(reason))
+		l.recordGivenUp(request, http.StatusBadGateway, reason)
 	}
 }
 
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -101,6 +101,7 @@
 // updateAddress records an entry. It closes the idle connections of an endpoint that has a new address, was restarted
 // or is no longer active.
 func (l *eventLoop) updateAddress(old knownEndpoint, e endpointEntry) {
+	l.recordEndpointState(old, e)
 	active := e.State == policy.StateActive
 	l.node.upstreams.setAddress(e.ID, e.address, active)
 	if old.address != "" && (old.address != e.address || !active || e.StartedAt > old.StartedAt) {
--- a/internal/node/eventloop.go
+++ b/internal/node/eventloop.go
@@ -85,11 +85,13 @@
 	id := request.request.ID
 	if l.requests[id] != nil { // attempts of two requests with the same ID would be mixed up
 		l.node.counters.add(requestsMalformed)
+		l.node.recordRefused(string(id), http.StatusConflict, "a request with this ID is in flight")
 		request.answer(response{status: http.StatusConflict})
 		return
 	}
 	if l.rejectsNewRequests {
 		l.node.counters.add(requestsOverCapacity)
+		l.node.recordRefused(string(id), http.StatusServiceUnavailable, "process ending")
 		request.answer(l.node.overCapacityResponse())
 		return
 	}
@@ -158,6 +160,7 @@
 	finished.notExecuted = !result.outcome.MayHaveRun()
 	request.inFlight--
 	finished.cancel()
+	finished.recordEnd(result)
 	l.forwardResponse(request, result)
 	l.node.counters.add(attemptCounter(result))
 	l.handle(request, func() { l.balancer.AttemptEnded(l.now, finished.resultFor(request, result)) })
--- a/internal/node/frontend_test.go
+++ b/internal/node/frontend_test.go
@@ -87,7 +87,7 @@
 		t.Errorf("health check: got error %v, want errNoConnectionSlot", err)
 	}
 	for _, c := range conns[:4] {
-		n.upstreams.closeConn(c)
+		n.upstreams.closeConn(c, closeSlotNeeded)
 	}
 	if n.upstreams.closeExpired(); n.frontend.slotsLentToUpstreams.Load() != 0 || n.frontend.capacity() != 8 {
 		t.Errorf("got %d slots lent after the attempts ended, want 0 and a client capacity of 8",
--- a/internal/node/healthcheck.go
+++ b/internal/node/healthcheck.go
@@ -50,19 +50,25 @@
 		return policy.OutcomeConnectFailed, noReport
 	}
 	if !u.mayUse(target) { // the list or the overrides may have changed during the dial
-		u.closeConn(conn)
+		u.closeConn(conn, closeIneligible)
 		return policy.OutcomeNotSent, noReport
 	}
 	conn.SetDeadline(deadline)
+	conn.beginRequest("")
 	text, reusable, err := conn.getLoadReport()
 	if err != nil {
-		u.closeConn(conn)
+		conn.failure = err.Error()
+		u.closeConn(conn, closeHealthCheckFailed)
 		return policy.OutcomeError, noReport
 	}
-	if reusable {
+	switch {
+	case len(conn.buffered()) > 0:
+		u.recordExtraInput(true)
+		u.closeConn(conn, closeUnsolicitedInput)
+	case !reusable:
+		u.closeConn(conn, closeAskedByUpstream)
+	default:
 		u.putIdle(conn)
-	} else {
-		u.closeConn(conn)
 	}
 	return policy.OutcomeSucceeded, parseLoadReport(text)
 }
@@ -86,5 +92,5 @@
 	if !complete || outcomeOf(head.StatusCode, head.Header) != policy.OutcomeSucceeded {
 		return "", false, errNoReport
 	}
-	return string(body), len(c.buffered()) == 0 && !head.Close, nil
+	return string(body), !head.Close, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	log              *zap.Logger
 	clock            clock
 	counters         counters
+	diagnostics      *diagnostics
 	serving          atomic.Bool // the endpoint list has been applied and clients are accepted
 	shuttingDown     atomic.Bool
 	bufferedBytes    atomic.Int64 // memory reserved for bodies of unanswered requests
@@ -53,7 +54,7 @@
 func New(config *Config, log *zap.Logger) (*Node, error) {
 	parsed := &config.parsedSettings
 	n := &Node{
-		config: config, settings: parsed, log: log, clock: newClock(),
+		config: config, settings: parsed, log: log, clock: newClock(), diagnostics: newDiagnostics(log),
 		listLimits: endpointlist.LimitsFor(config.Limits.MemoryMB * bytesPerMiB),
 		classIndex: indexByName(parsed.Classes), tenantIndex: indexByName(parsed.Tenants),
 	}
--- a/internal/node/requestparse.go
+++ b/internal/node/requestparse.go
@@ -29,18 +29,19 @@
 	}
 	if int(c.frontend.activeConns.Load()) > c.frontend.capacity() {
 		pending.closeAfter = true
-		c.rejectOverCapacity(pending)
+		c.rejectOverCapacity(pending, r)
 		return
 	}
 	request, err := node.parseRequest(r, node.clock.now())
 	if err != nil {
 		node.counters.add(requestsMalformed)
+		node.recordRefused(r.Header.Get(headerRequestID), http.StatusBadRequest, err.Error())
 		pending.answer(response{status: http.StatusBadRequest, body: []byte(err.Error() + "\n")})
 		return
 	}
 	overMemory := node.bufferedBytes.Load() > bodyMemoryHardFactor*node.maxBufferedBytes.Load()
 	if len(pending.body) > 0 && overMemory { // a streamed request also buffers the first part of its body
-		c.rejectOverCapacity(pending)
+		c.rejectOverCapacity(pending, r)
 		return
 	}
 	request.StreamingBody = pending.source != nil
@@ -56,13 +57,16 @@
 // request is unknown.
 func (c *clientConn) rejectMalformed(pending *pendingRequest, err error) {
 	c.frontend.node.counters.add(requestsMalformed)
+	c.frontend.node.recordRefused("", statusFor(err), err.Error())
+	c.setCloseReason(clientCloseMalformed)
 	pending.closeAfter = true
 	pending.answer(response{status: statusFor(err)})
 }
 
-func (c *clientConn) rejectOverCapacity(pending *pendingRequest) {
+func (c *clientConn) rejectOverCapacity(pending *pendingRequest, r *http.Request) {
 	node := c.frontend.node
 	node.counters.add(requestsOverCapacity)
+	node.recordRefused(r.Header.Get(headerRequestID), http.StatusServiceUnavailable, "over capacity")
 	pending.answer(node.overCapacityResponse())
 }
 
--- a/internal/node/roundtrip.go
+++ b/internal/node/roundtrip.go
@@ -64,6 +64,7 @@
 		outcome:    err.outcome(),
 		report:     parseLoadReport(""),
 		clientGone: errors.Is(err.err, errClientGone),
+		failure:    err.Error(),
 	}
 }
 
@@ -72,19 +73,26 @@
 	complete := <-stream.done
 	stream.message.end()
 	conn.pacer = nil
-	if complete && !closeAfter && len(conn.buffered()) == 0 {
+	switch {
+	case !complete:
+		u.closeConn(conn, closeResponseFailed)
+	case len(conn.buffered()) > 0:
+		u.recordExtraInput(true)
+		u.closeConn(conn, closeUnsolicitedInput)
+	case closeAfter:
+		u.closeConn(conn, closeAskedByUpstream)
+	default:
 		u.putIdle(conn)
-	} else {
-		u.closeConn(conn)
 	}
 }
 
 // roundTrip is one attempt on its connection. It is used by one goroutine at a time.
 type roundTrip struct {
-	upstreams *upstreams
-	attempt   *attempt
-	conn      *upstreamConn
-	released  bool // the connection is idle again or has another owner, so close must not close it
+	upstreams   *upstreams
+	attempt     *attempt
+	conn        *upstreamConn
+	released    bool        // the connection is idle again or has another owner, so close must not close it
+	closeReason closeReason // why close closes the connection
 }
 
 // runRoundTrip sends a request to its target and reads the response, or the start of a streamed one.
@@ -94,22 +102,24 @@
 	if err != nil {
 		return attemptResult{}, a.errorAt(notConnected, err)
 	}
-	trip := &roundTrip{upstreams: u, attempt: a, conn: conn}
+	a.connection = conn.id
+	trip := &roundTrip{upstreams: u, attempt: a, conn: conn, closeReason: closeResponseFailed}
 	defer trip.close()
 	if a.request.source != nil {
 		deadline = time.Time{} // a streamed body is limited by its progress; the response's time starts after its last byte
 	}
 	conn.SetDeadline(deadline)
 	if !a.setOnCancel(func() { conn.SetDeadline(expiredDeadline) }) {
-		return attemptResult{}, a.errorAt(notConnected, errCanceled)
+		return attemptResult{}, trip.errorAt(notConnected, errCanceled)
 	}
 	defer a.setOnCancel(nil)
 	if err := u.checkBeforeWrite(a); err != nil {
 		if a.setOnCancel(nil) { // nothing was written and no cancel can still set its deadline, so it is reusable
 			trip.putIdle()
 		}
-		return attemptResult{}, a.errorAt(notConnected, err)
+		return attemptResult{}, trip.errorAt(notConnected, err)
 	}
+	conn.beginRequest(a.request.request.ID)
 	reply, err := trip.writeAndReadHead()
 	if err != nil {
 		return attemptResult{}, trip.headError(reply.stage, err)
@@ -120,8 +130,18 @@
 // close closes the connection unless it has been released.
 func (t *roundTrip) close() {
 	if !t.released {
-		t.upstreams.closeConn(t.conn)
+		t.upstreams.closeConn(t.conn, t.closeReason)
+	}
+}
+
+// errorAt returns the error of the attempt, after which its connection is closed unless it has been released.
+func (t *roundTrip) errorAt(stage attemptStage, err error) *attemptError {
+	failure := t.attempt.errorAt(stage, err)
+	t.conn.failure = failure.Error()
+	if failure.canceled {
+		t.closeReason = closeCanceled
 	}
+	return failure
 }
 
 // putIdle releases the connection for the next attempt.
@@ -135,7 +155,7 @@
 	if stage == fullyWritten && len(t.conn.buffered()) > 0 {
 		stage = readingResponse
 	}
-	failure := t.attempt.errorAt(stage, err)
+	failure := t.errorAt(stage, err)
 	reused := !t.conn.idleSince.IsZero()
 	if failure.stage == fullyWritten && failure.outcome() == policy.OutcomeReset && reused {
 		// An upstream that was unreachable and is back resets each older connection only when that connection is
@@ -151,7 +171,7 @@
 	body, complete, err := readBodyStart(m)
 	if err != nil {
 		m.end()
-		return attemptResult{}, t.attempt.errorAt(readingResponse, err)
+		return attemptResult{}, t.errorAt(readingResponse, err)
 	}
 	result := reply.result()
 	result.newConnection = t.conn.idleSince.IsZero()
@@ -173,15 +193,32 @@
 	extraInput := complete && len(t.conn.buffered()) > 0
 	t.upstreams.recordExtraInput(extraInput)
 	t.conn.lastRejected = result.outcome == policy.OutcomeRejected
-	if wanted && complete && !extraInput && reusable {
+	switch {
+	case wanted && complete && !extraInput && reusable:
 		t.putIdle()
-	}
-	if forwarded && !complete {
-		return attemptResult{}, t.attempt.errorAt(readingResponse, errCanceled)
+	case forwarded && !complete:
+		return attemptResult{}, t.errorAt(readingResponse, errCanceled)
+	default:
+		t.closeReason = reply.closeReason(wanted, extraInput)
 	}
 	return result, nil
 }
 
+// closeReason returns why the connection is closed after the response.
+func (r *upstreamReply) closeReason(wanted, extraInput bool) closeReason {
+	switch {
+	case extraInput:
+		return closeUnsolicitedInput
+	case !wanted:
+		return closeCanceled
+	case r.stage != fullyWritten:
+		return closeRequestIncomplete
+	case r.Close:
+		return closeAskedByUpstream
+	}
+	return closeResponseFailed // an error's long body, which nobody reads to its end
+}
+
 // upstreamReply is a response whose head has been read, with its unread body.
 type upstreamReply struct {
 	*http.Response
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -91,5 +91,6 @@
 	n.gossiper.close()
 	n.admin.close()
 	n.hotRestart.closeSuccessor()
+	n.diagnostics.flush()
 	n.counters.log(n.log, "at exit")
 }
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -34,6 +34,7 @@
 
 func (n *Node) startGoroutines() {
 	go n.loop.run()
+	go n.diagnostics.run()
 	n.persistence.startWriteLoop()
 	go n.overrides.watch(time.Tick(overridesPollInterval))
 	go n.admin.run()
--- a/internal/node/upstreampool.go
+++ b/internal/node/upstreampool.go
@@ -35,6 +35,25 @@
 	idleSince    time.Time     // when it last became idle; zero: never, it is new
 	idleElement  *list.Element // in upstreams.idleOrder
 	lastRejected bool          // its last response rejected the request
+
+	// For diagnostics.
+	id              uint64 // of this connection in this process, from 1
+	requestCount    int    // requests written, health checks included
+	lastRequest     string // ID of the last request written; empty: none, or a health check
+	previousRequest string // ID of the request before that
+	idleBeforeLast  time.Duration
+	failure         string // error of the attempt that ended the connection
+}
+
+// beginRequest records for diagnostics that a request is about to be written. A health check has no ID.
+func (c *upstreamConn) beginRequest(id policy.RequestID) {
+	c.requestCount++
+	c.previousRequest = c.lastRequest
+	c.lastRequest = string(id)
+	c.idleBeforeLast = 0
+	if !c.idleSince.IsZero() {
+		c.idleBeforeLast = time.Since(c.idleSince)
+	}
 }
 
 // upstreams runs attempts and health checks, and owns the connections to upstreams.
@@ -44,6 +63,7 @@
 	attempts       chan *attempt // unbuffered: received by an idle worker
 	idleWorkers    atomic.Int64
 	maxIdleWorkers atomic.Int64
+	connCount      atomic.Uint64 // connections opened, to number them
 
 	mu        sync.Mutex
 	eligible  map[policy.EndpointID]string       // addresses of the endpoints that may get new requests
@@ -149,7 +169,7 @@
 		return nil, err
 	}
 	u.node.counters.add(upstreamConnsOpened)
-	return &upstreamConn{bufferedConn: newBufferedConn(raw), target: a.target}, nil
+	return &upstreamConn{bufferedConn: newBufferedConn(raw), target: a.target, id: u.connCount.Add(1)}, nil
 }
 
 // acquireIdle returns a reusable idle connection, or nil if there is none. It closes the unusable ones that it finds.
@@ -159,13 +179,12 @@
 		if conn == nil {
 			return nil
 		}
-		expired := conn.idleSince.Before(u.idleCutoff())
-		if !expired && conn.isReusable() {
+		reason, unusable := u.idleCloseReason(conn, u.idleCutoff())
+		if !unusable {
 			return conn
 		}
-		u.recordExtraInput(conn.hasInput())
-		u.closeConn(conn)
-		if !expired {
+		u.closeConn(conn, reason)
+		if reason != closeIdleTimeout {
 			u.node.counters.add(upstreamConnsFoundClosed)
 		}
 	}
@@ -242,8 +261,22 @@
 	u.open--
 }
 
+// idleCloseReason reports whether an idle connection must not be used again, and why.
+func (u *upstreams) idleCloseReason(conn *upstreamConn, cutoff time.Time) (closeReason, bool) {
+	reusable, hasInput := conn.idleState()
+	switch {
+	case hasInput:
+		u.recordExtraInput(true)
+		return closeUnsolicitedInput, true
+	case conn.idleSince.Before(cutoff):
+		return closeIdleTimeout, true
+	}
+	return closeByUpstream, !reusable
+}
+
 // closeConn closes a connection that is in use.
-func (u *upstreams) closeConn(conn *upstreamConn) {
+func (u *upstreams) closeConn(conn *upstreamConn, reason closeReason) {
+	u.recordClose(conn, reason)
 	conn.Close()
 	u.releaseSlot()
 }
@@ -256,6 +289,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.eligible[conn.target.endpoint] != conn.target.address {
+		u.recordClose(conn, closeIneligible)
 		conn.Close()
 		u.open--
 		return
@@ -268,14 +302,14 @@
 // evictLongestIdleLocked closes the longest idle connection of the pool, which must not be empty.
 func (u *upstreams) evictLongestIdleLocked() {
 	oldest := u.idleOrder.Front().Value.(*upstreamConn)
-	u.closeTargetIdleLocked(oldest.target, 1)
+	u.closeTargetIdleLocked(oldest.target, 1, closeSlotNeeded)
 }
 
 // closeTargetIdleLocked closes the n longest idle connections to a target.
-func (u *upstreams) closeTargetIdleLocked(target upstreamTarget, n int) {
+func (u *upstreams) closeTargetIdleLocked(target upstreamTarget, n int, reason closeReason) {
 	idle := u.idleConns[target]
 	for _, conn := range idle[:n] {
-		u.closeIdleLocked(conn)
+		u.closeIdleLocked(conn, reason)
 	}
 	if n == len(idle) {
 		delete(u.idleConns, target)
@@ -285,7 +319,8 @@
 }
 
 // closeIdleLocked closes an idle connection; the caller removes it from idleConns.
-func (u *upstreams) closeIdleLocked(conn *upstreamConn) {
+func (u *upstreams) closeIdleLocked(conn *upstreamConn, reason closeReason) {
+	u.recordClose(conn, reason)
 	conn.Close()
 	u.idleOrder.Remove(conn.idleElement)
 	u.open--
@@ -296,7 +331,7 @@
 func (u *upstreams) closeIdle(target upstreamTarget) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.closeTargetIdleLocked(target, len(u.idleConns[target]))
+	u.closeTargetIdleLocked(target, len(u.idleConns[target]), closeIdleOfEndpoint)
 }
 
 // idleCutoff returns the earliest last use of a reusable connection: three quarters of the idle timeout ago, so that
@@ -315,12 +350,12 @@
 	for target, idle := range u.idleConns {
 		kept := idle[:0]
 		for _, conn := range idle {
-			if conn.idleSince.After(cutoff) && conn.isReusable() {
+			reason, unusable := u.idleCloseReason(conn, cutoff)
+			if !unusable {
 				kept = append(kept, conn)
 				continue
 			}
-			u.recordExtraInput(conn.hasInput())
-			u.closeIdleLocked(conn)
+			u.closeIdleLocked(conn, reason)
 		}
 		u.idleConns[target] = kept
 		if len(kept) == 0 {
