Keep second copies of responses from other clients: cooldown always, copies told apart

Cause: a response is matched with its request only by the order on its connection. A second copy that came while the connection was idle was found, but one still on its way was read as the response to the next request, and each response after it as that of the next. Connections rested after a response only for 8 ms, and only once unsolicited input had been seen (takeIdle in upstreampool.go), so nothing guarded the first copies.

Change: a connection is reused 12 ms after its last response at the earliest, 48 ms after a rejection and for a minute after unsolicited input; the last is measured by the monotonic clock. A response that equals the one before it on its connection to the byte, within a second, while no other recent response was equal, is taken for a possible copy: the next one on the connection is awaited for half of the time left. A rejection of that kind proves nothing. Why it works: what comes within the cooldown is found before the reuse, and an exact copy that comes later is recognized by itself.

Tests of other things that need an immediate reuse run without a cooldown.

--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -53,6 +53,7 @@
 	requestsStreamed
 	responsesStreamed
 	responsesTruncated
+	responseCopiesDiscarded
 	adminCallsAnswered
 	adminCallsBad
 	adminCallsDropped
@@ -133,6 +134,7 @@
 	requestsStreamed:         "requests streamed",
 	responsesStreamed:        "responses streamed",
 	responsesTruncated:       "responses truncated",
+	responseCopiesDiscarded:  "response copies discarded",
 	adminCallsAnswered:       "admin calls answered",
 	adminCallsBad:            "admin calls bad",
 	adminCallsDropped:        "admin calls dropped",
--- a/internal/node/healthcheck.go
+++ b/internal/node/healthcheck.go
@@ -63,7 +63,7 @@
 	}
 	switch {
 	case len(conn.buffered()) > 0:
-		u.recordExtraInput(true)
+		u.recordUnsolicitedInput()
 		u.closeConn(conn, closeUnsolicitedInput)
 	case !reusable:
 		u.closeConn(conn, closeAskedByUpstream)
@@ -85,6 +85,8 @@
 		return "", false, err
 	}
 	body, complete, err := m.readUpTo(nil, maxReportBytes)
+	c.lastDigest = digestResponse(m.digest, body)
+	c.lastResponseAt = time.Now()
 	m.end()
 	if err != nil {
 		return "", false, err
--- a/internal/node/httpmessage.go
+++ b/internal/node/httpmessage.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"strings"
 	"sync"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -37,7 +39,8 @@
 	conn   *bufferedConn
 	reader *bufio.Reader // nil after end
 	body   io.Reader
-	length int64 // of the body in bytes, or unknownLength
+	length int64          // of the body in bytes, or unknownLength
+	digest responseDigest // of the head, if it is a response
 }
 
 // framedBody is the body that follows a parsed head.
@@ -89,6 +92,16 @@
 	return bytes.Contains(head, []byte("\n\r\n")) || bytes.Contains(head, []byte("\n\n"))
 }
 
+// headOf returns the head of a buffered message, without the empty line that ends it.
+func headOf(buffered []byte) []byte {
+	for _, end := range []string{"\n\r\n", "\n\n"} {
+		if head, _, found := bytes.Cut(buffered, []byte(end)); found {
+			return head
+		}
+	}
+	return buffered
+}
+
 // end returns bytes read beyond the message to the connection's buffer. The message must not be used afterwards; a
 // second call has no effect.
 func (m *message) end() {
@@ -228,7 +241,9 @@
 func (c *bufferedConn) readResponseHead(method string) (*http.Response, *message, error) {
 	for {
 		var response *http.Response
+		var digest responseDigest
 		m, err := c.readHead(func(reader *bufio.Reader) (framedBody, error) {
+			digest = responseDigest(xxhash.Sum64(headOf(c.buffered())))
 			var err error
 			response, err = http.ReadResponse(reader, &http.Request{Method: method})
 			if err != nil {
@@ -239,9 +254,13 @@
 			}
 			return framedBody{response.Body, bodyLength(response.ContentLength, response.TransferEncoding)}, nil
 		})
-		if err != nil || response.StatusCode >= http.StatusOK {
+		if err != nil {
 			return response, m, err
 		}
+		m.digest = digest
+		if response.StatusCode >= http.StatusOK {
+			return response, m, nil
+		}
 		m.end()
 	}
 }
--- /dev/null
+++ b/internal/node/responsecopy_test.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// startCopyingUpstream starts an upstream that, before the last of a number of requests is answered, sends the response
+// to the one before it again. It returns the number of requests that ran.
+func startCopyingUpstream(t *testing.T, last int64, respond func(id string) (status, body string)) (string, *atomic.Int64) {
+	var requests, ran atomic.Int64
+	return listen(t, func(c net.Conn) {
+		var before [2]string
+		for in := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if requests.Add(1) == last {
+				writeResponse(c, before[0], before[1])
+			}
+			time.Sleep(2 * time.Millisecond)
+			before[0], before[1] = respond(r.Header.Get(headerRequestID))
+			if before[0] == "200 OK" {
+				ran.Add(1)
+			}
+			writeResponse(c, before[0], before[1])
+		}
+	}), &ran
+}
+
+// Guards against a second copy of a response that comes after the cooldown, behind the next request.
+func TestCopyBehindNextRequestIsNotItsResponse(t *testing.T) {
+	const requests = minRecentResponses + 4
+	server, _ := startCopyingUpstream(t, requests, func(id string) (string, string) { return "200 OK", "for " + id })
+	n := startNodeWithoutCooldown(t, nil, server)
+	for i := range requests {
+		id := fmt.Sprint("t", i)
+		if status, body, _ := sendRequest(t, n, "pay", id, ""); status != 200 || body != "for "+id {
+			t.Errorf("request %s: got status %d and body %q, want its own response", id, status, body)
+		}
+	}
+	if n.count(responseCopiesDiscarded) != 1 || n.upstreams.lastUnsolicitedAt.Load() == 0 {
+		t.Errorf("got %d copies discarded, want 1, recorded as unsolicited", n.count(responseCopiesDiscarded))
+	}
+	eventually(t, "the connection is closed", func() bool {
+		return n.count(closeCounter(closeUnsolicitedInput)) == 1
+	})
+}
+
+// Guards against taking the equal responses of an endpoint that answers many requests alike for copies.
+func TestEqualResponsesAreNotTakenForCopies(t *testing.T) {
+	server, _ := startUpstream(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		return writeResponse(c, "200 OK", "done")
+	})
+	n := startNodeWithoutCooldown(t, nil, server)
+	for i := range 3 * minRecentResponses {
+		if status, body, _ := sendRequest(t, n, "pay", fmt.Sprint("t", i), ""); status != 200 || body != "done" {
+			t.Errorf("request %d: got status %d and body %q, want 200 and \"done\"", i, status, body)
+		}
+	}
+	if opened := n.count(upstreamConnsOpened); opened != 1 { // a possible copy closes its connection
+		t.Errorf("got %d connections, want 1", opened)
+	}
+}
+
+// Guards against losing a response that happens to equal the one before it, where no other recent one does.
+func TestFirstEqualResponseIsServed(t *testing.T) {
+	var requests atomic.Int64
+	server, _ := startUpstream(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		return writeResponse(c, "200 OK", fmt.Sprint(min(requests.Add(1), minRecentResponses+2)))
+	})
+	n := startNodeWithoutCooldown(t, nil, server)
+	for i := range minRecentResponses + 4 {
+		want := fmt.Sprint(min(i+1, minRecentResponses+2))
+		if status, body, _ := sendRequest(t, n, "pay", fmt.Sprint("t", i), ""); status != 200 || body != want {
+			t.Errorf("request %d: got status %d and body %q, want 200 and %q", i, status, body, want)
+		}
+	}
+	if n.count(responseCopiesDiscarded) != 0 {
+		t.Errorf("got %d copies discarded, want 0", n.count(responseCopiesDiscarded))
+	}
+}
+
+// Guards against a second copy of a rejection that lets a request run twice.
+func TestCopyOfRejectionDoesNotProveThatNothingRan(t *testing.T) {
+	const requests = minRecentResponses + 4
+	server, ran := startCopyingUpstream(t, requests, func(id string) (string, string) {
+		if id == fmt.Sprint("t", requests-2) {
+			return "503 Busy\r\nX-Turned-Away: 1", ""
+		}
+		return "200 OK", "for " + id
+	})
+	n := startNodeWithoutCooldown(t, withSettings(`"try_limit":3`, `"try_limit":1`), server)
+	for i := range requests - 1 {
+		sendRequest(t, n, "pay", fmt.Sprint("t", i), "")
+	}
+	before := ran.Load()
+	n.upstreams.mu.Lock()
+	idle := n.upstreams.idleOrder.Len()
+	n.upstreams.mu.Unlock()
+	if idle != 1 {
+		t.Fatalf("got %d idle connections, want the one of the rejection", idle)
+	}
+	eventually(t, "the endpoint gets requests again", func() bool {
+		status, _, _ := sendRequest(t, n, "pay", "last", "")
+		if status == 502 {
+			return true
+		}
+		if status == 503 && ran.Load() > before {
+			t.Fatal("the request that ran was rejected")
+		}
+		return false
+	})
+}
+
+// Guards against a copy of a health check's response that reaches a client.
+func TestCopyOfHealthCheckReachesNoClient(t *testing.T) {
+	var checked atomic.Bool
+	server := listen(t, func(c net.Conn) {
+		for in := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if r.URL.Path == "/status/load" {
+				checked.Store(true)
+				writeResponse(c, "200 OK", "queue=1")
+				continue
+			}
+			if checked.Swap(false) {
+				writeResponse(c, "200 OK", "queue=1")
+			}
+			echo(c, r, "")
+		}
+	})
+	n := startNodeWithoutCooldown(t, nil, server)
+	for i := range minRecentResponses {
+		sendRequest(t, n, "pay", fmt.Sprint("t", i), "")
+	}
+	n.loop.post(func() { n.loop.CheckHealth(endpointID("s-0")) })
+	eventually(t, "the health check", func() bool { return n.count(healthChecksAnswered) == 1 })
+	if status, body, _ := sendRequest(t, n, "pay", "last", ""); status != 200 || body != "/pay last " {
+		t.Errorf("got status %d and body %q, want 200 and the request's own response", status, body)
+	}
+}
--- a/internal/node/roundtrip.go
+++ b/internal/node/roundtrip.go
@@ -77,7 +77,7 @@
 	case !complete:
 		u.closeConn(conn, closeResponseFailed)
 	case len(conn.buffered()) > 0:
-		u.recordExtraInput(true)
+		u.recordUnsolicitedInput()
 		u.closeConn(conn, closeUnsolicitedInput)
 	case closeAfter:
 		u.closeConn(conn, closeAskedByUpstream)
@@ -93,6 +93,7 @@
 	conn        *upstreamConn
 	released    bool        // the connection is idle again or has another owner, so close must not close it
 	closeReason closeReason // why close closes the connection
+	copySeen    bool        // a response may have been a copy, so that the connection is not used again
 }
 
 // runRoundTrip sends a request to its target and reads the response, or the start of a streamed one.
@@ -156,7 +157,7 @@
 		stage = readingResponse
 	}
 	failure := t.errorAt(stage, err)
-	reused := !t.conn.idleSince.IsZero()
+	reused := t.conn.requestCount > 1
 	if failure.stage == fullyWritten && failure.outcome() == policy.OutcomeReset && reused {
 		// An upstream that was unreachable and is back resets each older connection only when that connection is
 		// used. If the others stayed open, each would cost a request.
@@ -165,7 +166,7 @@
 	return failure
 }
 
-// readResponse reads the body after the head, or the start of it, and releases the connection if it can be reused.
+// readResponse reads the body after the head, or the start of it.
 func (t *roundTrip) readResponse(reply upstreamReply) (attemptResult, *attemptError) {
 	m := reply.message
 	body, complete, err := readBodyStart(m)
@@ -173,14 +174,46 @@
 		m.end()
 		return attemptResult{}, t.errorAt(readingResponse, err)
 	}
+	if digest := digestResponse(m.digest, body); complete && reply.stage == fullyWritten {
+		if t.mayBeCopy(digest) {
+			return t.readPastCopy(reply, body)
+		}
+		t.recordResponse(digest)
+	}
+	return t.useResponse(reply, body, complete)
+}
+
+// readPastCopy handles a response that may be a second copy of the one before it: if another one follows, that is the
+// response to the request. The connection is not used again, as it may be one response behind.
+func (t *roundTrip) readPastCopy(reply upstreamReply, body []byte) (attemptResult, *attemptError) {
+	reply.message.end()
+	t.copySeen = true
+	if reply.result().outcome == policy.OutcomeRejected {
+		// It proves nothing, and waiting for another response would delay the retry where it does no harm.
+		return attemptResult{}, t.errorAt(readingResponse, errRepeatedRejection)
+	}
+	behind, found, err := t.readBehindCopy(reply)
+	switch {
+	case err != nil:
+		return attemptResult{}, t.errorAt(readingResponse, err)
+	case found:
+		return t.readResponse(behind)
+	}
+	return t.useResponse(reply, body, true)
+}
+
+// useResponse turns a response with its body, or the start of it, into the attempt's result, and releases the connection
+// if it can be reused.
+func (t *roundTrip) useResponse(reply upstreamReply, body []byte, complete bool) (attemptResult, *attemptError) {
+	m := reply.message
+	reusable := !reply.Close && reply.stage == fullyWritten && !t.copySeen
 	result := reply.result()
-	result.newConnection = t.conn.idleSince.IsZero()
+	result.newConnection = t.conn.requestCount == 1
 	forwarded := result.outcome == policy.OutcomeSucceeded || isRequestFault(reply.StatusCode)
 	if forwarded {
 		result.response = reply.response(t.attempt.request.method, body)
 	}
 	wanted := t.attempt.setOnCancel(nil) // after this a cancel no longer affects the connection
-	reusable := !reply.Close && reply.stage == fullyWritten
 	if forwarded && !complete && wanted {
 		t.upstreams.node.counters.add(responsesStreamed)
 		t.released = true // finishStream owns it from here
@@ -191,7 +224,9 @@
 	}
 	m.end()
 	extraInput := complete && len(t.conn.buffered()) > 0
-	t.upstreams.recordExtraInput(extraInput)
+	if extraInput {
+		t.upstreams.recordUnsolicitedInput()
+	}
 	t.conn.lastRejected = result.outcome == policy.OutcomeRejected
 	switch {
 	case wanted && complete && !extraInput && reusable:
@@ -199,15 +234,15 @@
 	case forwarded && !complete:
 		return attemptResult{}, t.errorAt(readingResponse, errCanceled)
 	default:
-		t.closeReason = reply.closeReason(wanted, extraInput)
+		t.closeReason = reply.closeReason(wanted, extraInput || t.copySeen)
 	}
 	return result, nil
 }
 
 // closeReason returns why the connection is closed after the response.
-func (r *upstreamReply) closeReason(wanted, extraInput bool) closeReason {
+func (r *upstreamReply) closeReason(wanted, unsolicited bool) closeReason {
 	switch {
-	case extraInput:
+	case unsolicited:
 		return closeUnsolicitedInput
 	case !wanted:
 		return closeCanceled
--- a/internal/node/upstreampool.go
+++ b/internal/node/upstreampool.go
@@ -18,11 +18,12 @@
 )
 
 const (
-	// extraInputCooldown is how long a connection is not reused after a response that may be duplicated. Guards against
-	// response desynchronization: some upstreams send a duplicate some milliseconds later, which on a reused connection
-	// would be read as the response to the next request.
-	extraInputCooldown   = 8 * time.Millisecond
-	extraInputWindow     = time.Minute          // after extra input, in which all connections have the cooldown
+	// reuseCooldown is how long a connection is not reused after a response. Nothing in a response says which request it
+	// belongs to, and some upstreams send one a second time some milliseconds later: on a connection that has been
+	// reused by then it would be read as the response to the next request, and each response after it would be too.
+	reuseCooldown        = 12 * time.Millisecond
+	longReuseCooldown    = 4 * reuseCooldown    // after a rejection, and within unsolicitedWindow
+	unsolicitedWindow    = time.Minute          // after unsolicited input on any connection
 	lentSlotPollInterval = 2 * time.Millisecond // while a client connection is being closed for its slot
 	slotWaitDivisor      = 4                    // an attempt waits for a slot for 1/slotWaitDivisor of its time
 )
@@ -32,20 +33,23 @@
 type upstreamConn struct {
 	*bufferedConn
 	target       upstreamTarget
-	idleSince    time.Time     // when it last became idle; zero: never, it is new
+	requestCount int           // requests written, health checks included
+	idleSince    time.Time     // when it last became idle; zero: never
 	idleElement  *list.Element // in upstreams.idleOrder
 	lastRejected bool          // its last response rejected the request
 
+	lastDigest     responseDigest // of its last response
+	lastResponseAt time.Time      // when that was complete
+
 	// For diagnostics.
 	id              uint64 // of this connection in this process, from 1
-	requestCount    int    // requests written, health checks included
 	lastRequest     string // ID of the last request written; empty: none, or a health check
 	previousRequest string // ID of the request before that
 	idleBeforeLast  time.Duration
 	failure         string // error of the attempt that ended the connection
 }
 
-// beginRequest records for diagnostics that a request is about to be written. A health check has no ID.
+// beginRequest records that a request is about to be written. A health check has no ID.
 func (c *upstreamConn) beginRequest(id policy.RequestID) {
 	c.requestCount++
 	c.previousRequest = c.lastRequest
@@ -72,20 +76,24 @@
 	open      int                                // connections open or being opened
 	maxOpen   int                                // not counting the slots lent by the frontend
 
-	extraInputCooldown time.Duration // the constant, except in tests
-	lastExtraInputAt   atomic.Int64  // when extra input was last received, Unix nanoseconds; 0: never
+	reuseCooldown     time.Duration // the constants, except in tests
+	longCooldown      time.Duration
+	lastUnsolicitedAt atomic.Int64 // policy.Time at which unsolicited input was last found; 0: never
+
+	recentResponses recentResponses
 
 	healthChecks chan struct{} // semaphore: one value for each health check in flight
 }
 
 func newUpstreams(n *Node) *upstreams {
 	u := &upstreams{
-		node:               n,
-		attempts:           make(chan *attempt),
-		eligible:           map[policy.EndpointID]string{},
-		idleConns:          map[upstreamTarget][]*upstreamConn{},
-		extraInputCooldown: extraInputCooldown,
-		healthChecks:       make(chan struct{}, maxHealthChecks),
+		node:          n,
+		attempts:      make(chan *attempt),
+		eligible:      map[policy.EndpointID]string{},
+		idleConns:     map[upstreamTarget][]*upstreamConn{},
+		reuseCooldown: reuseCooldown,
+		longCooldown:  longReuseCooldown,
+		healthChecks:  make(chan struct{}, maxHealthChecks),
 	}
 	u.dial = u.connect
 	return u
@@ -190,18 +198,16 @@
 	}
 }
 
-// takeIdle removes and returns the most recently used connection, so that the others may expire. It skips connections
-// in their cooldown. All connections have a cooldown while extra input was received within extraInputWindow. Otherwise
-// only those whose last response was a rejection have one, because opening another connection costs more than the wait.
+// takeIdle removes and returns the most recently used connection that has passed its cooldown, so that the others may
+// expire.
 func (u *upstreams) takeIdle(target upstreamTarget) *upstreamConn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
-	extraInputSeen := now.UnixNano()-u.lastExtraInputAt.Load() < int64(extraInputWindow)
+	suspicious := u.unsolicitedInputSeen()
 	idle := u.idleConns[target]
 	for i, conn := range slices.Backward(idle) {
-		needsCooldown := extraInputSeen || conn.lastRejected
-		if needsCooldown && now.Sub(conn.idleSince) < u.extraInputCooldown {
+		if now.Sub(conn.idleSince) < u.cooldownOf(conn, suspicious) {
 			continue
 		}
 		u.idleConns[target] = slices.Delete(idle, i, i+1)
@@ -211,13 +217,28 @@
 	return nil
 }
 
-// recordExtraInput records whether a connection received more than the response to a request.
-func (u *upstreams) recordExtraInput(found bool) {
-	if found {
-		u.lastExtraInputAt.Store(time.Now().UnixNano())
+// cooldownOf returns how long a connection must be idle before it is reused. One that has carried no request needs no
+// cooldown. After a rejection it is longer, because a second copy of it, taken for that of the next request, would let
+// that request run twice.
+func (u *upstreams) cooldownOf(conn *upstreamConn, suspicious bool) time.Duration {
+	switch {
+	case conn.requestCount == 0:
+		return 0
+	case suspicious || conn.lastRejected:
+		return u.longCooldown
 	}
+	return u.reuseCooldown
 }
 
+// unsolicitedInputSeen reports whether any connection received unsolicited input within unsolicitedWindow.
+func (u *upstreams) unsolicitedInputSeen() bool {
+	last := policy.Time(u.lastUnsolicitedAt.Load())
+	return last != 0 && u.node.clock.now().Sub(last) < unsolicitedWindow
+}
+
+// recordUnsolicitedInput records that a connection received bytes that no request asked for.
+func (u *upstreams) recordUnsolicitedInput() { u.lastUnsolicitedAt.Store(int64(u.node.clock.now())) }
+
 // waitForSlot reserves a slot for a connection, if necessary one that the frontend lends (frontend.go). It returns
 // errNoConnectionSlot if there is none. While an idle client connection is being closed for its slot, it waits for
 // slotLendTimeout or for 1/slotWaitDivisor of the attempt's time, whichever is longer: on a busy machine closing takes
@@ -266,7 +287,7 @@
 	reusable, hasInput := conn.idleState()
 	switch {
 	case hasInput:
-		u.recordExtraInput(true)
+		u.recordUnsolicitedInput()
 		return closeUnsolicitedInput, true
 	case conn.idleSince.Before(cutoff):
 		return closeIdleTimeout, true
