Check each upstream connection for unsolicited input before the first byte

Cause: only idle connections were looked at, when they were taken from the pool; a new one, and one that had waited since, were not (runRoundTrip). An upstream that had closed an idle connection in between made a request that never ran count as may-have-run.

Change: after the last check of request and endpoint the connection is checked too; with input, or closed, the attempt ends as never sent.

Measured: TestResponseBeforeFirstRequestIsNotItsResponse fails without the check (200, "unasked") and passes with it.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -167,6 +167,12 @@
 	errDedupWindowOver  localError = "deduplication window of an earlier attempt has ended"
 )
 
+// Reasons why an upstream connection can't carry a request. Nothing of the request was written.
+var (
+	errUnsolicitedInput = errors.New("unsolicited input on the connection before the request")
+	errClosedByUpstream = errors.New("connection closed by the upstream before the request")
+)
+
 // outcome maps a failure to what it proves about execution. An upstream starts to execute a request only after it has
 // received the last byte, so before fullyWritten the request was not executed. From then on it may have been, whatever
 // ended the attempt.
--- a/internal/node/responsecopy_test.go
+++ b/internal/node/responsecopy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -149,3 +150,31 @@
 		t.Errorf("got status %d and body %q, want 200 and the request's own response", status, body)
 	}
 }
+
+// Guards against writing a request to a new connection on which the upstream has already sent something.
+func TestResponseBeforeFirstRequestIsNotItsResponse(t *testing.T) {
+	server := listen(t, func(c net.Conn) {
+		writeResponse(c, "200 OK", "unasked")
+		for in := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			echo(c, r, "")
+		}
+	})
+	n := newNode(t, nil, server)
+	connect := n.upstreams.dial
+	n.upstreams.dial = func(ctx context.Context, address string, deadline time.Time) (net.Conn, error) {
+		conn, err := connect(ctx, address, deadline)
+		time.Sleep(20 * time.Millisecond)
+		return conn, err
+	}
+	n.start()
+	if status, body, _ := sendRequest(t, n, "pay", "t1", ""); status != 503 {
+		t.Errorf("got status %d and body %q, want 503, as nothing was written", status, body)
+	}
+	if n.count(attemptsConnectFailed) == 0 || n.count(closeCounter(closeUnsolicitedInput)) == 0 {
+		t.Error("the connection was not closed for unsolicited input")
+	}
+}
--- a/internal/node/roundtrip.go
+++ b/internal/node/roundtrip.go
@@ -120,6 +120,9 @@
 		}
 		return attemptResult{}, trip.errorAt(notConnected, err)
 	}
+	if err := trip.checkConnection(); err != nil {
+		return attemptResult{}, trip.errorAt(notConnected, err)
+	}
 	conn.beginRequest(a.request.request.ID)
 	reply, err := trip.writeAndReadHead()
 	if err != nil {
@@ -128,6 +131,22 @@
 	return trip.readResponse(reply)
 }
 
+// checkConnection returns an error if the upstream has closed the connection or sent something on it, new or reused,
+// before the request. What it sent would be read as the response.
+func (t *roundTrip) checkConnection() error {
+	reusable, hasInput := t.conn.idleState()
+	switch {
+	case hasInput:
+		t.upstreams.recordUnsolicitedInput()
+		t.closeReason = closeUnsolicitedInput
+		return errUnsolicitedInput
+	case !reusable:
+		t.closeReason = closeByUpstream
+		return errClosedByUpstream
+	}
+	return nil
+}
+
 // close closes the connection unless it has been released.
 func (t *roundTrip) close() {
 	if !t.released {
