Reject messages whose body length can be read in two ways, responses too

Callers would have seen: the framing of a response, or a part of it, as its body ("2\r\nok\r\n0\r\n\r\n" for "ok"); a request whose length header has a space before its colon was answered 200 with its body left out, which could then be read as the next request.

Cause: the check for ambiguous lengths (parseFraming) was made for requests alone. http.ReadResponse ignores Transfer-Encoding in HTTP/1.0, lets it win over Content-Length, and takes any version; header names with spaces are read as others.

Change: responses go through the same check; a length header with spaces around its name, and a version other than HTTP/1, are malformed.

Measured: six cases of TestResponseWithAmbiguousLengthIsNotServed and both of TestRequestWithMisspelledLengthIsRejected fail without the change; internal/node passes with it.

--- a/internal/node/httpmessage.go
+++ b/internal/node/httpmessage.go
@@ -175,6 +175,7 @@
 type framing struct {
 	declarations int  // number of Content-Length and Transfer-Encoding lines
 	encoded      bool // at least one of them is Transfer-Encoding
+	misspelled   bool // the name of one is surrounded by spaces, so that some readers ignore it
 }
 
 // parseFraming finds the headers that declare a body's length, to prevent request smuggling: if a head declares it
@@ -188,21 +189,27 @@
 			break
 		}
 		name, _, _ := bytes.Cut(line, []byte(":"))
-		name = bytes.TrimSpace(name)
-		switch {
-		case bytes.EqualFold(name, []byte("Content-Length")):
-			f.declarations++
-		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			f.declarations++
-			f.encoded = true
+		trimmed := bytes.TrimSpace(name)
+		encoding := bytes.EqualFold(trimmed, []byte("Transfer-Encoding"))
+		if !encoding && !bytes.EqualFold(trimmed, []byte("Content-Length")) {
+			continue
 		}
+		f.declarations++
+		f.encoded = f.encoded || encoding
+		f.misspelled = f.misspelled || len(trimmed) < len(name)
 	}
 	return f
 }
 
 // ambiguousFor reports whether the length of the request's body is ambiguous.
 func (f framing) ambiguousFor(r *http.Request) bool {
-	return f.declarations > 1 || f.encoded && !r.ProtoAtLeast(1, 1)
+	return f.declarations > 1 || f.misspelled || f.encoded && !r.ProtoAtLeast(1, 1)
+}
+
+// ambiguousForResponse reports whether the length of the response's body is ambiguous. http.ReadResponse accepts a
+// repeated Content-Length only if all are equal, which is not ambiguous.
+func (f framing) ambiguousForResponse(r *http.Response) bool {
+	return f.misspelled || f.encoded && (f.declarations > 1 || !r.ProtoAtLeast(1, 1))
 }
 
 func expectsContinue(h http.Header) bool { return strings.EqualFold(h.Get("Expect"), "100-continue") }
@@ -243,12 +250,17 @@
 		var response *http.Response
 		var digest responseDigest
 		m, err := c.readHead(func(reader *bufio.Reader) (framedBody, error) {
-			digest = responseDigest(xxhash.Sum64(headOf(c.buffered())))
+			head := headOf(c.buffered())
+			digest = responseDigest(xxhash.Sum64(head))
+			framing := parseFraming(head)
 			var err error
 			response, err = http.ReadResponse(reader, &http.Request{Method: method})
 			if err != nil {
 				return framedBody{}, err
 			}
+			if response.ProtoMajor != 1 || framing.ambiguousForResponse(response) {
+				return framedBody{}, errFraming
+			}
 			if !allowsResponseBody(method) {
 				return framedBody{response.Body, 0}, nil
 			}
--- a/internal/node/httpmessage_test.go
+++ b/internal/node/httpmessage_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"testing/quick"
 )
@@ -72,3 +73,52 @@
 		}
 	}
 }
+
+// Guards against a response whose length can be read in two ways: its framing, or a part of it, would be served as body.
+func TestResponseWithAmbiguousLengthIsNotServed(t *testing.T) {
+	const chunked = "2\r\nok\r\n0\r\n\r\n"
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"Content-Length and chunked":      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked, 502},
+		"chunked in HTTP/1.0":             {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked, 502},
+		"chunked with a space":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n" + chunked, 502},
+		"Content-Length with a space":     {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", 502},
+		"two different lengths":           {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 1\r\n\r\nok", 502},
+		"the same length twice":           {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok", 200},
+		"chunked, in a folded line":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n chunked\r\n\r\n" + chunked, 200},
+		"chunked twice":                   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked, 502},
+		"a version of another protocol":   {"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok", 502},
+		"a version from before headers":   {"HTTP/0.9 200 OK\r\n\r\nok", 502},
+		"Content-Length":                  {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200},
+		"Content-Length in HTTP/1.0":      {"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", 200},
+		"chunked":                         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked, 200},
+		"until the end of the connection": {"HTTP/1.1 200 OK\r\n\r\nok", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, _ := startUpstream(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+				writeText(conn, c.text)
+				return false
+			})
+			n := startNode(t, nil, server)
+			status, body, _ := sendRequest(t, n, "pay", "t1", "")
+			if status != c.status || status == 200 && body != "ok" {
+				t.Errorf("got status %d and body %q, want %d", status, body, c.status)
+			}
+		})
+	}
+}
+
+// Guards against a body that one reader takes for the next request, as another reads the misspelled header of its length.
+func TestRequestWithMisspelledLengthIsRejected(t *testing.T) {
+	for _, header := range []string{"Content-Length : 2", "Transfer-Encoding : chunked"} {
+		server, requests := startUpstream(t, echo)
+		n := startNode(t, nil, server)
+		client, in := dial(t, n)
+		writef(client, "POST /pay HTTP/1.1\r\nHost: h\r\nX-Txn: t1\r\n%s\r\n\r\nok", header)
+		if status, _, _ := readResponse(in); status != 400 || requests.Load() != 0 {
+			t.Errorf("%s: got status %d and %d requests at the upstream, want 400 and 0", header, status, requests.Load())
+		}
+	}
+}
