--- a/internal/lab/emulator/endpoint.go
+++ b/internal/lab/emulator/endpoint.go
@@ -573,6 +573,34 @@
 	send(a.conn.conn, append(out, body...))
 }
 
+// The delay of a late copy, after its response.
+const (
+	minCopyDelay = time.Millisecond
+	maxCopyDelay = 9 * time.Millisecond
+)
+
+// sendLateCopy sends a response again some milliseconds later, unless the endpoint has received another request on the
+// connection by then. Such a request may be on its way.
+func (a *attempt) sendLateCopy(response string) {
+	_, fraction := math.Modf(a.failureDraw * 1e6)
+	delay := minCopyDelay + time.Duration(fraction*float64(maxCopyDelay-minCopyDelay))
+	time.AfterFunc(delay, func() {
+		c := a.conn
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		decidedAt := c.listener.endpoint.run.now() - int64(a.oneWay) // the copy has been on its way since
+		if c.current != a && c.current.arrivedBefore(decidedAt) {
+			return
+		}
+		send(c.conn, response)
+	})
+}
+
+// arrivedBefore reports whether the request has reached the endpoint before a time.
+func (a *attempt) arrivedBefore(at int64) bool {
+	return a.answered.Load() || a.record.FirstByteAt+int64(a.oneWay) < at
+}
+
 // corrupt writes a corrupt response.
 func (a *attempt) corrupt(how string) {
 	e, c := a.conn.listener.endpoint, a.conn.conn
@@ -595,6 +623,9 @@
 	switch how {
 	case "twice":
 		send(c, response+response)
+	case "late-copy":
+		send(c, response)
+		a.sendLateCopy(response)
 	case "interim":
 		send(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+response)
 	case "bad-report":
--- a/internal/lab/scenario/faults.go
+++ b/internal/lab/scenario/faults.go
@@ -46,7 +46,7 @@
 // comes with data that does not belong to it.
 var (
 	CorruptKinds = []string{"noise", "endless-head", "short", "long"}
-	IntactKinds  = []string{"twice", "interim", "bad-report", "other-body"}
+	IntactKinds  = []string{"twice", "late-copy", "interim", "bad-report", "other-body"}
 )
 
 func (c *checker) checkFault(prefix string, f *Fault) {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -21,6 +21,7 @@
 	largeFleet           = 30
 	crowdDescriptors     = 128
 	faultyEndpointsOneIn = 2 // one seed in this many has faulty endpoints
+	lateCopiesOneIn      = 3 // one seed in this many has endpoints that send responses again
 	crowdOneIn           = 3 // one seed in this many has a crowd of clients that keep their connections open
 )
 
@@ -51,6 +52,10 @@
 	if !drawn.Healthy {
 		writeEndpointFault(&text, random, endpoints)
 	}
+	if random.IntN(lateCopiesOneIn) == 0 {
+		fmt.Fprintf(&text, "[network]\nsame = \"4ms\"\n"+
+			"[[fault]]\nkind = \"spoil\"\nat = \"0s\"\nfor = \"%ds\"\ncount = %d\nhow = \"late-copy\"\nhand_offs = 0.2\n", lengthSeconds, endpoints)
+	}
 	var err error
 	drawn.Scenario, err = scenario.Parse(fmt.Sprintf("soak seed %d", seed), []byte(text.String()))
 	return drawn, err
