--- a/internal/node/healthcheck.go
+++ b/internal/node/healthcheck.go
@@ -63,7 +63,6 @@
 	}
 	switch {
 	case len(conn.buffered()) > 0:
-		u.recordUnsolicitedInput()
 		u.closeConn(conn, closeUnsolicitedInput)
 	case !reusable:
 		u.closeConn(conn, closeAskedByUpstream)
--- a/internal/node/responsecopy.go
+++ b/internal/node/responsecopy.go
@@ -96,7 +96,6 @@
 	if err != nil {
 		return upstreamReply{}, false, err
 	}
-	t.upstreams.recordUnsolicitedInput()
 	t.upstreams.node.counters.add(responseCopiesDiscarded)
 	deadline := t.upstreams.node.clock.at(t.attempt.deadline)
 	if err := t.attempt.setDeadline(t.conn.SetReadDeadline, deadline); err != nil {
--- a/internal/node/roundtrip.go
+++ b/internal/node/roundtrip.go
@@ -77,7 +77,6 @@
 	case !complete:
 		u.closeConn(conn, closeResponseFailed)
 	case len(conn.buffered()) > 0:
-		u.recordUnsolicitedInput()
 		u.closeConn(conn, closeUnsolicitedInput)
 	case closeAfter:
 		u.closeConn(conn, closeAskedByUpstream)
@@ -137,7 +136,6 @@
 	reusable, hasInput := t.conn.idleState()
 	switch {
 	case hasInput:
-		t.upstreams.recordUnsolicitedInput()
 		t.closeReason = closeUnsolicitedInput
 		return errUnsolicitedInput
 	case !reusable:
@@ -243,10 +241,6 @@
 	}
 	m.end()
 	extraInput := complete && len(t.conn.buffered()) > 0
-	if extraInput {
-		t.upstreams.recordUnsolicitedInput()
-	}
-	t.conn.lastRejected = result.outcome == policy.OutcomeRejected
 	switch {
 	case wanted && complete && !extraInput && reusable:
 		t.putIdle()
--- a/internal/node/upstreampool.go
+++ b/internal/node/upstreampool.go
@@ -22,8 +22,6 @@
 	// belongs to, and some upstreams send one a second time some milliseconds later: on a connection that has been
 	// reused by then it would be read as the response to the next request, and each response after it would be too.
 	reuseCooldown        = 12 * time.Millisecond
-	longReuseCooldown    = 4 * reuseCooldown    // after a rejection, and within unsolicitedWindow
-	unsolicitedWindow    = time.Minute          // after unsolicited input on any connection
 	lentSlotPollInterval = 2 * time.Millisecond // while a client connection is being closed for its slot
 	slotWaitDivisor      = 4                    // an attempt waits for a slot for 1/slotWaitDivisor of its time
 )
@@ -36,7 +34,6 @@
 	requestCount int           // requests written, health checks included
 	idleSince    time.Time     // when it last became idle; zero: never
 	idleElement  *list.Element // in upstreams.idleOrder
-	lastRejected bool          // its last response rejected the request
 
 	lastDigest     responseDigest // of its last response
 	lastResponseAt time.Time      // when that was complete
@@ -76,10 +73,7 @@
 	open      int                                // connections open or being opened
 	maxOpen   int                                // not counting the slots lent by the frontend
 
-	reuseCooldown     time.Duration // the constants, except in tests
-	longCooldown      time.Duration
-	lastUnsolicitedAt atomic.Int64 // policy.Time at which unsolicited input was last found; 0: never
-
+	reuseCooldown   time.Duration // the constant, except in tests
 	recentResponses recentResponses
 
 	healthChecks chan struct{} // semaphore: one value for each health check in flight
@@ -92,7 +86,6 @@
 		eligible:      map[policy.EndpointID]string{},
 		idleConns:     map[upstreamTarget][]*upstreamConn{},
 		reuseCooldown: reuseCooldown,
-		longCooldown:  longReuseCooldown,
 		healthChecks:  make(chan struct{}, maxHealthChecks),
 	}
 	u.dial = u.connect
@@ -204,10 +197,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
-	suspicious := u.unsolicitedInputSeen()
 	idle := u.idleConns[target]
 	for i, conn := range slices.Backward(idle) {
-		if now.Sub(conn.idleSince) < u.cooldownOf(conn, suspicious) {
+		if u.isCoolingDown(conn, now) {
 			continue
 		}
 		u.idleConns[target] = slices.Delete(idle, i, i+1)
@@ -217,28 +209,11 @@
 	return nil
 }
 
-// cooldownOf returns how long a connection must be idle before it is reused. One that has carried no request needs no
-// cooldown. After a rejection it is longer, because a second copy of it, taken for that of the next request, would let
-// that request run twice.
-func (u *upstreams) cooldownOf(conn *upstreamConn, suspicious bool) time.Duration {
-	switch {
-	case conn.requestCount == 0:
-		return 0
-	case suspicious || conn.lastRejected:
-		return u.longCooldown
-	}
-	return u.reuseCooldown
-}
-
-// unsolicitedInputSeen reports whether any connection received unsolicited input within unsolicitedWindow.
-func (u *upstreams) unsolicitedInputSeen() bool {
-	last := policy.Time(u.lastUnsolicitedAt.Load())
-	return last != 0 && u.node.clock.now().Sub(last) < unsolicitedWindow
+// isCoolingDown reports whether an idle connection must not be reused yet. One that has carried no request may be.
+func (u *upstreams) isCoolingDown(conn *upstreamConn, now time.Time) bool {
+	return conn.requestCount > 0 && now.Sub(conn.idleSince) < u.reuseCooldown
 }
 
-// recordUnsolicitedInput records that a connection received bytes that no request asked for.
-func (u *upstreams) recordUnsolicitedInput() { u.lastUnsolicitedAt.Store(int64(u.node.clock.now())) }
-
 // waitForSlot reserves a slot for a connection, if necessary one that the frontend lends (frontend.go). It returns
 // errNoConnectionSlot if there is none. While an idle client connection is being closed for its slot, it waits for
 // slotLendTimeout or for 1/slotWaitDivisor of the attempt's time, whichever is longer: on a busy machine closing takes
@@ -287,7 +262,6 @@
 	reusable, hasInput := conn.idleState()
 	switch {
 	case hasInput:
-		u.recordUnsolicitedInput()
 		return closeUnsolicitedInput, true
 	case conn.idleSince.Before(cutoff):
 		return closeIdleTimeout, true
