Take a switch of protocols by an upstream for a malformed response

Callers would have seen: what an upstream sends in another protocol, read as the response to theirs.

Cause: 101 was skipped like every 1xx response, though no request that is passed on asks for it.

--- a/internal/node/httpmessage.go
+++ b/internal/node/httpmessage.go
@@ -244,7 +244,7 @@
 }
 
 // readResponseHead reads the head of the final response to a request with the given method, skipping interim (1xx)
-// responses.
+// responses. Switching protocols is malformed, as no request asks for it.
 func (c *bufferedConn) readResponseHead(method string) (*http.Response, *message, error) {
 	for {
 		var response *http.Response
@@ -258,7 +258,8 @@
 			if err != nil {
 				return framedBody{}, err
 			}
-			if response.ProtoMajor != 1 || framing.ambiguousForResponse(response) {
+			switching := response.StatusCode == http.StatusSwitchingProtocols
+			if response.ProtoMajor != 1 || switching || framing.ambiguousForResponse(response) {
 				return framedBody{}, errFraming
 			}
 			if !allowsResponseBody(method) {
--- a/internal/node/httpmessage_test.go
+++ b/internal/node/httpmessage_test.go
@@ -91,6 +91,8 @@
 		"chunked twice":                   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked, 502},
 		"a version of another protocol":   {"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok", 502},
 		"a version from before headers":   {"HTTP/0.9 200 OK\r\n\r\nok", 502},
+		"another protocol from here on":   {"HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 502},
+		"interim":                         {"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200},
 		"Content-Length":                  {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200},
 		"Content-Length in HTTP/1.0":      {"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", 200},
 		"chunked":                         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked, 200},
