--- a/cmd/fawnglade-lab/main_test.go
+++ b/cmd/fawnglade-lab/main_test.go
@@ -149,7 +149,7 @@
 // TestShippedScenariosPass runs some of the shipped scenarios with real nodes.
 func TestShippedScenariosPass(t *testing.T) {
 	var paths []string
-	for _, name := range []string{"calm", "drained", "fail-fast", "nodes-killed", "bad-clients", "between/halves", "between/to-servers"} {
+	for _, name := range []string{"calm", "drained", "fail-fast", "nodes-killed", "bad-clients", "late-copies", "between/halves", "between/to-servers"} {
 		paths = append(paths, filepath.Join("..", "..", "lab", "scenarios", name+".toml"))
 	}
 	code, out, stderrText := runLab(t, append([]string{"run", "--retry", "3"}, paths...)...)
