Await the response behind a possible copy for up to five seconds

Need: read again, a class with seconds of work would be given the copy after one second, while its own response is still to come; a wrong response is worse than a late one, and no more than one response a minute waits in vain.

Change: half of the time left, five seconds at most (one before). Measured: the tests of copies pass; no test has work of over a second.

--- a/internal/node/responsecopy.go
+++ b/internal/node/responsecopy.go
@@ -1,8 +1,8 @@
 package node
 
-// Detects a second copy of a response that comes after the cooldown of its connection (upstreampool.go): the response to
-// the next request then equals the one before it on the connection to the byte. Equal responses are nothing unusual where
-// an endpoint answers many requests alike, so they count as a copy only if no other recent response was equal.
+// Detects a second copy of a response that comes after the cooldown of its connection (upstreampool.go): the response
+// to the next request then equals the one before it on the connection to the byte. Equal responses are usual where an
+// endpoint answers many requests alike, so they count as a copy only if no other recent response was equal.
 
 import (
 	"errors"
@@ -19,7 +19,7 @@
 	maxRecentResponses  = 64
 	minRecentResponses  = 3 // with fewer it is not known yet whether responses differ
 	copyWaitDivisor     = 2 // the response behind a possible copy is awaited for 1/copyWaitDivisor of the time left
-	maxCopyWait         = time.Second
+	maxCopyWait         = 5 * time.Second
 	copyCheckPause      = time.Minute // after a false alarm, so that no more than one response in it is delayed
 	maxEqualRecentCount = 1           // the response before it on the same connection
 )
