--- a/cmd/fawnglade/lateresponse_test.go
+++ b/cmd/fawnglade/lateresponse_test.go
@@ -128,7 +128,8 @@
 	return responseWith("200 OK", "for "+id)
 }
 
-const desyncConfig = `{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+const desyncConfig = `{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"%x",
+"limits":{"cores":1,"memory_mb":192,"sockets":1024},
 "known":{"seq":1,"whole":true,"hosts":[%s]},"settings":{"discovery":"ask","limits":{"connect_timeout_us":200000,
 "idle_close_us":5000000,"try_limit":3},"profiles":[
 {"deadline_us":2000000,"name":"view","objective_us":1000000,"repeat":"safe"},
@@ -203,8 +204,8 @@
 		id, class := fmt.Sprintf("%s-%d", name, i), classes[i%len(classes)]
 		sentAt := time.Now()
 		conn.SetDeadline(sentAt.Add(5 * time.Second))
-		writef(conn, "POST /%s HTTP/1.1\r\nHost: h\r\nX-Txn: %s\r\nX-Lane: %s\r\nIdempotency-Key: %s\r\nX-Remaining-Ms: 2000\r\n"+
-			"Content-Length: 0\r\n\r\n", class, id, class, id)
+		writef(conn, "POST /%s HTTP/1.1\r\nHost: h\r\nX-Txn: %s\r\nX-Lane: %s\r\nIdempotency-Key: %s\r\n"+
+			"X-Remaining-Ms: 2000\r\nContent-Length: 0\r\n\r\n", class, id, class, id)
 		r, err := http.ReadResponse(in, nil)
 		if err != nil {
 			return
@@ -229,13 +230,16 @@
 	const (
 		plays  = 8
 		milli  = time.Millisecond
+		oneWay = 5 * milli
 		served = 100 // a play that serves less proves nothing
 	)
 	for name, c := range map[string]desyncCase{
-		"copies 1 to 9 ms late":  {oneWay: 5 * milli, copyShare: 0.3, copyDelay: [2]time.Duration{milli, 9 * milli}},
-		"copies 8 to 16 ms late": {oneWay: 5 * milli, copyShare: 0.3, copyDelay: [2]time.Duration{8 * milli, 16 * milli}},
-		"copies of rejections":   {oneWay: 5 * milli, copyShare: 0.5, copyDelay: [2]time.Duration{milli, 12 * milli}, rejectShare: 0.05},
-		"nothing unsolicited":    {oneWay: 5 * milli},
+		"copies 1 to 9 ms late":  {oneWay: oneWay, copyShare: 0.3, copyDelay: [2]time.Duration{milli, 9 * milli}},
+		"copies 8 to 16 ms late": {oneWay: oneWay, copyShare: 0.3, copyDelay: [2]time.Duration{8 * milli, 16 * milli}},
+		"copies of rejections": {
+			oneWay: oneWay, copyShare: 0.5, copyDelay: [2]time.Duration{milli, 12 * milli}, rejectShare: 0.05,
+		},
+		"nothing unsolicited": {oneWay: oneWay},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for play := range plays {
@@ -247,7 +251,7 @@
 	}
 }
 
-// Guards against a response that an upstream sends on a new connection, and that is taken for that of its first request.
+// Guards against a response that an upstream sends on a new connection and that is taken for that of the first request.
 func TestResponseOnNewConnectionReachesNoClient(t *testing.T) {
 	const plays = 8
 	for play := range plays {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -54,7 +54,8 @@
 	}
 	if random.IntN(lateCopiesOneIn) == 0 {
 		fmt.Fprintf(&text, "[network]\nsame = \"4ms\"\n"+
-			"[[fault]]\nkind = \"spoil\"\nat = \"0s\"\nfor = \"%ds\"\ncount = %d\nhow = \"late-copy\"\nhand_offs = 0.2\n", lengthSeconds, endpoints)
+			"[[fault]]\nkind = \"spoil\"\nat = \"0s\"\nfor = \"%ds\"\ncount = %d\nhow = \"late-copy\"\nhand_offs = 0.2\n",
+			lengthSeconds, endpoints)
 	}
 	var err error
 	drawn.Scenario, err = scenario.Parse(fmt.Sprintf("soak seed %d", seed), []byte(text.String()))
--- a/internal/node/httpmessage_test.go
+++ b/internal/node/httpmessage_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// Guards against a response whose length can be read in two ways: its framing, or a part of it, would be served as body.
+// Guards against a response whose length can be read in two ways: its framing would be served as its body.
 func TestResponseWithAmbiguousLengthIsNotServed(t *testing.T) {
 	const chunked = "2\r\nok\r\n0\r\n\r\n"
 	for name, c := range map[string]struct {
@@ -112,7 +112,7 @@
 	}
 }
 
-// Guards against a body that one reader takes for the next request, as another reads the misspelled header of its length.
+// Guards against a body that is taken for the next request, as only some readers accept its misspelled length.
 func TestRequestWithMisspelledLengthIsRejected(t *testing.T) {
 	for _, header := range []string{"Content-Length : 2", "Transfer-Encoding : chunked"} {
 		server, requests := startUpstream(t, echo)
--- a/internal/node/responsecopy_test.go
+++ b/internal/node/responsecopy_test.go
@@ -13,7 +13,9 @@
 
 // startCopyingUpstream starts an upstream that, before the last of a number of requests is answered, sends the response
 // to the one before it again. It returns the number of requests that ran.
-func startCopyingUpstream(t *testing.T, last int64, respond func(id string) (status, body string)) (string, *atomic.Int64) {
+func startCopyingUpstream(
+	t *testing.T, last int64, respond func(id string) (status, body string),
+) (string, *atomic.Int64) {
 	var requests, ran atomic.Int64
 	return listen(t, func(c net.Conn) {
 		var before [2]string
@@ -84,7 +86,8 @@
 		}
 	}
 	if opened := n.count(upstreamConnsOpened); opened != 2 || n.count(responseCopiesDiscarded) != 0 {
-		t.Errorf("got %d connections and %d copies discarded, want 2 and 0: one possible copy, then a pause", opened, n.count(responseCopiesDiscarded))
+		t.Errorf("got %d connections and %d copies discarded, want 2 and 0: one possible copy, then a pause", opened,
+			n.count(responseCopiesDiscarded))
 	}
 }
 
