End streamed uploads at the time left after the last byte of the body

Cause: a streamed request had no deadline at all. The upload to the upstream ended after writeStallTimeout (5 s) without progress, whatever the time of the request, and the time for the response began when the upload was complete. Meanwhile the client's last byte lay unread in the kernel.

Evidence, before any change: the times are 5.0 s and 1.2 s after the end of the hang; stacks of three nodes 2.5 s into it show 9 uploads in upstreamConn.Write below writePaced, 9 workers in readResponseHead without a deadline and 9 read loops in awaitStreamedBody. Not the connection, the event loop or the policy: none of their goroutines waited for such a request.

Fix: the kernel says how much of the client's input has arrived unread, so the node knows when the body's last byte came, or for a chunked one when input last came. While the client has not sent everything, progress counts, so slow clients and slow upstreams are served. stop could also set its expired deadline just before a write set a new one; a write now checks that under the same lock.

TestCancelHoldsAgainstLaterDeadline checks the upload's write now: a canceled one writes nothing, where it wanted an expired deadline.

--- a/internal/node/bufferedconn.go
+++ b/internal/node/bufferedconn.go
@@ -20,14 +20,15 @@
 )
 
 // bufferedConn is a connection with a read buffer. Only one goroutine may read at a time; writing, setting deadlines,
-// hasInput, closedByPeer and lastReadAt are safe concurrently with a read.
+// hasInput, closedByPeer, receivedBytes and lastReadAt are safe concurrently with a read.
 type bufferedConn struct {
 	net.Conn
-	buf        []byte
-	start, end int          // buf[start:end] has been read from the connection and not consumed
-	pacer      *readPacer   // enforces progress while a body is read; nil otherwise
-	readErr    error        // error of the last failed read from the connection
-	lastReadAt atomic.Int64 // Unix time in nanoseconds of the last read that returned bytes; 0 if none has
+	buf           []byte
+	start, end    int          // buf[start:end] has been read from the connection and not consumed
+	pacer         *readPacer   // enforces progress while a body is read; nil otherwise
+	readErr       error        // error of the last failed read from the connection
+	receivedBytes atomic.Int64 // read from the connection so far
+	lastReadAt    atomic.Int64 // Unix time in nanoseconds of the last read that returned bytes; 0 if none has
 }
 
 func newBufferedConn(conn net.Conn) *bufferedConn { return &bufferedConn{Conn: conn} }
@@ -52,6 +53,7 @@
 		c.pacer.endRead(n)
 	}
 	if n > 0 {
+		c.receivedBytes.Add(int64(n))
 		c.lastReadAt.Store(time.Now().UnixNano())
 		return n, nil
 	}
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -290,7 +290,7 @@
 		if allowsResponseBody(pending.method) {
 			text = append(text, answer.body...)
 		}
-		complete = writePaced(c.conn, nil, text) == nil
+		complete = writePaced(c.conn, text) == nil
 	}
 	if !complete {
 		c.setCloseReason(clientCloseWriteFailed)
--- a/internal/node/httpmessage.go
+++ b/internal/node/httpmessage.go
@@ -102,6 +102,13 @@
 	return buffered
 }
 
+// inputOffset returns how many bytes of the connection's input have been consumed, up to and including those that this
+// message has consumed.
+func (m *message) inputOffset() int64 {
+	unread := m.reader.Buffered() + len(m.conn.buffered())
+	return m.conn.receivedBytes.Load() - int64(unread)
+}
+
 // end returns bytes read beyond the message to the connection's buffer. The message must not be used afterwards; a
 // second call has no effect.
 func (m *message) end() {
--- a/internal/node/pacing.go
+++ b/internal/node/pacing.go
@@ -59,17 +59,12 @@
 	p.receivedBytes += int64(n)
 }
 
-// writePaced writes the parts in order, with a timeout of writeStallTimeout for each streamBufferBytes. If the write is
-// for an attempt (a is not nil), canceling the attempt interrupts it.
-func writePaced(conn net.Conn, a *attempt, parts ...[]byte) error {
-	setDeadline := conn.SetWriteDeadline
-	if a != nil {
-		setDeadline = func(deadline time.Time) error { return a.setDeadline(conn.SetWriteDeadline, deadline) }
-	}
+// writePaced writes the parts in order, with a timeout of writeStallTimeout for each streamBufferBytes.
+func writePaced(conn net.Conn, parts ...[]byte) error {
 	for _, part := range parts {
 		for len(part) > 0 {
 			n := min(len(part), streamBufferBytes)
-			if err := setDeadline(time.Now().Add(writeStallTimeout)); err != nil {
+			if err := conn.SetWriteDeadline(time.Now().Add(writeStallTimeout)); err != nil {
 				return err
 			}
 			if _, err := conn.Write(part[:n]); err != nil {
--- a/internal/node/pacing_test.go
+++ b/internal/node/pacing_test.go
@@ -12,6 +12,7 @@
 type deadlineRecorder struct {
 	net.Conn
 	deadline time.Time
+	written  int
 }
 
 func (c *deadlineRecorder) SetWriteDeadline(deadline time.Time) error {
@@ -19,7 +20,20 @@
 	return nil
 }
 
-func (c *deadlineRecorder) Write(p []byte) (int, error) { return len(p), nil }
+func (c *deadlineRecorder) Write(p []byte) (int, error) {
+	c.written += len(p)
+	return len(p), nil
+}
+
+// newTestUpload returns an upload of a request whose client has sent nothing yet.
+func newTestUpload(t *testing.T, a *attempt, conn net.Conn) *upload {
+	t.Helper()
+	client, far := net.Pipe()
+	t.Cleanup(func() { far.Close() })
+	a.request = newPendingRequest()
+	a.request.source = &bodySource{conn: newBufferedConn(client), end: unknownLength}
+	return newUpload(&upstreamConn{bufferedConn: newBufferedConn(conn)}, a, time.Hour)
+}
 
 // Guards against a lost cancel: the worker, or the reader of the attempt's body, sets a new deadline just after the
 // cancel has set an expired one.
@@ -38,7 +52,7 @@
 			t.Fatal(err)
 		}
 		conn := &deadlineRecorder{}
-		if err := writePaced(conn, a, []byte("x")); err != nil {
+		if err := a.setDeadline(conn.SetWriteDeadline, time.Now().Add(time.Hour)); err != nil {
 			t.Fatal(err)
 		}
 		for name, deadline := range map[string]time.Time{"a read": readDeadline, "a write": conn.deadline} {
@@ -46,6 +60,12 @@
 				t.Errorf("canceled %t: got deadline of %s %v, want it expired only if canceled", canceled, name, deadline)
 			}
 		}
+		if err := newTestUpload(t, a, conn).write([]byte("x")); errors.Is(err, errCanceled) != canceled {
+			t.Errorf("canceled %t: got error %v of an upload, want errCanceled only if canceled", canceled, err)
+		}
+		if wantWritten := map[bool]int{false: 1, true: 0}[canceled]; conn.written != wantWritten {
+			t.Errorf("canceled %t: got %d bytes written, want %d", canceled, conn.written, wantWritten)
+		}
 		near, far := net.Pipe()
 		defer far.Close()
 		var abandoned atomic.Bool
--- a/internal/node/requestread.go
+++ b/internal/node/requestread.go
@@ -42,7 +42,7 @@
 		m.end()
 		return request, err
 	}
-	pending.source = newBodySource(c.conn, m)
+	pending.source = newBodySource(c.conn, m, len(pending.body))
 	return request, nil
 }
 
--- a/internal/node/roundtrip.go
+++ b/internal/node/roundtrip.go
@@ -106,7 +106,7 @@
 	trip := &roundTrip{upstreams: u, attempt: a, conn: conn, closeReason: closeResponseFailed}
 	defer trip.close()
 	if a.request.source != nil {
-		deadline = time.Time{} // a streamed body is limited by its progress; the response's time starts after its last byte
+		deadline = time.Time{} // the time for the response starts when the last byte of the body arrives (upload.limit)
 	}
 	conn.SetDeadline(deadline)
 	if !a.setOnCancel(func() { conn.SetDeadline(expiredDeadline) }) {
@@ -219,19 +219,20 @@
 func (t *roundTrip) streamAndReadHead(timeout time.Duration) (upstreamReply, error) {
 	request := t.attempt.request
 	began := time.Now()
-	if err := writePaced(t.conn, t.attempt, request.headWithTimeout(timeout)); err != nil {
+	up := newUpload(t.conn, t.attempt, timeout)
+	if err := up.write(request.headWithTimeout(timeout)); err != nil {
 		return upstreamReply{stage: partlyWritten}, err
 	}
 	if request.source.consumed.Swap(true) {
 		return upstreamReply{stage: partlyWritten}, errBodyConsumed
 	}
-	up := startUpload(t.conn, t.attempt, timeout)
+	up.start()
 	head, m, err := t.conn.readResponseHead(request.method)
-	if up.stop(t.conn, request) {
+	if up.stop() {
 		return upstreamReply{head, m, fullyWritten, up.completedAt.Sub(began)}, err
 	}
 	if err != nil {
-		return upstreamReply{stage: partlyWritten}, up.failure(request, err)
+		return upstreamReply{stage: partlyWritten}, up.failure(err)
 	}
 	if !mayPrecedeRequestEnd(head) {
 		m.end()
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"fawnglade/internal/sockstate"
 )
 
 const (
@@ -30,6 +32,7 @@
 	conn    *bufferedConn
 	message *message
 	length  int64 // of the complete body in bytes, or unknownLength
+	end     int64 // offset in the connection's input behind the body, or unknownLength
 
 	ended     chan struct{} // closed by finish
 	complete  atomic.Bool   // the complete body has been read
@@ -40,14 +43,28 @@
 	err       error // why the body is incomplete; written before ended is closed, read after that
 }
 
-func newBodySource(conn *bufferedConn, m *message) *bodySource {
-	s := &bodySource{conn: conn, message: m, length: m.length, ended: make(chan struct{})}
+// newBodySource returns the source of the rest of a body, of which bodyRead bytes have been read.
+func newBodySource(conn *bufferedConn, m *message, bodyRead int) *bodySource {
+	s := &bodySource{conn: conn, message: m, length: m.length, end: unknownLength, ended: make(chan struct{})}
+	if m.length != unknownLength {
+		s.end = m.inputOffset() + m.length - int64(bodyRead)
+	}
 	if conn.pacer != nil {
 		conn.pacer.abandoned = &s.abandoned
 	}
 	return s
 }
 
+// arrivedBytes returns how much of the connection's input, up to the end of the body, has reached this machine, read or
+// not. Of a chunked body the end is not known, so that input behind it counts too.
+func (s *bodySource) arrivedBytes() int64 {
+	arrived := s.conn.receivedBytes.Load() + int64(sockstate.UnreadBytes(s.conn.Conn))
+	if s.end == unknownLength {
+		return arrived
+	}
+	return min(arrived, s.end)
+}
+
 // Read reads from the body. Any error, including io.EOF, ends the source.
 func (s *bodySource) Read(p []byte) (int, error) {
 	s.mu.Lock()
@@ -125,10 +142,10 @@
 // the truncated response.
 func (c *clientConn) streamResponse(answer *response, head responseHead) (complete bool) {
 	defer func() { answer.stream.finish(complete) }()
-	write := func(pending []byte) error { return writePaced(c.conn, nil, pending) }
-	writePart := write
+	write := func(parts ...[]byte) error { return writePaced(c.conn, parts...) }
+	writePart := func(pending []byte) error { return write(pending) }
 	if head.chunked {
-		writePart = func(pending []byte) error { return writeChunk(c.conn, nil, pending) }
+		writePart = func(pending []byte) error { return writeChunk(write, pending) }
 	}
 	if write(head.text) != nil {
 		return false
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -5,10 +5,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
-	"net"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -20,51 +21,86 @@
 // lastChunk ends a chunked body.
 const lastChunk = "0\r\n\r\n"
 
-// upload writes the request body of one attempt in its own goroutine. stop must be called before the upstream
-// connection is used for anything else.
+// errUploadTimeout means that the upstream did not read the complete request in time.
+var errUploadTimeout = fmt.Errorf("upstream did not read the request in time: %w", os.ErrDeadlineExceeded)
+
+// upload writes a request with a streamed body on the connection of one attempt. After start its own goroutine writes
+// the body, and stop must be called before the connection is used for anything else. write, start, stop and limit are
+// called by the attempt's worker.
 type upload struct {
-	done        chan struct{} // closed when the goroutine has ended; completedAt and err may be read after that
+	conn       *upstreamConn
+	attempt    *attempt
+	timeout    time.Duration // for the response, from the arrival of the last byte of the body
+	arrival    bodyArrival
+	progressAt time.Time // when the upstream last took a part of the request
+
+	done        chan struct{} // closed when the goroutine has ended; the fields above and below may be read after that
 	complete    atomic.Bool
 	completedAt time.Time // when the last byte was written
 	err         error     // of the write to the upstream, or returned by bodySource.Read
+
+	mu      sync.Mutex
+	stopped bool // no further write may start
 }
 
-// startUpload starts writing the body after the head. The read deadline for the response is responseTimeout after the
-// last byte has been written.
-func startUpload(conn *upstreamConn, a *attempt, responseTimeout time.Duration) *upload {
-	u := &upload{done: make(chan struct{})}
+func newUpload(conn *upstreamConn, a *attempt, timeout time.Duration) *upload {
+	now := time.Now()
+	return &upload{
+		conn:       conn,
+		attempt:    a,
+		timeout:    timeout,
+		arrival:    newBodyArrival(a.request.source, now),
+		progressAt: now,
+		done:       make(chan struct{}),
+	}
+}
+
+// start starts writing the body behind the head. Once the last byte has been written, the read deadline for the response
+// is limit.
+func (u *upload) start() {
 	go func() {
 		defer close(u.done)
-		u.err = u.run(conn, a)
+		u.err = u.writeBody()
 		if u.err != nil {
-			conn.SetReadDeadline(expiredDeadline) // unblocks the read of the response, which will not arrive
+			u.conn.SetReadDeadline(expiredDeadline) // unblocks the read of the response, which will not arrive
 			return
 		}
 		u.completedAt = time.Now()
 		u.complete.Store(true)
 		// A failure to set the deadline leads to an error when the response is read.
-		_ = a.setDeadline(conn.SetReadDeadline, u.completedAt.Add(responseTimeout))
+		_ = u.attempt.setDeadline(u.conn.SetReadDeadline, u.limit())
 	}()
-	return u
 }
 
-// run writes the buffered part of the body and then the rest from the source.
-func (u *upload) run(conn *upstreamConn, a *attempt) error {
-	source := a.request.source
-	writePart := func(p []byte) error { return writePaced(conn, a, p) }
+// limit returns when the attempt must end: when the time for the response has passed since the last byte of the body
+// arrived. While the client has not sent everything, that time starts anew with whatever arrives and whatever the
+// upstream reads, so that a slow client and a slow upstream are served and a stalled upstream is not.
+func (u *upload) limit() time.Time {
+	from := u.arrival.latestAt
+	if !u.arrival.mayBeComplete() {
+		from = latest(from, u.progressAt)
+	}
+	return from.Add(u.timeout)
+}
+
+// writeBody writes the buffered part of the body and then the rest from the source.
+func (u *upload) writeBody() error {
+	request := u.attempt.request
+	source := request.source
+	writePart := func(p []byte) error { return u.write(p) }
 	if source.length < 0 {
-		writePart = func(p []byte) error { return writeChunk(conn, a, p) }
+		writePart = func(p []byte) error { return writeChunk(u.write, p) }
 	}
-	if len(a.request.body) > 0 {
-		if err := writePart(a.request.body); err != nil {
+	if len(request.body) > 0 {
+		if err := writePart(request.body); err != nil {
 			return err
 		}
 	}
-	if err := copyBody(source, int64(len(a.request.body)), writePart); err != nil {
+	if err := copyBody(source, int64(len(request.body)), writePart); err != nil {
 		return err
 	}
 	if source.length < 0 {
-		if err := writePaced(conn, a, []byte(lastChunk)); err != nil {
+		if err := u.write([]byte(lastChunk)); err != nil {
 			return err
 		}
 	}
@@ -73,6 +109,46 @@
 	return nil
 }
 
+// write writes the parts in order, until limit and for no longer than writeStallTimeout without progress. It waits for
+// the upstream for arrivalPollInterval at a time, to observe meanwhile what arrives from the client.
+func (u *upload) write(parts ...[]byte) error {
+	for _, part := range parts {
+		for len(part) > 0 {
+			if err := u.setWriteDeadline(); err != nil {
+				return err
+			}
+			n, err := u.conn.Write(part[:min(len(part), streamBufferBytes)])
+			part = part[n:]
+			if n > 0 {
+				u.progressAt = time.Now()
+			}
+			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// setWriteDeadline sets the deadline of the next write, or returns why there must be none.
+func (u *upload) setWriteDeadline() error {
+	now := time.Now()
+	u.arrival.observe(now)
+	stalledAt := u.progressAt.Add(writeStallTimeout)
+	if !now.Before(u.limit()) || !now.Before(stalledAt) {
+		return errUploadTimeout
+	}
+	if u.attempt.isCanceled() {
+		return errCanceled
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.stopped {
+		return errBodyNotNeeded
+	}
+	return u.attempt.setDeadline(u.conn.SetWriteDeadline, now.Add(arrivalPollInterval))
+}
+
 // copyBody copies a source to its end. written is the number of body bytes written before. It returns errBodyTooLong if
 // the body is longer than maxBodyBytes.
 func copyBody(source *bodySource, written int64, writePart func([]byte) error) error {
@@ -100,31 +176,38 @@
 }
 
 // stop cancels the upload unless it is complete, waits for its goroutine, and reports whether it was complete.
-func (u *upload) stop(conn *upstreamConn, request *pendingRequest) bool {
+func (u *upload) stop() bool {
 	if !u.complete.Load() {
-		conn.SetWriteDeadline(expiredDeadline)
-		request.source.abandon()
+		u.interrupt()
 	}
 	<-u.done // otherwise it could set a deadline on the connection when another attempt already uses it
 	return u.complete.Load()
 }
 
+// interrupt ends the current read of the body and write to the upstream, and prevents further ones.
+func (u *upload) interrupt() {
+	u.mu.Lock()
+	u.stopped = true
+	u.conn.SetWriteDeadline(expiredDeadline)
+	u.mu.Unlock()
+	u.attempt.request.source.abandon()
+}
+
 // failure returns why an incomplete, stopped upload has no response: errBodyConsumed if the client is at fault, else
 // the error of the write, or else readErr, the error of reading the response.
-func (u *upload) failure(request *pendingRequest, readErr error) error {
-	clientErr := request.source.failure()
+func (u *upload) failure(readErr error) error {
+	clientErr := u.attempt.request.source.failure()
 	if clientErr != nil && !errors.Is(clientErr, errBodyNotNeeded) {
 		return errBodyConsumed // without a complete request the upstream has not executed it
 	}
-	stoppedByNode := errors.Is(u.err, errBodyNotNeeded) || errors.Is(u.err, os.ErrDeadlineExceeded)
-	if u.err != nil && !stoppedByNode {
+	if u.err != nil && !errors.Is(u.err, errBodyNotNeeded) {
 		return u.err
 	}
 	return readErr
 }
 
 // writeChunk writes p as one chunk of a chunked body. p must not be empty, as an empty chunk would end the body.
-func writeChunk(conn net.Conn, a *attempt, p []byte) error {
+func writeChunk(write func(parts ...[]byte) error, p []byte) error {
 	size := strconv.AppendInt(nil, int64(len(p)), 16)
-	return writePaced(conn, a, append(size, "\r\n"...), p, []byte("\r\n"))
+	return write(append(size, "\r\n"...), p, []byte("\r\n"))
 }
--- /dev/null
+++ b/internal/node/upload_test.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"fawnglade/internal/sockstate"
+)
+
+const (
+	uploadBodyBytes = 280 << 10
+	smallBuffer     = 16 << 10  // holds little of the body for an upstream that does not read
+	largeBuffer     = 100 << 10 // slows no upstream down
+	classDeadline   = 800 * time.Millisecond
+	// answerGrace is how long after its deadline a request may be answered without being lost.
+	answerGrace = 550 * time.Millisecond
+)
+
+// startUploadNode starts a node that streams bodies of uploadBodyBytes to an upstream, through kernel buffers of a size.
+func startUploadNode(t *testing.T, bufferBytes int, serve func(net.Conn, *bufio.Reader)) *Node {
+	t.Helper()
+	upstream := listen(t, func(c net.Conn) {
+		if err := c.(*net.TCPConn).SetReadBuffer(bufferBytes); err != nil {
+			t.Error(err)
+		}
+		serve(c, bufio.NewReaderSize(c, 4<<10))
+	})
+	n := newNode(t, nil, upstream)
+	setReceiveBuffer(t, n.frontend.listener, uploadBodyBytes)
+	n.upstreams.dial = func(ctx context.Context, address string, deadline time.Time) (net.Conn, error) {
+		c, err := n.upstreams.connect(ctx, address, deadline)
+		if err != nil {
+			return nil, err
+		}
+		return c, c.(*net.TCPConn).SetWriteBuffer(bufferBytes)
+	}
+	n.start()
+	n.maxBufferedBytes.Store(minBufferedBody/bodyMemoryHardFactor + 1) // longer bodies are streamed
+	return n
+}
+
+// setReceiveBuffer sets the size of the kernel's receive buffers of the connections that a listener accepts.
+func setReceiveBuffer(t *testing.T, listener net.Listener, size int) {
+	t.Helper()
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+	})
+	if err != nil || controlErr != nil {
+		t.Fatal(err, controlErr)
+	}
+}
+
+// uploadText returns a request with a body of uploadBodyBytes.
+func uploadText(class, id string, chunked bool) string {
+	body := randomBody(uploadBodyBytes)
+	if !chunked {
+		return requestText(class, id, string(body))
+	}
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: h\r\nX-Txn: %s\r\nTransfer-Encoding: chunked\r\n\r\n%s",
+		class, id, chunkedBody(body, 10<<10))
+}
+
+// awaitTaken waits until the node's machine has received all that a client has written.
+func awaitTaken(t *testing.T, c net.Conn) time.Time {
+	t.Helper()
+	eventually(t, "the node's machine has the complete request", func() bool {
+		return sockstate.UnacknowledgedBytes(c) == 0
+	})
+	return time.Now()
+}
+
+// Guards against answering a request late whose last byte waits in the kernel while its upstream stops reading the body.
+func TestStreamedRequestIsAnsweredInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		serve       func(net.Conn, *bufio.Reader)
+		bufferBytes int
+		status      int
+	}{
+		"upstream does not read the body": {func(c net.Conn, in *bufio.Reader) {
+			skipRequestHead(in)
+			time.Sleep(3 * time.Second)
+		}, smallBuffer, http.StatusServiceUnavailable},
+		"upstream reads a little now and then": {func(c net.Conn, in *bufio.Reader) {
+			skipRequestHead(in)
+			for range 60 {
+				discardUpTo(in, 1<<10)
+				time.Sleep(50 * time.Millisecond)
+			}
+		}, smallBuffer, http.StatusServiceUnavailable},
+		"upstream reads the body late and does not respond": {func(c net.Conn, in *bufio.Reader) {
+			skipRequestHead(in)
+			time.Sleep(classDeadline + answerGrace)
+			discard(in)
+		}, smallBuffer, http.StatusServiceUnavailable},
+		"upstream reads the body and does not respond": {func(c net.Conn, in *bufio.Reader) {
+			discard(in)
+		}, largeBuffer, http.StatusBadGateway},
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %t", name, chunked), func(t *testing.T) {
+				t.Parallel()
+				n := startUploadNode(t, c.bufferBytes, c.serve)
+				client, in := dial(t, n)
+				writeText(client, uploadText("pay", "t1", chunked))
+				takenAt := awaitTaken(t, client)
+				status, _, _ := readResponse(in)
+				if took := time.Since(takenAt); status != c.status || took > classDeadline+answerGrace {
+					t.Errorf("got status %d after %v, want %d before %v", status, took, c.status, classDeadline+answerGrace)
+				}
+				if n.count(requestsStreamed) != 1 {
+					t.Errorf("got %d streamed requests, want 1", n.count(requestsStreamed))
+				}
+			})
+		}
+	}
+}
+
+// Guards against cutting off an upload that goes on for longer than its request may take after its last byte.
+func TestSlowUploadIsServed(t *testing.T) {
+	for name, c := range map[string]struct {
+		send func(client io.Writer, text string)
+		read func(in io.Reader)
+	}{
+		"client sends slowly": {func(client io.Writer, text string) {
+			for len(text) > 0 {
+				part := text[:min(len(text), 20<<10)]
+				writeText(client, part)
+				text = text[len(part):]
+				time.Sleep(100 * time.Millisecond)
+			}
+		}, discard},
+		"client pauses for longer than the deadline": {func(client io.Writer, text string) {
+			writeText(client, text[:200<<10])
+			time.Sleep(classDeadline + 100*time.Millisecond)
+			writeText(client, text[200<<10:])
+		}, discard},
+		"upstream pauses while the client has not sent all": {func(client io.Writer, text string) {
+			writeText(client, text[:200<<10])
+			time.Sleep(200 * time.Millisecond)
+			writeText(client, text[200<<10:])
+		}, func(in io.Reader) {
+			time.Sleep(200 * time.Millisecond)
+			discard(in)
+		}},
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %t", name, chunked), func(t *testing.T) {
+				t.Parallel()
+				n := startUploadNode(t, largeBuffer, func(conn net.Conn, in *bufio.Reader) {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					c.read(r.Body)
+					writeResponse(conn, "200 OK", "served")
+				})
+				client, in := dial(t, n)
+				c.send(client, uploadText("pay", "t1", chunked))
+				if status, body, _ := readResponse(in); status != http.StatusOK || body != "served" {
+					t.Errorf("got status %d, body %q, want 200, served", status, body)
+				}
+			})
+		}
+	}
+}
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -7,6 +7,8 @@
 	"encoding/binary"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpState is the state of a TCP connection, with the numbers of Linux (include/net/tcp_states.h).
@@ -76,3 +78,29 @@
 	}
 	return n, err
 }
+
+// UnreadBytes returns how many bytes have been received from the peer and not read yet. It returns 0 if that is unknown.
+func UnreadBytes(conn net.Conn) int { return queueLength(conn, unix.TIOCINQ) }
+
+// UnacknowledgedBytes returns how many written bytes the peer's machine has not acknowledged yet. It returns 0 if that
+// is unknown.
+func UnacknowledgedBytes(conn net.Conn) int { return queueLength(conn, unix.TIOCOUTQ) }
+
+// queueLength returns the length in bytes of the socket's queue that an ioctl request selects, or 0 if it is unknown.
+func queueLength(conn net.Conn, request uint) (length int) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	controlErr := raw.Control(func(fd uintptr) {
+		length, err = unix.IoctlGetInt(int(fd), request)
+	})
+	if err != nil || controlErr != nil {
+		return 0
+	}
+	return length
+}
--- a/internal/sockstate/sockstate_test.go
+++ b/internal/sockstate/sockstate_test.go
@@ -102,3 +102,31 @@
 		t.Errorf("got PeerClosed %t, Peek %d, %v; want false, no bytes and EAGAIN", PeerClosed(local), n, err)
 	}
 }
+
+func TestQueueLengths(t *testing.T) {
+	peer, own := connect(t)
+	if unread := UnreadBytes(own); unread != 0 {
+		t.Errorf("got %d unread bytes of an idle connection, want 0", unread)
+	}
+	writeText(peer, "xyz")
+	for deadline := time.Now().Add(5 * time.Second); UnreadBytes(own) != 3 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if unread, unacknowledged := UnreadBytes(own), UnacknowledgedBytes(peer); unread != 3 || unacknowledged != 0 {
+		t.Errorf("got %d unread and %d unacknowledged bytes, want 3 and 0", unread, unacknowledged)
+	}
+	tooMuch := string(make([]byte, 64<<20)) // more than the kernel buffers
+	peer.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+	writeText(peer, tooMuch)
+	if unacknowledged := UnacknowledgedBytes(peer); unacknowledged == 0 {
+		t.Error("got no unacknowledged bytes to a peer that does not read, want some")
+	}
+	own.Close()
+	local, remote := net.Pipe()
+	defer remote.Close()
+	for name, conn := range map[string]net.Conn{"closed": own, "not a socket": local} {
+		if unread, unacknowledged := UnreadBytes(conn), UnacknowledgedBytes(conn); unread != 0 || unacknowledged != 0 {
+			t.Errorf("%s: got %d unread and %d unacknowledged bytes, want 0 and 0", name, unread, unacknowledged)
+		}
+	}
+}
