Read the rest of a response that comes before the end of its request

What callers saw: where an upstream rejects a streamed request early (413, or 503 with the header of a rejection) and the body of its response comes in a later packet than the head, the client got 502, "may have run", at once.

Cause: stopping the upload sets an expired read deadline, to unblock the read of the head; nothing set another for the rest. The review's guess, no deadline at all, was wrong. The failed read then counted as "reading the response", after which a request may have run, though its last byte was never written.

Fix: the rest of the response gets the time that the whole one had, and a failure there keeps the stage at which the request was.

--- a/internal/node/roundtrip.go
+++ b/internal/node/roundtrip.go
@@ -238,7 +238,8 @@
 		m.end()
 		return upstreamReply{stage: partlyWritten}, errEarlyResponse
 	}
-	return upstreamReply{Response: head, message: m, stage: partlyWritten}, nil
+	reply := upstreamReply{Response: head, message: m, stage: partlyWritten}
+	return reply, t.attempt.setDeadline(t.conn.SetReadDeadline, up.earlyResponseDeadline(time.Now()))
 }
 
 // mayPrecedeRequestEnd reports whether a response is valid before the request's last byte: only one that rejects the
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -83,6 +83,13 @@
 	return from.Add(u.timeout)
 }
 
+// earlyResponseDeadline returns the deadline for the rest of a response whose head came before the request was complete.
+// It is called after stop.
+func (u *upload) earlyResponseDeadline(headReadAt time.Time) time.Time {
+	u.progressAt = headReadAt
+	return u.limit()
+}
+
 // writeBody writes the buffered part of the body and then the rest from the source.
 func (u *upload) writeBody() error {
 	request := u.attempt.request
--- a/internal/node/upload_test.go
+++ b/internal/node/upload_test.go
@@ -175,3 +175,37 @@
 		}
 	}
 }
+
+// Guards against taking an early final response for a broken one, or waiting for it without an end, if the rest of it
+// comes later than its head.
+func TestRestOfEarlyResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		rest   string
+		status int
+		body   string
+	}{
+		"comes":         {"no", http.StatusRequestEntityTooLarge, "no"},
+		"comes in part": {"n", http.StatusServiceUnavailable, ""},
+		"does not come": {"", http.StatusServiceUnavailable, ""},
+		"is too long":   {"no, more", http.StatusRequestEntityTooLarge, "no"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := startUploadNode(t, smallBuffer, func(conn net.Conn, in *bufio.Reader) {
+				skipRequestHead(in)
+				writeText(conn, "HTTP/1.1 413 No\r\nContent-Length: 2\r\n\r\n")
+				time.Sleep(50 * time.Millisecond)
+				writeText(conn, c.rest)
+				time.Sleep(3 * time.Second)
+			})
+			client, in := dial(t, n)
+			writeText(client, uploadText("pay", "t1", false))
+			takenAt := awaitTaken(t, client)
+			status, body, _ := readResponse(in)
+			if took := time.Since(takenAt); status != c.status || body != c.body || took > classDeadline+answerGrace {
+				t.Errorf("got status %d, body %q after %v, want %d, %q before %v", status, body, took, c.status, c.body,
+					classDeadline+answerGrace)
+			}
+		})
+	}
+}
--- a/internal/node/upstreamreply.go
+++ b/internal/node/upstreamreply.go
@@ -15,7 +15,7 @@
 	body, complete, err := readBodyStart(m)
 	if err != nil {
 		m.end()
-		return attemptResult{}, t.errorAt(readingResponse, err)
+		return attemptResult{}, t.errorAt(reply.stageOfError(), err)
 	}
 	if digest := digestResponse(m.digest, body); complete && reply.stage == fullyWritten {
 		if t.mayBeCopy(digest) {
@@ -71,7 +71,7 @@
 	case wanted && complete && !extraInput && reusable:
 		t.putIdle()
 	case forwarded && !complete:
-		return attemptResult{}, t.errorAt(readingResponse, errCanceled)
+		return attemptResult{}, t.errorAt(reply.stageOfError(), errCanceled)
 	default:
 		t.closeReason = reply.closeReason(wanted, extraInput || t.copySeen)
 	}
@@ -101,6 +101,15 @@
 	uploadTime time.Duration // see attemptResult.uploadTime
 }
 
+// stageOfError returns the stage of an attempt that fails while the response is read: without its last byte the request
+// was not executed.
+func (r *upstreamReply) stageOfError() attemptStage {
+	if r.stage < fullyWritten {
+		return r.stage
+	}
+	return readingResponse
+}
+
 // result returns the attempt's result, without the response.
 func (r *upstreamReply) result() attemptResult {
 	return attemptResult{
