--- a/internal/node/upload_test.go
+++ b/internal/node/upload_test.go
@@ -209,3 +209,34 @@
 		})
 	}
 }
+
+// bytesUntilEnd returns the number of bytes that a connection brings until it ends.
+func bytesUntilEnd(in io.Reader) int64 {
+	n, _ := io.Copy(io.Discard, in)
+	return n
+}
+
+// Guards against sending the last byte of a request long after its client has gone, to an upstream that paused.
+func TestUploadEndsWhenClientCloses(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		received := make(chan int64, 1)
+		closed := make(chan struct{})
+		n := startUploadNode(t, smallBuffer, func(conn net.Conn, in *bufio.Reader) {
+			<-closed
+			time.Sleep(100 * time.Millisecond)
+			received <- bytesUntilEnd(in)
+		})
+		client, _ := dial(t, n)
+		writeText(client, uploadText("batch", "t1", chunked))
+		awaitTaken(t, client)
+		eventually(t, "the upstream connection", func() bool { return n.count(upstreamConnsOpened) == 1 })
+		client.Close()
+		close(closed)
+		eventually(t, "the cancellation of the request", func() bool { return n.count(requestsCanceled) == 1 })
+		if got := <-received; got >= uploadBodyBytes {
+			t.Errorf("chunked %t: got %d bytes at the upstream, want less than the body of %d", chunked, got, uploadBodyBytes)
+		}
+		eventually(t, "the end of the attempt", func() bool { return n.count(attemptsNotSent) == 1 })
+		n.awaitBodyMemoryReleased(t)
+	}
+}
