Withdraw what an upstream has not received of a request that is given up

What callers saw: a request is answered (502, 503) as its upstream hangs; when the upstream goes on, it gets the rest of the request and runs it, after the final answer.

Cause: a close sends what the kernel still holds of the connection's output, up to some MB. Buffered requests were hit as well.

Fix: a connection in use whose output the upstream's machine has not acknowledged is reset instead. The outcome of the attempt stays as it was (may have run), as what is on its way cannot be called back.

--- a/internal/node/upload_test.go
+++ b/internal/node/upload_test.go
@@ -240,3 +240,34 @@
 		n.awaitBodyMemoryReleased(t)
 	}
 }
+
+// Guards against an upstream that gets a request's last bytes from the kernel after the request has been given up.
+func TestRequestGivenUpIsWithdrawn(t *testing.T) {
+	for name, maxBufferedBytes := range map[string]int64{
+		"buffered": bodyMemoryHardFactor * uploadBodyBytes,
+		"streamed": minBufferedBody/bodyMemoryHardFactor + 1,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			received := make(chan int64, 1)
+			answered := make(chan struct{})
+			upstream := listen(t, func(c net.Conn) {
+				if err := c.(*net.TCPConn).SetReadBuffer(smallBuffer); err != nil {
+					t.Error(err)
+				}
+				<-answered
+				received <- bytesUntilEnd(c)
+			})
+			n := startNode(t, nil, upstream)
+			n.maxBufferedBytes.Store(maxBufferedBytes)
+			status, _, _ := sendRequest(t, n, "pay", "t1", string(randomBody(uploadBodyBytes)))
+			close(answered)
+			if status != http.StatusBadGateway && status != http.StatusServiceUnavailable {
+				t.Errorf("got status %d, want 502 or 503", status)
+			}
+			if got := <-received; got >= uploadBodyBytes {
+				t.Errorf("got %d bytes at the upstream after the answer, want less than the body of %d", got, uploadBodyBytes)
+			}
+		})
+	}
+}
--- a/internal/node/upstreampool.go
+++ b/internal/node/upstreampool.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"fawnglade/internal/sockstate"
 	"fawnglade/policy"
 )
 
@@ -269,9 +270,13 @@
 	return closeByUpstream, !reusable
 }
 
-// closeConn closes a connection that is in use.
+// closeConn closes a connection that is in use. Bytes that the upstream's machine has not received are withdrawn:
+// otherwise the kernel would send the rest of a request that has been given up.
 func (u *upstreams) closeConn(conn *upstreamConn, reason closeReason) {
 	u.recordClose(conn, reason)
+	if sockstate.UnacknowledgedBytes(conn.Conn) > 0 {
+		conn.abort()
+	}
 	conn.Close()
 	u.releaseSlot()
 }
