Wait behind a possible copy by the streamed request's own deadline

What callers saw: a client sends a long body more slowly than its request may take after the last byte, an upstream sends the response before it a second time, and the client is served that one: another client's.

Cause: the wait for the response behind a possible copy was a part of the time left from the request's head, which had passed, so there was no wait and the copy counted as the response.

Fix: an attempt on a connection has one deadline, set when the upload ends; the wait and the read behind it use that.

The copying upstream of the tests reads the body before it counts a request, so that its copy comes behind the last byte; without bodies nothing changes for the other tests.

--- a/internal/node/responsecopy.go
+++ b/internal/node/responsecopy.go
@@ -94,8 +94,7 @@
 // readBehindCopy waits for another response behind one that may be a copy. If there is none within a part of the time
 // left, the first one was not a copy and found is false. The connection can't be reused in either case.
 func (t *roundTrip) readBehindCopy(copied upstreamReply) (behind upstreamReply, found bool, err error) {
-	left := t.attempt.deadline.Sub(t.upstreams.node.clock.now())
-	until := time.Now().Add(min(left/copyWaitDivisor, maxCopyWait))
+	until := time.Now().Add(min(time.Until(t.deadline)/copyWaitDivisor, maxCopyWait))
 	if err := t.attempt.setDeadline(t.conn.SetReadDeadline, until); err != nil {
 		return upstreamReply{}, false, err
 	}
@@ -108,8 +107,7 @@
 		return upstreamReply{}, false, err
 	}
 	t.upstreams.node.counters.add(responseCopiesDiscarded)
-	deadline := t.upstreams.node.clock.at(t.attempt.deadline)
-	if err := t.attempt.setDeadline(t.conn.SetReadDeadline, deadline); err != nil {
+	if err := t.attempt.setDeadline(t.conn.SetReadDeadline, t.deadline); err != nil {
 		return upstreamReply{}, false, err
 	}
 	return upstreamReply{Response: head, message: m, stage: copied.stage, uploadTime: copied.uploadTime}, true, nil
--- a/internal/node/responsecopy_test.go
+++ b/internal/node/responsecopy_test.go
@@ -24,6 +24,7 @@
 			if err != nil {
 				return
 			}
+			discard(r.Body)
 			if requests.Add(1) == last {
 				writeResponse(c, before[0], before[1])
 			}
@@ -56,6 +57,28 @@
 	})
 }
 
+// Guards against serving a second copy as the response to a streamed request whose body took longer than its deadline.
+func TestCopyBehindSlowUploadIsNotItsResponse(t *testing.T) {
+	const requests = minRecentResponses + 4
+	server, _ := startCopyingUpstream(t, requests, func(id string) (string, string) { return "200 OK", "for " + id })
+	n := startNodeWithoutCooldown(t, nil, server)
+	for i := range requests - 1 {
+		sendRequest(t, n, "pay", fmt.Sprint("t", i), "")
+	}
+	client, in := dial(t, n)
+	text := requestText("pay", "slow", string(randomBody(maxBufferedBody+1)))
+	writeText(client, text[:len(text)-1])
+	time.Sleep(classDeadline + 50*time.Millisecond) // shorter than copyWindow
+	writeText(client, text[len(text)-1:])
+	if status, body, _ := readResponse(in); status != 200 || body != "for slow" {
+		t.Errorf("got status %d and body %q, want the response to the request", status, body)
+	}
+	if n.count(responseCopiesDiscarded) != 1 || n.count(requestsStreamed) != 1 {
+		t.Errorf("got %d copies discarded and %d streamed requests, want 1 and 1", n.count(responseCopiesDiscarded),
+			n.count(requestsStreamed))
+	}
+}
+
 // Guards against taking the equal responses of an endpoint that answers many requests alike for copies.
 func TestEqualResponsesAreNotTakenForCopies(t *testing.T) {
 	server, _ := startUpstream(t, func(c net.Conn, _ *http.Request, _ string) bool {
--- a/internal/node/roundtrip.go
+++ b/internal/node/roundtrip.go
@@ -90,6 +90,7 @@
 	upstreams   *upstreams
 	attempt     *attempt
 	conn        *upstreamConn
+	deadline    time.Time   // of the response; of a streamed request it is set once the upload has ended
 	released    bool        // the connection is idle again or has another owner, so close must not close it
 	closeReason closeReason // why close closes the connection
 	copySeen    bool        // a response may have been a copy, so that the connection is not used again
@@ -103,7 +104,7 @@
 		return attemptResult{}, a.errorAt(notConnected, err)
 	}
 	a.connection = conn.id
-	trip := &roundTrip{upstreams: u, attempt: a, conn: conn, closeReason: closeResponseFailed}
+	trip := &roundTrip{upstreams: u, attempt: a, conn: conn, deadline: deadline, closeReason: closeResponseFailed}
 	defer trip.close()
 	if a.request.source != nil {
 		deadline = time.Time{} // the time for the response starts when the last byte of the body arrives (upload.limit)
@@ -229,6 +230,7 @@
 	up.start()
 	head, m, err := t.conn.readResponseHead(request.method)
 	if up.stop() {
+		t.deadline = up.limit()
 		return upstreamReply{head, m, fullyWritten, up.completedAt.Sub(began)}, err
 	}
 	if err != nil {
@@ -238,8 +240,9 @@
 		m.end()
 		return upstreamReply{stage: partlyWritten}, errEarlyResponse
 	}
+	t.deadline = up.earlyResponseDeadline(time.Now())
 	reply := upstreamReply{Response: head, message: m, stage: partlyWritten}
-	return reply, t.attempt.setDeadline(t.conn.SetReadDeadline, up.earlyResponseDeadline(time.Now()))
+	return reply, t.attempt.setDeadline(t.conn.SetReadDeadline, t.deadline)
 }
 
 // mayPrecedeRequestEnd reports whether a response is valid before the request's last byte: only one that rejects the
