--- a/internal/node/upload_test.go
+++ b/internal/node/upload_test.go
@@ -63,13 +63,13 @@
 }
 
 // uploadText returns a request with a body of uploadBodyBytes.
-func uploadText(class, id string, chunked bool) string {
+func uploadText(class string, chunked bool) string {
 	body := randomBody(uploadBodyBytes)
 	if !chunked {
-		return requestText(class, id, string(body))
+		return requestText(class, "t1", string(body))
 	}
-	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: h\r\nX-Txn: %s\r\nTransfer-Encoding: chunked\r\n\r\n%s",
-		class, id, chunkedBody(body, 10<<10))
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: h\r\nX-Txn: t1\r\nTransfer-Encoding: chunked\r\n\r\n%s",
+		class, chunkedBody(body, 10<<10))
 }
 
 // awaitTaken waits until the node's machine has received all that a client has written.
@@ -113,7 +113,7 @@
 				t.Parallel()
 				n := startUploadNode(t, c.bufferBytes, c.serve)
 				client, in := dial(t, n)
-				writeText(client, uploadText("pay", "t1", chunked))
+				writeText(client, uploadText("pay", chunked))
 				takenAt := awaitTaken(t, client)
 				status, _, _ := readResponse(in)
 				if took := time.Since(takenAt); status != c.status || took > classDeadline+answerGrace {
@@ -167,7 +167,7 @@
 					writeResponse(conn, "200 OK", "served")
 				})
 				client, in := dial(t, n)
-				c.send(client, uploadText("pay", "t1", chunked))
+				c.send(client, uploadText("pay", chunked))
 				if status, body, _ := readResponse(in); status != http.StatusOK || body != "served" {
 					t.Errorf("got status %d, body %q, want 200, served", status, body)
 				}
@@ -199,7 +199,7 @@
 				time.Sleep(3 * time.Second)
 			})
 			client, in := dial(t, n)
-			writeText(client, uploadText("pay", "t1", false))
+			writeText(client, uploadText("pay", false))
 			takenAt := awaitTaken(t, client)
 			status, body, _ := readResponse(in)
 			if took := time.Since(takenAt); status != c.status || body != c.body || took > classDeadline+answerGrace {
@@ -227,7 +227,7 @@
 			received <- bytesUntilEnd(in)
 		})
 		client, _ := dial(t, n)
-		writeText(client, uploadText("batch", "t1", chunked))
+		writeText(client, uploadText("batch", chunked))
 		awaitTaken(t, client)
 		eventually(t, "the upstream connection", func() bool { return n.count(upstreamConnsOpened) == 1 })
 		client.Close()
