--- a/internal/node/pipelining_test.go
+++ b/internal/node/pipelining_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Guards against counting the time of requests that a client sends ahead from when they are read, not from their arrival.
+// Guards against timing requests that a client sends ahead from when they are read, not from their arrival.
 func TestPipelinedRequestsAreAnsweredInTime(t *testing.T) {
 	const requests = 60
 	upstream := listen(t, func(c net.Conn) { discard(bufio.NewReader(c)) })
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -25,8 +25,8 @@
 var errUploadTimeout = fmt.Errorf("upstream did not read the request in time: %w", os.ErrDeadlineExceeded)
 
 // upload writes a request with a streamed body on the connection of one attempt. After start its own goroutine writes
-// the body, and stop must be called before the connection is used for anything else. write, start, stop and limit are
-// called by the attempt's worker.
+// the body, and stop must be called before the connection is used for anything else. The attempt's worker calls
+// its methods before start and after stop, its goroutine between them.
 type upload struct {
 	conn       *upstreamConn
 	attempt    *attempt
@@ -55,8 +55,8 @@
 	}
 }
 
-// start starts writing the body behind the head. Once the last byte has been written, the read deadline for the response
-// is limit.
+// start starts writing the body behind the head. Once the last byte has been written, the read deadline for the
+// response is limit.
 func (u *upload) start() {
 	go func() {
 		defer close(u.done)
@@ -83,8 +83,8 @@
 	return from.Add(u.timeout)
 }
 
-// earlyResponseDeadline returns the deadline for the rest of a response whose head came before the request was complete.
-// It is called after stop.
+// earlyResponseDeadline returns the deadline for the rest of a response whose head came before the request was
+// complete. It is called after stop.
 func (u *upload) earlyResponseDeadline(headReadAt time.Time) time.Time {
 	u.progressAt = headReadAt
 	return u.limit()
--- a/internal/node/upload_test.go
+++ b/internal/node/upload_test.go
@@ -24,7 +24,8 @@
 	answerGrace = 550 * time.Millisecond
 )
 
-// startUploadNode starts a node that streams bodies of uploadBodyBytes to an upstream, through kernel buffers of a size.
+// startUploadNode starts a node that streams bodies of uploadBodyBytes to an upstream, through kernel buffers of a
+// size.
 func startUploadNode(t *testing.T, bufferBytes int, serve func(net.Conn, *bufio.Reader)) *Node {
 	t.Helper()
 	upstream := listen(t, func(c net.Conn) {
@@ -81,7 +82,7 @@
 	return time.Now()
 }
 
-// Guards against answering a request late whose last byte waits in the kernel while its upstream stops reading the body.
+// Guards against a late answer to a request whose last byte waits in the kernel while its upstream does not read.
 func TestStreamedRequestIsAnsweredInTime(t *testing.T) {
 	for name, c := range map[string]struct {
 		serve       func(net.Conn, *bufio.Reader)
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -79,7 +79,8 @@
 	return n, err
 }
 
-// UnreadBytes returns how many bytes have been received from the peer and not read yet. It returns 0 if that is unknown.
+// UnreadBytes returns how many bytes have been received from the peer and not read yet. It returns 0 if that is
+// unknown.
 func UnreadBytes(conn net.Conn) int { return queueLength(conn, unix.TIOCINQ) }
 
 // UnacknowledgedBytes returns how many written bytes the peer's machine has not acknowledged yet. It returns 0 if that
