--- a/internal/node/pacing_test.go
+++ b/internal/node/pacing_test.go
@@ -26,13 +26,14 @@
 }
 
 // newTestUpload returns an upload of a request whose client has sent nothing yet.
-func newTestUpload(t *testing.T, a *attempt, conn net.Conn) *upload {
+func newTestUpload(t *testing.T, a *attempt, upstream net.Conn) *upload {
 	t.Helper()
 	client, far := net.Pipe()
 	t.Cleanup(func() { far.Close() })
+	conn := newBufferedConn(client)
 	a.request = newPendingRequest()
-	a.request.source = &bodySource{conn: newBufferedConn(client), end: unknownLength}
-	return newUpload(&upstreamConn{bufferedConn: newBufferedConn(conn)}, a, time.Hour)
+	a.request.source = &bodySource{conn: conn, arrivals: &inputArrivals{conn: conn}, end: unknownLength}
+	return newUpload(&upstreamConn{bufferedConn: newBufferedConn(upstream)}, a, time.Hour)
 }
 
 // Guards against a lost cancel: the worker, or the reader of the attempt's body, sets a new deadline just after the
