Hand over overrides that are set before their watch has begun

What operators saw: an endpoint that is taken out just as a node starts is still chosen by the decisions; its attempts are not sent, each request costs an attempt more, until the next override. The rule on drains held, as each attempt checks the overrides before it is written.

Fix: the set that counts as handed over is the one that was read when the overrides were made, before any goroutine and before the initial list.

--- a/internal/node/overrides.go
+++ b/internal/node/overrides.go
@@ -112,6 +112,7 @@
 
 	entries map[string]*endpointEntry // the list without overrides, by name; event loop only
 	applied *overrideSet              // the set last applied to the balancer; event loop only
+	posted  *overrideSet              // the set that the event loop was last notified of; watch only
 }
 
 // newOverrides reads the overrides file. An unreadable file is logged and ignored; the node still starts.
@@ -126,6 +127,7 @@
 	o.publish(&overrideSet{endpoints: map[string]endpointOverride{}})
 	o.applied = o.current.Load()
 	o.reload()
+	o.posted = o.current.Load()
 	return o
 }
 
@@ -258,13 +260,12 @@
 // watch posts each change of the overrides to the event loop: changes by this process at once, changes by the other
 // process at the next poll.
 func (o *overrides) watch(poll <-chan time.Time) {
-	posted := o.current.Load()
 	drained := false
 	for {
 		o.reload()
 		set := o.current.Load()
-		if set != posted {
-			posted = set
+		if set != o.posted {
+			o.posted = set
 			o.node.loop.post(o.node.loop.overridesChanged)
 		}
 		if set.drained != drained {
