Share the configuration of plays against a process; drop a constant parameter

Need: the linter (unparam) complained of listEntries since the play of long uploads was added, and the configurations of that play and of the unsolicited responses were the same but for the classes.

--- a/cmd/fawnglade/helper_test.go
+++ b/cmd/fawnglade/helper_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -114,3 +115,14 @@
 	}()
 	return listener.Addr().String()
 }
+
+const playConfigText = `{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"%x",
+"limits":{"cores":1,"memory_mb":192,"sockets":1024},
+"known":{"seq":1,"whole":true,"hosts":[%s]},"settings":{"discovery":"ask","limits":{"connect_timeout_us":200000,
+"idle_close_us":5000000,"try_limit":3},"profiles":[%s],"quantum_us":2000,"report":{"how":"off"},
+"rules":{"ask_within_us":10000000,"cold_from":0.2,"warm_within_us":20000000},"weights":"off","zone":0,"zones":["a"]}}`
+
+// playConfig returns the configuration of a node with a random seed and the given classes.
+func playConfig(listen, profiles string, upstreams ...string) string {
+	return fmt.Sprintf(playConfigText, listen, rand.Uint64(), listEntries(upstreams...), profiles)
+}
--- a/internal/node/requestread.go
+++ b/internal/node/requestread.go
@@ -49,7 +49,7 @@
 }
 
 // arrivedAt returns when the last byte of the request that has been read arrived, given the offset behind it: now, unless
-// it had arrived while nothing was read. If the offset is unknown, or the byte is still to come, that is now too.
+// it had arrived while nothing was read. It returns now as well if the offset is unknown or the byte is still to come.
 func (c *clientConn) arrivedAt(end int64) time.Time {
 	if end == unknownLength {
 		return time.Now()
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -73,8 +73,8 @@
 
 // limit returns when the attempt must end: when the time for the response has passed since the last byte of the body
 // arrived. While the client has not sent everything, that time starts anew with whatever arrives and whatever the
-// upstream reads, so that a slow client and a slow upstream are served and a stalled upstream is not. A body whose length
-// is not known yet may be complete, so that only what arrives counts.
+// upstream reads, so that a slow client and a slow upstream are served and a stalled upstream is not. A body whose
+// length is not known yet may be complete, so that only what arrives counts.
 func (u *upload) limit() time.Time {
 	completeAt, complete := u.source.completeAt()
 	switch {
