Give up a request that would hold a later response of its connection until it is lost

What callers saw: a client that sends requests ahead gets the answers in their order. One with a limit of 0.2 s behind one with 9 s, whose upstream did not answer, was answered after 9.0 s, although its own upstream had answered at once.

Cause: nothing bounded a request by those behind it on its connection. A client that waits no longer for the later answer can only close the connection, so it does not wait longer for the first one either.

Fix: when a request is read, those ahead of it with a later deadline are given up 0.4 s after its own, within the half second in which an answer is late and not lost, so nothing that could still be answered in time is cut off. Rejected or failed by policy.MayReject, as at a shutdown, and canceled. If that time has passed when it is read, nothing is given up for it, as it is lost in any case.

The decisions have a name for the reason and decide nothing else.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -114,6 +114,7 @@
 			// The end of the connection may delimit the response to an HTTP/1.0 request.
 			pending.closeAfter = request.Close || pending.http10
 			c.handle(pending, request)
+			c.limitRequestsAhead(unanswered)
 		}
 		c.queueResponse(pending)
 		bodyFailed := pending.source != nil && !c.awaitStreamedBody(pending)
--- a/internal/node/eventloop.go
+++ b/internal/node/eventloop.go
@@ -100,17 +100,23 @@
 	l.handle(request, func() { l.balancer.RequestArrived(l.now, request.request) })
 }
 
-// giveUpAll ends every unanswered request because the process is about to exit: it rejects those for which
-// policy.MayReject allows it and fails the others. Requests that arrive afterwards are rejected.
+// giveUpAll gives up every unanswered request because the process is about to exit. Requests that arrive afterwards are
+// rejected.
 func (l *eventLoop) giveUpAll() {
 	l.rejectsNewRequests = true
 	for id, pending := range l.requests {
-		class := &l.node.settings.Policy.Classes[pending.request.Class]
-		if policy.MayReject(class, l.now, pending.attempts, executionInfo) {
-			l.Reject(id, 0, policy.ReasonShutdown)
-		} else {
-			l.Fail(id, policy.ReasonShutdown)
-		}
+		l.giveUp(id, pending, policy.ReasonShutdown)
+	}
+}
+
+// giveUp answers a request whose attempts may still be in flight: it rejects it if policy.MayReject allows that, and
+// fails it otherwise.
+func (l *eventLoop) giveUp(id policy.RequestID, request *pendingRequest, reason policy.Reason) {
+	class := &l.node.settings.Policy.Classes[request.request.Class]
+	if policy.MayReject(class, l.now, request.attempts, executionInfo) {
+		l.Reject(id, 0, reason)
+	} else {
+		l.Fail(id, reason)
 	}
 }
 
--- a/internal/node/pendingrequest.go
+++ b/internal/node/pendingrequest.go
@@ -30,8 +30,9 @@
 	responses chan response // receives the single response; read by the write loop
 	answered  atomic.Bool   // the response has been sent to responses
 
-	attempts []*attempt // by number; owned by the event loop
-	inFlight int        // number of attempts that have not ended; owned by the event loop
+	attempts []*attempt  // by number; owned by the event loop
+	inFlight int         // number of attempts that have not ended; owned by the event loop
+	giveUpAt policy.Time // see limitRequest; 0: never; owned by the event loop
 }
 
 func newPendingRequest() *pendingRequest {
--- a/internal/node/pipelining_test.go
+++ b/internal/node/pipelining_test.go
@@ -76,3 +76,60 @@
 		t.Errorf("got status %d after %v, want 503 before %v", status, took, classDeadline+answerGrace)
 	}
 }
+
+// Guards against a response that waits until long after its deadline behind that of a request with a later one.
+func TestRequestAheadDoesNotDelayLaterResponse(t *testing.T) {
+	const (
+		shortTime = 200 * time.Millisecond
+		never     = time.Hour
+	)
+	for name, c := range map[string]struct {
+		repeat string
+		takes  time.Duration
+		status int
+	}{
+		"repeatable, answered soon":     {"safe", shortTime + 200*time.Millisecond, http.StatusOK},
+		"repeatable, never answered":    {"safe", never, http.StatusServiceUnavailable},
+		"not repeatable, answered soon": {"unsafe", shortTime + 200*time.Millisecond, http.StatusOK},
+		"not repeatable, not answered":  {"unsafe", never, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			canceled := make(chan struct{})
+			upstream := listen(t, func(conn net.Conn) {
+				in := bufio.NewReader(conn)
+				r, err := http.ReadRequest(in)
+				switch {
+				case err != nil:
+					return
+				case r.URL.Path != "/batch":
+				case c.takes == never:
+					discard(in)
+					close(canceled)
+					return
+				default:
+					time.Sleep(c.takes)
+				}
+				writeResponse(conn, "200 OK", r.URL.Path)
+				discard(in)
+			})
+			n := startNode(t, withSettings(`"name":"batch","objective_us":20000000,"repeat":"safe"`,
+				fmt.Sprintf(`"name":"batch","objective_us":20000000,"repeat":%q`, c.repeat)), upstream)
+			client, in := dial(t, n)
+			sentAt := time.Now()
+			writeText(client, requestText("batch", "t1", ""))
+			writef(client, "GET /view HTTP/1.1\r\nHost: h\r\nX-Txn: t2\r\nX-Remaining-Ms: %d\r\n\r\n", shortTime.Milliseconds())
+			if status, _, _ := readResponse(in); status != c.status {
+				t.Errorf("request ahead: got status %d, want %d", status, c.status)
+			}
+			status, body, _ := readResponse(in)
+			if took := time.Since(sentAt); status != http.StatusOK || body != "/view" || took > shortTime+answerGrace {
+				t.Errorf("later request: got status %d, body %q after %v, want 200, /view before %v", status, body, took,
+					shortTime+answerGrace)
+			}
+			if c.takes == never {
+				<-canceled
+			}
+		})
+	}
+}
--- a/policy/reason.go
+++ b/policy/reason.go
@@ -14,6 +14,7 @@
 	ReasonBodyConsumed // the body is no longer buffered, so that the request cannot be sent again
 	ReasonShedAll      // this node gives up all requests, to end a long overload
 	ReasonShutdown     // the process is about to exit; used by the caller of the Balancer only
+	ReasonHeadOfLine   // a later response of the client's connection is due; used by the caller of the Balancer only
 
 	// Reasons that apply to endpoints, ordered from furthest to closest.
 	ReasonNoEndpoint   // no endpoint is listed as active
@@ -37,6 +38,7 @@
 	ReasonBodyConsumed: "body consumed",
 	ReasonShedAll:      "resting in overload",
 	ReasonShutdown:     "process ending",
+	ReasonHeadOfLine:   "later response due",
 	ReasonNoEndpoint:   "no endpoint listed",
 	ReasonAttemptsUsed: "attempts used up",
 	ReasonMayHaveRun:   "may have run",
