Give each case of TestIncompleteRequestBodyIsRejected an ID of its own

The protocol has a new ID with every request, so this is the test's fault.

Every check is as it was.

--- a/internal/node/requestread_test.go
+++ b/internal/node/requestread_test.go
@@ -131,6 +131,7 @@
 	upstream, requests := startDigestUpstream(t)
 	n := startNode(t, lenientSettings, upstream)
 	partialBody := string(randomBody(2 << 20))
+	cases := 0
 	for text, want := range map[string]int{
 		"Content-Length: 9000000\r\n\r\n" + partialBody:                               408,
 		"Transfer-Encoding: chunked\r\n\r\n200000\r\n" + partialBody + "\r\nzz\r\n":   400,
@@ -138,7 +139,8 @@
 		"Content-Length: 60000000\r\n\r\n" + partialBody:                              413,
 	} {
 		c, in := dial(t, n)
-		go writeText(c, "POST /batch HTTP/1.1\r\nHost: h\r\nX-Txn: t1\r\n"+text)
+		cases++ // an ID for each, as that of a request with an attempt in flight is refused
+		go writeText(c, fmt.Sprintf("POST /batch HTTP/1.1\r\nHost: h\r\nX-Txn: case-%d\r\n%s", cases, text))
 		if status, _, _ := readResponse(in); status != want {
 			t.Errorf("%.40q: got status %d, want %d", text, status, want)
 		}
