Keep when a streamed body was complete, as the next request forgets its arrival

A panic: the deadline of the response was looked up when the response came, from the record of arrivals, and the read loop had dropped that part of it with the next request. Where the upload's own goroutine meets it, it would have ended the process.

Cause: bodySource ends before the upload has set its deadline, and from then on the read loop owns the connection and the record.

Fix: the source notes when its last byte arrived before it ends, in one place for both kinds of bodies. A record without any mark is no panic any more.

--- a/internal/node/inputarrival.go
+++ b/internal/node/inputarrival.go
@@ -118,10 +118,14 @@
 	return time.Time{}, false
 }
 
-// latestAt returns when the latest input arrived, by the last observation. There must have been one.
+// latestAt returns when the latest input arrived, by the last observation, or the time of that observation if all input
+// has been forgotten.
 func (a *inputArrivals) latestAt() time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if len(a.marks) == 0 {
+		return a.observedAt
+	}
 	return a.marks[len(a.marks)-1].at
 }
 
--- a/internal/node/pipelining_test.go
+++ b/internal/node/pipelining_test.go
@@ -133,3 +133,44 @@
 		})
 	}
 }
+
+// Guards against losing a streamed request whose client sends the next one before the response.
+func TestRequestAfterUploadLeavesItsDeadline(t *testing.T) {
+	for name, c := range map[string]struct {
+		takes  time.Duration
+		status int
+	}{
+		"answered":     {200 * time.Millisecond, http.StatusOK},
+		"not answered": {3 * time.Second, http.StatusBadGateway},
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %t", name, chunked), func(t *testing.T) {
+				t.Parallel()
+				n := startUploadNode(t, largeBuffer, func(conn net.Conn, in *bufio.Reader) {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					discard(r.Body)
+					if r.Header.Get(headerRequestID) == "t1" {
+						time.Sleep(c.takes)
+					}
+					writeResponse(conn, "200 OK", "served")
+					discard(in)
+				})
+				client, in := dial(t, n)
+				writeText(client, uploadText("pay", chunked))
+				takenAt := awaitTaken(t, client)
+				time.Sleep(100 * time.Millisecond)
+				writeText(client, requestText("view", "t2", ""))
+				status, _, _ := readResponse(in)
+				if took := time.Since(takenAt); status != c.status || took > classDeadline {
+					t.Errorf("upload: got status %d after %v, want %d before %v", status, took, c.status, classDeadline)
+				}
+				if status, _, _ := readResponse(in); status != http.StatusOK {
+					t.Errorf("request after it: got status %d, want 200", status)
+				}
+			})
+		}
+	}
+}
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -31,7 +31,9 @@
 	arrivals *inputArrivals
 	message  *message
 	length   int64 // of the complete body in bytes, or unknownLength
-	end      int64 // offset in the connection's input behind the body, or unknownLength; changed by Read only
+	end      int64 // offset in the connection's input behind the body, or unknownLength; changed by finishComplete only
+
+	completedAt time.Time // when the last byte arrived; set by finishComplete, zero before
 
 	ended     chan struct{} // closed by finish
 	complete  atomic.Bool   // the complete body has been read
@@ -57,9 +59,13 @@
 	return s
 }
 
-// completeAt returns when the last byte of the body reached this machine, read or not, and whether it has.
-func (s *bodySource) completeAt() (at time.Time, complete bool) {
-	if s.end == unknownLength {
+// arrivedAt returns when the last byte of the body reached this machine, read or not, and whether it has. Only the
+// goroutine that reads the body may call it, and others once that has ended.
+func (s *bodySource) arrivedAt() (at time.Time, arrived bool) {
+	switch {
+	case !s.completedAt.IsZero():
+		return s.completedAt, true
+	case s.end == unknownLength:
 		return time.Time{}, false
 	}
 	return s.arrivals.completeAt(s.end)
@@ -76,16 +82,28 @@
 	if err != nil && s.abandoned.Load() {
 		err = errBodyNotNeeded
 	}
-	if errors.Is(err, io.EOF) {
-		s.end = s.message.inputOffset()
-		s.complete.Store(true)
-	}
-	if err != nil {
+	switch {
+	case errors.Is(err, io.EOF):
+		s.finishComplete()
+	case err != nil:
 		s.finish(err)
 	}
 	return n, err
 }
 
+// finishComplete ends the source after its last byte has been read. It may be called again. It keeps when that byte
+// arrived: afterwards the connection's read loop reads the next request, and forgets what arrived before it.
+func (s *bodySource) finishComplete() {
+	if s.complete.Load() {
+		return
+	}
+	s.end = s.message.inputOffset()
+	s.arrivals.observe(time.Now())
+	s.completedAt, _ = s.arrivals.completeAt(s.end)
+	s.complete.Store(true)
+	s.finish(io.EOF)
+}
+
 // abandon ends the source and returns once no read is in progress. It is safe for concurrent use and may be called
 // after the source has ended.
 func (s *bodySource) abandon() {
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -76,10 +76,10 @@
 // upstream reads, so that a slow client and a slow upstream are served and a stalled upstream is not. A body whose
 // length is not known yet may be complete, so that only what arrives counts.
 func (u *upload) limit() time.Time {
-	completeAt, complete := u.source.completeAt()
+	arrivedAt, arrived := u.source.arrivedAt()
 	switch {
-	case complete:
-		return completeAt.Add(u.timeout)
+	case arrived:
+		return arrivedAt.Add(u.timeout)
 	case u.source.end == unknownLength:
 		return u.source.arrivals.latestAt().Add(u.timeout)
 	}
@@ -114,8 +114,7 @@
 			return err
 		}
 	}
-	source.complete.Store(true)
-	source.finish(io.EOF)
+	source.finishComplete()
 	return nil
 }
 
