Make the body of TestCopyBehindSlowUploadIsNotItsResponse before its requests

Seen: under the race detector the test fell in 3 of 3 runs beside the other tests of uploads ("for t5", its copy was not recognized).

Cause, traced by its times: the play took 1.03 to 1.04 s where it takes 1.01 alone. Making 1 MB of random bytes lay between the last response and the copy behind it, which has to come within copyWindow, 1 s.

Change: the body is made first; nothing else.

--- a/internal/node/responsecopy_test.go
+++ b/internal/node/responsecopy_test.go
@@ -62,11 +62,11 @@
 	const requests = minRecentResponses + 4
 	server, _ := startCopyingUpstream(t, requests, func(id string) (string, string) { return "200 OK", "for " + id })
 	n := startNodeWithoutCooldown(t, nil, server)
+	text := requestText("pay", "slow", string(randomBody(maxBufferedBody+1)))
 	for i := range requests - 1 {
 		sendRequest(t, n, "pay", fmt.Sprint("t", i), "")
 	}
 	client, in := dial(t, n)
-	text := requestText("pay", "slow", string(randomBody(maxBufferedBody+1)))
 	writeText(client, text[:len(text)-1])
 	time.Sleep(classDeadline + 50*time.Millisecond) // shorter than copyWindow
 	writeText(client, text[len(text)-1:])
