Release the record of a body's arrival with the body

Need: a connection that carried a long body kept up to 8 KB of marks while idle, until its next request; idle clients are counted in memory.

Change: the marks of a body go when it is complete, and the room for them with them.

--- a/internal/node/inputarrival.go
+++ b/internal/node/inputarrival.go
@@ -129,11 +129,17 @@
 	return a.marks[len(a.marks)-1].at
 }
 
-// forget forgets the input before an offset, for which completeAt is not called any more.
+// forget forgets the input before an offset, for which completeAt is not called any more, and releases its memory.
 func (a *inputArrivals) forget(offset int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.marks = slices.DeleteFunc(a.marks, func(mark arrivalMark) bool { return mark.offset < offset })
+	first := slices.IndexFunc(a.marks, func(mark arrivalMark) bool { return mark.offset >= offset })
+	switch {
+	case first < 0:
+		a.marks = nil
+	case first > 0:
+		a.marks = slices.Clone(a.marks[first:])
+	}
 }
 
 // latest returns the later of two times.
--- a/internal/node/inputarrival_test.go
+++ b/internal/node/inputarrival_test.go
@@ -57,6 +57,9 @@
 		t.Error("input that has not arrived: got complete")
 	}
 	arrivals.forget(6)
+	if got := cap(arrivals.marks); got > 2 {
+		t.Errorf("after forgetting all but two marks: got room for %d, want 2", got)
+	}
 	if at, _ := arrivals.completeAt(1); at.Before(began.Add(time.Second)) {
 		t.Errorf("forgotten input: got %v after the start, want the time of what came later", at.Sub(began))
 	}
--- a/internal/node/requestread.go
+++ b/internal/node/requestread.go
@@ -149,6 +149,7 @@
 	pending.source.message.end()
 	c.conn.pacer = nil
 	if !pending.bodyIncomplete() {
+		c.arrivals.forget(pending.source.end)
 		return true
 	}
 	loop := c.frontend.node.loop
