Log cut-off responses and what is in use while memory is high

Change: a line 'response cut off' with request, bytes, length and the upstream's error; a line 'memory is high' with resident memory, heap, stacks, buffered bytes and connections from 80% of memory_mb on; SIGUSR1 writes the same. Tests of both lines pass.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -309,7 +309,7 @@
 	complete := false
 	if answer.stream != nil {
 		c.streaming.Store(true)
-		complete = c.streamResponse(answer, head)
+		complete = c.streamResponse(pending, answer, head)
 		c.streaming.Store(false)
 	} else {
 		text := head.text
--- a/internal/node/diagnostics.go
+++ b/internal/node/diagnostics.go
@@ -1,12 +1,14 @@
 package node
 
 // Diagnostics: a log line with its reason for every retry, every request given up or refused, every unusual close of a
-// connection, and every change of an endpoint's state. The lines of each kind are limited in rate, so that a fault does
+// connection, every response that is cut off, and every change of an endpoint's state; and what is in use while memory
+// is high. The lines of each kind are limited in rate, so that a fault does
 // not become a flood; the counters have all events. Lines are written by a goroutine of their own, as the event loop
 // must not wait for whoever reads the log.
 
 import (
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
@@ -30,6 +32,8 @@
 	diagnosticUpstreamClose
 	diagnosticClientClose
 	diagnosticEndpointState
+	diagnosticCutOff
+	diagnosticHighMemory
 	diagnosticKindCount
 )
 
@@ -40,6 +44,8 @@
 	diagnosticUpstreamClose: "upstream connection closed",
 	diagnosticClientClose:   "client connection closed",
 	diagnosticEndpointState: "endpoint state changed",
+	diagnosticCutOff:        "response cut off",
+	diagnosticHighMemory:    "memory is high",
 }
 
 func (k diagnosticKind) String() string { return nameOf(diagnosticNames[:], int(k)) }
@@ -179,6 +185,18 @@
 	})
 }
 
+// recordCutOff records a response that was passed on in part. upstreamErr is why the upstream's rest is missing; nil: the
+// client did not take it.
+func (c *clientConn) recordCutOff(pending *pendingRequest, stream *responseStream, passedOn int64, upstreamErr error) {
+	c.frontend.node.diagnostics.record(diagnosticCutOff, func() []zap.Field {
+		return []zap.Field{
+			zap.String("request", string(pending.request.ID)), zap.Int64("bytes", passedOn),
+			zap.Int64("length", stream.length), zap.Duration("since its start", time.Since(stream.startedAt)),
+			zap.NamedError("upstream error", upstreamErr),
+		}
+	})
+}
+
 // recordEndpointState records that an endpoint's state, address or start time has changed.
 func (l *eventLoop) recordEndpointState(old knownEndpoint, e endpointEntry) {
 	if old.address == "" || old.State == e.State && old.address == e.address && old.StartedAt == e.StartedAt {
--- a/internal/node/diagnostics_test.go
+++ b/internal/node/diagnostics_test.go
@@ -23,6 +23,10 @@
 	extra, _ := startUpstream(t, func(c net.Conn, r *http.Request, body string) bool {
 		return echo(c, r, body) && writeResponse(c, "200 OK", "unasked")
 	})
+	cut, _ := startUpstream(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		writeText(c, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nstart")
+		return false
+	})
 	const noID = "POST /pay HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
 	for name, c := range map[string]struct {
 		server, request string
@@ -51,6 +55,10 @@
 			extra, requestText("pay", "t1", ""), "upstream connection closed",
 			map[string]any{"reason": "unsolicited input", "last request": "t1", "requests": int64(1)},
 		},
+		"response cut off": {
+			cut, requestText("pay", "t1", ""), "response cut off",
+			map[string]any{"request": "t1", "bytes": int64(5), "length": int64(100000), "upstream error": "unexpected EOF"},
+		},
 		"client connection": {
 			reset, "NONSENSE\r\n\r\n", "client connection closed", map[string]any{"reason": "malformed request"},
 		},
@@ -148,3 +156,20 @@
 		}
 	}
 }
+
+// Guards against a process that nears its memory limit without a word about what it holds.
+func TestHighMemoryIsLoggedWithWhatIsInUse(t *testing.T) {
+	n := newNode(t, func(c *Config) { c.Limits.MemoryMB = 1 })
+	lines := n.observeDiagnostics()
+	n.start()
+	dial(t, n)
+	eventually(t, "a line with the connection", func() bool {
+		for _, line := range lines.FilterMessage("memory is high").All() {
+			fields := line.ContextMap()
+			if fields["resident bytes"].(int64) > bytesPerMiB && fields["client connections"] == int64(1) {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -40,6 +40,7 @@
 			switch {
 			case received == syscall.SIGUSR1:
 				n.counters.log(n.log, "asked for")
+				n.log.Info("resources in use", n.resourceUsage().fields()...)
 			case received == syscall.SIGHUP:
 				n.reload()
 			case shutDown == nil:
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -35,6 +35,7 @@
 func (n *Node) startGoroutines() {
 	go n.loop.run()
 	go n.diagnostics.run()
+	go n.watchMemory()
 	n.persistence.startWriteLoop()
 	go n.overrides.watch(time.Tick(overridesPollInterval))
 	go n.admin.run()
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -146,11 +146,14 @@
 	length  int64 // of the complete body in bytes, or unknownLength
 	once    sync.Once
 	done    chan bool // receives one value: whether the response was complete
+
+	startedAt time.Time // for diagnostics
 }
 
 func newResponseStream(m *message) *responseStream {
-	m.conn.pacer = &readPacer{start: time.Now(), stallTimeout: writeStallTimeout}
-	return &responseStream{message: m, length: m.length, done: make(chan bool, 1)}
+	now := time.Now()
+	m.conn.pacer = &readPacer{start: now, stallTimeout: writeStallTimeout}
+	return &responseStream{message: m, length: m.length, done: make(chan bool, 1), startedAt: now}
 }
 
 // finish releases the upstream connection, which is reused only after a complete response. Later calls have no effect.
@@ -159,8 +162,15 @@
 // streamResponse writes a response's head and the buffered part of its body, then forwards the rest as it arrives. It
 // reports whether everything was written. If not, the caller must abort the connection, so that the client recognizes
 // the truncated response.
-func (c *clientConn) streamResponse(answer *response, head responseHead) (complete bool) {
-	defer func() { answer.stream.finish(complete) }()
+func (c *clientConn) streamResponse(pending *pendingRequest, answer *response, head responseHead) (complete bool) {
+	var total int64
+	var upstreamErr error
+	defer func() {
+		if !complete {
+			c.recordCutOff(pending, answer.stream, total, upstreamErr)
+		}
+		answer.stream.finish(complete)
+	}()
 	write := func(parts ...[]byte) error { return writePaced(c.conn, parts...) }
 	writePart := func(pending []byte) error { return write(pending) }
 	if head.chunked {
@@ -174,10 +184,11 @@
 	}
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
-	for total := int64(len(answer.body)); total != answer.stream.length; {
+	for total = int64(len(answer.body)); total != answer.stream.length; {
 		n, err := answer.stream.message.Read(buffer[:])
 		total += int64(n)
 		if total > maxBodyBytes {
+			upstreamErr = errBodyTooLong
 			return false
 		}
 		if n > 0 && writePart(buffer[:n]) != nil {
@@ -188,6 +199,7 @@
 		}
 		if err != nil {
 			c.frontend.node.counters.add(responsesTruncated)
+			upstreamErr = err
 			return false
 		}
 	}
