Forward a long response whose body comes late or in lumps instead of ending its attempt

Cause: a response without a length, or over 64 KiB, was read for its first body bytes with the attempt's deadline. The 20 ms after which it is forwarded counted only between two reads, so a pause before or between the first parts ended the attempt. Change: bytes are awaited below the decoder, with a read deadline of 20 ms; then the response is forwarded as it arrives. A decoder cannot be interrupted, as it keeps the error; whether a chunked body is complete is decided on the buffer.

--- a/internal/node/httpmessage.go
+++ b/internal/node/httpmessage.go
@@ -36,17 +36,19 @@
 // message is a message whose head has been read and whose body may still be arriving. Only one goroutine uses it, and
 // it must call end before anything else is read from the connection.
 type message struct {
-	conn   *bufferedConn
-	reader *bufio.Reader // nil after end
-	body   io.Reader
-	length int64          // of the body in bytes, or unknownLength
-	digest responseDigest // of the head, if it is a response
+	conn    *bufferedConn
+	reader  *bufio.Reader // nil after end
+	body    io.Reader
+	length  int64          // of the body in bytes, or unknownLength
+	chunked bool           // the body is chunked
+	digest  responseDigest // of the head, if it is a response
 }
 
 // framedBody is the body that follows a parsed head.
 type framedBody struct {
-	body   io.Reader
-	length int64 // in bytes, or unknownLength
+	body    io.Reader
+	length  int64 // in bytes, or unknownLength
+	chunked bool
 }
 
 // readHead buffers a head and calls parse to read it. Its error is that of the connection, errHeadTooLong or
@@ -65,6 +67,7 @@
 	}
 	m.body = framed.body
 	m.length = framed.length
+	m.chunked = framed.chunked
 	if m.length > maxBodyBytes {
 		m.end()
 		return nil, errBodyTooLong
@@ -169,12 +172,12 @@
 	return b, false, err
 }
 
-// bodyLength returns the body length that a parsed head declares, or unknownLength.
-func bodyLength(contentLength int64, transferEncoding []string) int64 {
+// newFramedBody returns a body with the length and encoding that a parsed head declares.
+func newFramedBody(body io.Reader, contentLength int64, transferEncoding []string) framedBody {
 	if len(transferEncoding) > 0 {
-		return unknownLength
+		return framedBody{body, unknownLength, true}
 	}
-	return contentLength
+	return framedBody{body, contentLength, false}
 }
 
 // framing describes the headers of a head that declare its body's length.
@@ -237,7 +240,7 @@
 		if framing.ambiguousFor(request) {
 			return framedBody{}, errFraming
 		}
-		return framedBody{request.Body, bodyLength(request.ContentLength, request.TransferEncoding)}, nil
+		return newFramedBody(request.Body, request.ContentLength, request.TransferEncoding), nil
 	})
 	if err != nil {
 		return request, nil, err
@@ -269,9 +272,9 @@
 				return framedBody{}, errFraming
 			}
 			if !allowsResponseBody(method) {
-				return framedBody{response.Body, 0}, nil
+				return framedBody{body: response.Body}, nil
 			}
-			return framedBody{response.Body, bodyLength(response.ContentLength, response.TransferEncoding)}, nil
+			return newFramedBody(response.Body, response.ContentLength, response.TransferEncoding), nil
 		})
 		if err != nil {
 			return response, m, err
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -12,11 +12,9 @@
 )
 
 const (
-	streamBufferBytes     = 32 << 10              // copy buffer of one stream
-	maxBufferedBody       = 1 << 20               // of a request body, if there is memory for it
-	minBufferedBody       = 64 << 10              // of a request body, regardless of memory use
-	maxBufferedResponse   = 64 << 10              // responses up to this size are forwarded only when complete
-	responseBufferTimeout = 20 * time.Millisecond // wait for more of a response of unknown length before forwarding it
+	streamBufferBytes = 32 << 10 // copy buffer of one stream
+	maxBufferedBody   = 1 << 20  // of a request body, if there is memory for it
+	minBufferedBody   = 64 << 10 // of a request body, regardless of memory use
 )
 
 var streamBuffers = sync.Pool{New: func() any { return new([streamBufferBytes]byte) }}
--- a/internal/node/upstreamreply.go
+++ b/internal/node/upstreamreply.go
@@ -12,7 +12,7 @@
 // readResponse reads the body after the head, or the start of it.
 func (t *roundTrip) readResponse(reply upstreamReply) (attemptResult, *attemptError) {
 	m := reply.message
-	body, complete, err := readBodyStart(m)
+	body, complete, err := t.readBodyStart(m)
 	if err != nil {
 		m.end()
 		return attemptResult{}, t.errorAt(reply.stageOfError(), err)
@@ -128,28 +128,3 @@
 	}
 	return passed
 }
-
-// readBodyStart reads a short response completely, and the start of a longer one. A response of unknown length is
-// treated as short for responseBufferTimeout: a broken response mostly fails at once, and a slow one must not be
-// delayed until it is known to be long.
-func readBodyStart(m *message) (body []byte, complete bool, err error) {
-	if m.length > maxBufferedResponse {
-		body = make([]byte, streamBufferBytes)
-		n, err := m.Read(body)
-		return body[:n], false, err
-	}
-	if m.length >= 0 {
-		return m.readUpTo(nil, maxBufferedResponse)
-	}
-	began := time.Now()
-	for len(body) < maxBufferedResponse {
-		body, complete, err = m.readMore(body, maxBufferedResponse)
-		if complete || err != nil {
-			return body, complete, err
-		}
-		if len(body) > 0 && time.Since(began) > responseBufferTimeout {
-			break
-		}
-	}
-	return body, false, nil
-}
