Limit the requests of one connection and let goroutines yield, so that floods delay nobody

Cause: the runtime lets a goroutine that never waits run for 10 ms, and each request passes some six goroutines. A connection whose requests the node answers by itself, or a stream whose buffers have room, never waits: eight of them make each step wait 80 ms. Change: read loops yield after each request and copies after 64 KiB. A connection may send 50 requests a second and 64 at once; beyond that it takes from 2,000 a second (for a whole core) that all such connections share, and then waits. A request that waited 0.25 s is rejected and its connection closed, reason 'request rate'. Input that is only discarded is read at a bounded rate.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -23,6 +25,7 @@
 	conn           *bufferedConn
 	arrivals       inputArrivals        // of conn
 	responseOrder  chan *pendingRequest // pending requests in the order received; closed by the read loop
+	requestLimiter *rate.Limiter        // used by the read loop
 	slotAcquiredAt time.Time            // when the connection got its slot; written before the loops start
 
 	lingerUntil atomic.Int64 // discard input until this Unix time in nanoseconds; 0 before the last response
@@ -75,6 +78,8 @@
 		arrivals:      inputArrivals{conn: conn},
 		responseOrder: make(chan *pendingRequest, maxPipelined),
 		lastUsedAt:    time.Now(),
+
+		requestLimiter: newConnRequestLimiter(),
 	}
 }
 
@@ -96,6 +101,7 @@
 		pending := newPendingRequest()
 		pending.clientGone = c.clientGone
 		request, err := c.readRequest(pending)
+		inTurn := err != nil || c.awaitTurn(pending)
 		// If a client pipelines many requests and disconnects, the remaining ones must not be sent to upstreams one
 		// after another as the preceding responses are written.
 		if err != nil && !isMalformed(err) || c.clientGone() {
@@ -113,9 +119,14 @@
 			c.rejectMalformed(pending, err)
 		} else {
 			// The end of the connection may delimit the response to an HTTP/1.0 request.
-			pending.closeAfter = request.Close || pending.http10
-			c.handle(pending, request)
-			c.limitRequestsAhead(unanswered)
+			pending.closeAfter = request.Close || pending.http10 || !inTurn
+			if inTurn {
+				c.handle(pending, request)
+				c.limitRequestsAhead(unanswered)
+			} else {
+				c.setCloseReason(clientCloseRequestRate)
+				c.rejectOverCapacity(pending, request)
+			}
 		}
 		c.queueResponse(pending)
 		bodyFailed := pending.source != nil && !c.awaitStreamedBody(pending)
@@ -262,11 +273,16 @@
 // closed, and keeps unread input from causing a reset that discards the response.
 func (c *clientConn) discardInput() {
 	c.setReadTimeout(clientIdleTimeout)
+	var share workShare
 	for {
 		c.conn.discardBuffered()
+		received := c.conn.receivedBytes.Load()
 		if c.conn.fill() != nil {
 			return
 		}
+		if share.add(int(c.conn.receivedBytes.Load() - received)) {
+			time.Sleep(discardPause)
+		}
 		lingerUntil := c.lingerUntil.Load()
 		if lingerUntil == 0 {
 			continue
--- a/internal/node/closereason.go
+++ b/internal/node/closereason.go
@@ -54,6 +54,7 @@
 	clientCloseAsked                         // the client asked for it, or it delimits the response (HTTP/1.0)
 	clientCloseMalformed                     // a request could not be read
 	clientCloseNodeEnds                      // the node is drained, stopping, or replaced by a successor
+	clientCloseRequestRate                   // more requests than can be answered in time
 	clientCloseWriteFailed                   // a response could not be written or was cut off
 	clientCloseReasonCount
 )
@@ -67,6 +68,7 @@
 	clientCloseAsked:       "asked for by client",
 	clientCloseMalformed:   "malformed request",
 	clientCloseNodeEnds:    "node drained or stopping",
+	clientCloseRequestRate: "request rate",
 	clientCloseWriteFailed: "response not written",
 }
 
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -20,6 +20,7 @@
 	requestsAccepted
 	requestsMalformed
 	requestsOverCapacity
+	requestsPaced
 	requestsSucceeded
 	requestsRejected
 	requestsFailed
@@ -101,6 +102,7 @@
 	requestsAccepted:         "requests accepted",
 	requestsMalformed:        "requests malformed",
 	requestsOverCapacity:     "requests over capacity",
+	requestsPaced:            "requests paced",
 	requestsSucceeded:        "requests succeeded",
 	requestsRejected:         "requests rejected",
 	requestsFailed:           "requests failed",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"fawnglade/internal/settings"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 )
 
 // Node is one node of the proxy. New creates it, Run serves until the node has shut down.
@@ -26,8 +27,9 @@
 	diagnostics      *diagnostics
 	serving          atomic.Bool // the endpoint list has been applied and clients are accepted
 	shuttingDown     atomic.Bool
-	memory           memoryBudget // for messages
-	streamedRequests atomic.Int64 // unanswered requests whose body is streamed
+	memory           memoryBudget  // for messages
+	streamedRequests atomic.Int64  // unanswered requests whose body is streamed
+	requestLimiter   *rate.Limiter // shared by the connections that send more than their own rate
 	listLimits       endpointlist.Limits
 	classIndex       map[string]int
 	tenantIndex      map[string]int
@@ -55,8 +57,9 @@
 	parsed := &config.parsedSettings
 	n := &Node{
 		config: config, settings: parsed, log: log, clock: newClock(), diagnostics: newDiagnostics(log),
-		listLimits: endpointlist.LimitsFor(config.Limits.MemoryMB * bytesPerMiB),
-		classIndex: indexByName(parsed.Classes), tenantIndex: indexByName(parsed.Tenants),
+		requestLimiter: newSharedRequestLimiter(config.Limits.Cores),
+		listLimits:     endpointlist.LimitsFor(config.Limits.MemoryMB * bytesPerMiB),
+		classIndex:     indexByName(parsed.Classes), tenantIndex: indexByName(parsed.Tenants),
 	}
 	n.overrides = newOverrides(n)
 	n.persistence = openPersistence(n)
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -196,9 +196,11 @@
 	}
 	buffer, release := streamBuffer(c.conn.memory)
 	defer release()
+	var share workShare
 	for total = int64(len(answer.body)); total != answer.stream.length; {
 		n, err := answer.stream.message.Read(buffer)
 		total += int64(n)
+		share.add(n)
 		if total > maxBodyBytes {
 			upstreamErr = errBodyTooLong
 			return false
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -178,9 +178,11 @@
 func copyBody(source *bodySource, written int64, writePart func([]byte) error) error {
 	buffer, release := streamBuffer(source.conn.memory)
 	defer release()
+	var share workShare
 	for total := written; ; {
 		n, readErr := source.Read(buffer)
 		total += int64(n)
+		share.add(n)
 		if total > maxBodyBytes {
 			source.finish(errBodyTooLong)
 			return errBodyTooLong
