Refuse an ID whose request may have run, also at the other process of an upgrade

Cause: an ID was known only while its request was pending, and only to its own process. Change: IDs of classes that are not idempotent are remembered from the first attempt on, at least the latest 4,096 to 65,536 of them by the node's memory, and forgotten if no attempt can have run. They go to a successor with the state; then each process writes a line for each change. Older processes skip both. A repeat is answered 409, as the one of a pending request is.

--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -27,6 +27,9 @@
 		deadline:      min(l.now.Add(timeout), request.request.Deadline),
 		dedupDeadline: l.dedupDeadline(request),
 	}
+	if newAttempt.number == 0 {
+		l.recordFirstAttempt(request)
+	}
 	request.attempts = append(request.attempts, newAttempt)
 	request.inFlight++
 	if request.answered.Load() { // a panic can keep the policy from recording that the request has ended
--- a/internal/node/eventloop.go
+++ b/internal/node/eventloop.go
@@ -24,6 +24,7 @@
 	timers             timerqueue.Queue
 	requests           map[policy.RequestID]*pendingRequest
 	endpoints          map[policy.EndpointID]knownEndpoint
+	recent             *recentRequests
 	rejectsNewRequests bool // the process is about to exit, new requests are rejected
 }
 
@@ -33,6 +34,7 @@
 		events:    make(chan func(), eventQueueLength),
 		requests:  map[policy.RequestID]*pendingRequest{},
 		endpoints: map[policy.EndpointID]knownEndpoint{},
+		recent:    newRecentRequests(n.config.Limits.MemoryMB),
 	}
 	l.balancer = policy.New(n.settings.Policy, n.config.seed, l)
 	return l
@@ -89,6 +91,12 @@
 		request.answer(response{status: http.StatusConflict})
 		return
 	}
+	if l.mayNotRunAgain(request) && l.recent.contains(digestRequestID(id)) {
+		l.node.counters.add(requestsMalformed)
+		l.node.recordRefused(string(id), http.StatusConflict, "a request with this ID may have run")
+		request.answer(response{status: http.StatusConflict})
+		return
+	}
 	if l.rejectsNewRequests {
 		l.node.counters.add(requestsOverCapacity)
 		l.node.recordRefused(string(id), http.StatusServiceUnavailable, "process ending")
@@ -234,6 +242,7 @@
 	id := request.request.ID
 	if request.inFlight == 0 && request.answered.Load() && l.requests[id] == request {
 		delete(l.requests, id)
+		l.recordIfNeverRan(request)
 	}
 }
 
--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -38,7 +38,9 @@
 	listener         *net.UnixListener
 	successor        net.Conn
 	predecessor      net.Conn // nil: none, or it has ended
-	successorServing bool     // the successor accepts the new connections
+	predecessorInput *bufio.Reader
+	toPredecessor    <-chan recentChange
+	successorServing bool // the successor accepts the new connections
 }
 
 func newHotRestart(n *Node) *hotRestart {
@@ -76,12 +78,18 @@
 	if err != nil {
 		return nil, err
 	}
-	state, err := requestState(conn, h.hello())
+	in := bufio.NewReader(conn)
+	state, err := requestState(conn, in, h.hello())
 	if err != nil {
 		conn.Close()
 		return nil, err
 	}
 	h.predecessor = conn
+	h.predecessorInput = in
+	for _, id := range state.Recent { // the event loop does not run yet
+		h.node.loop.recent.apply(recentChange{id: id})
+	}
+	h.toPredecessor = h.node.loop.recent.listen()
 	return state, nil
 }
 
@@ -94,6 +102,7 @@
 		if _, err := io.WriteString(predecessor, readyMessage); err != nil {
 			h.node.log.Warn("hot restart: notifying the predecessor failed", zap.Error(err))
 		}
+		go writeRecentChanges(predecessor, h.toPredecessor)
 		go h.awaitPredecessorEnd(predecessor)
 	}
 	h.openSocket()
@@ -101,8 +110,9 @@
 
 // awaitPredecessorEnd restores the full limits once the predecessor has ended.
 func (h *hotRestart) awaitPredecessorEnd(predecessor net.Conn) {
-	awaitClose(predecessor)
+	readRecentChanges(h.predecessorInput, h.applyRecentChange)
 	predecessor.Close()
+	h.stopTelling(h.toPredecessor)
 	h.mu.Lock()
 	h.predecessor = nil
 	h.mu.Unlock()
@@ -110,6 +120,16 @@
 	h.node.log.Info("hot restart: predecessor has ended")
 }
 
+// applyRecentChange applies a change of the node's other process.
+func (h *hotRestart) applyRecentChange(change recentChange) {
+	h.node.loop.post(func() { h.node.loop.recent.apply(change) })
+}
+
+// stopTelling ends the changes to a process that has ended.
+func (h *hotRestart) stopTelling(changes <-chan recentChange) {
+	h.node.loop.post(func() { h.node.loop.recent.stopListening(changes) })
+}
+
 // openSocket opens this process's socket at the node's path, replacing that of a process that is shutting down or has
 // ended. On failure the node still serves; the next process then starts without a predecessor.
 func (h *hotRestart) openSocket() {
@@ -188,7 +208,8 @@
 	defer conn.Close()
 	defer h.node.recoverPanic("hot restart", func() {})
 	in := bufio.NewReader(conn)
-	if err := h.sendState(conn, in); err != nil {
+	changes := make(chan (<-chan recentChange), 1)
+	if err := h.sendState(conn, in, changes); err != nil {
 		h.node.counters.add(hotRestartsIgnored)
 		h.node.log.Warn("hot restart: successor ignored", zap.Error(err))
 		return
@@ -196,6 +217,11 @@
 	h.node.log.Info("hot restart: sent the state to a successor")
 	h.node.divideLimits()
 	defer h.successorEnded()
+	go func() {
+		told := <-changes
+		writeRecentChanges(conn, told)
+		h.stopTelling(told)
+	}()
 	if err := awaitReady(conn, in); err != nil {
 		return
 	}
@@ -204,7 +230,7 @@
 	h.mu.Unlock()
 	h.node.frontend.pause()
 	h.node.log.Info("hot restart: successor accepts the new connections")
-	awaitClose(in)
+	readRecentChanges(in, h.applyRecentChange)
 }
 
 // successorEnded resumes accepting with the full limits, also while this process is shutting down, as no other process
@@ -222,17 +248,19 @@
 }
 
 // sendState registers the caller as the successor, unless there is one already, and sends it the state.
-func (h *hotRestart) sendState(conn net.Conn, in *bufio.Reader) error {
+// changes receives the channel of what changes after that state.
+func (h *hotRestart) sendState(conn net.Conn, in *bufio.Reader, changes chan (<-chan recentChange)) error {
 	if err := readHello(conn, in, h.hello()); err != nil {
 		return err
 	}
 	if !h.registerSuccessor(conn) {
 		return errRestartInProgress
 	}
-	if err := json.NewEncoder(conn).Encode(h.state()); err != nil {
+	if err := json.NewEncoder(conn).Encode(h.state(changes)); err != nil {
 		h.mu.Lock()
 		h.successor = nil
 		h.mu.Unlock()
+		go func() { h.stopTelling(<-changes) }()
 		return err
 	}
 	return nil
@@ -249,18 +277,20 @@
 }
 
 // state collects what a successor inherits. If the event loop does not respond in time, only the known names are sent.
-func (h *hotRestart) state() restartState {
+func (h *hotRestart) state(changes chan<- (<-chan recentChange)) restartState {
 	state := restartState{restartHello: h.hello(), KnownNames: h.node.overrides.knownNames()}
 	fromLoop := make(chan restartState, 1)
 	go h.node.loop.post(func() {
+		changes <- h.node.loop.recent.listen()
 		fromLoop <- restartState{
+			Recent:    h.node.loop.recent.all(),
 			Endpoints: h.node.overrides.encodeListWithoutOverrides(),
 			Estimates: h.node.loop.encodeEstimates(),
 		}
 	})
 	select {
 	case collected := <-fromLoop:
-		state.Endpoints, state.Estimates = collected.Endpoints, collected.Estimates
+		state.Endpoints, state.Estimates, state.Recent = collected.Endpoints, collected.Estimates, collected.Recent
 	case <-time.After(hotRestartTimeout / 2):
 	}
 	return state
--- a/internal/node/hotrestartproto.go
+++ b/internal/node/hotrestartproto.go
@@ -15,7 +15,7 @@
 
 // The protocol between a node's two processes at a hot restart, over a Unix socket that only the node's user may open.
 // The successor connects and sends a restartHello as one line of JSON; the predecessor responds with a restartState as
-// another. The successor sends readyMessage once it serves. After that neither process sends anything: when the
+// another. The successor sends readyMessage once it serves. After that each sends a line per recentChange. When the
 // connection closes, the other process has ended.
 
 const (
@@ -43,9 +43,10 @@
 // their file.
 type restartState struct {
 	restartHello
-	Endpoints  json.RawMessage `json:"list"`    // in discovery's format, without overrides
-	KnownNames []string        `json:"listed"`  // of all endpoints that have ever been on the list
-	Estimates  json.RawMessage `json:"learned"` // of the balancer
+	Endpoints  json.RawMessage `json:"list"`             // in discovery's format, without overrides
+	KnownNames []string        `json:"listed"`           // of all endpoints that have ever been on the list
+	Estimates  json.RawMessage `json:"learned"`          // of the balancer
+	Recent     []requestDigest `json:"recent,omitempty"` // requests that may have run
 }
 
 // check returns an error unless the other hello comes from a process of the same node and the same protocol version.
@@ -58,7 +59,7 @@
 }
 
 // requestState sends the successor's hello and reads the predecessor's state.
-func requestState(conn net.Conn, own restartHello) (*restartState, error) {
+func requestState(conn net.Conn, in *bufio.Reader, own restartHello) (*restartState, error) {
 	if err := checkSameUser(conn); err != nil {
 		return nil, err
 	}
@@ -66,7 +67,7 @@
 	if err := json.NewEncoder(conn).Encode(own); err != nil {
 		return nil, err
 	}
-	line, err := readLine(bufio.NewReader(conn), maxRestartState)
+	line, err := readLine(in, maxRestartState)
 	if err != nil {
 		return nil, err
 	}
@@ -105,9 +106,27 @@
 	return err
 }
 
-// awaitClose waits until the other process closes the connection or ends.
-func awaitClose(c io.Reader) {
-	_, _ = io.Copy(io.Discard, c) // any error means that the connection is closed
+// readRecentChanges passes on what the other process sends, until it closes the connection or ends. A line that can't be
+// parsed is skipped: it may be of a later version.
+func readRecentChanges(in *bufio.Reader, apply func(recentChange)) {
+	for {
+		line, err := readLine(in, maxRecentLine)
+		if err != nil {
+			return
+		}
+		if change, err := parseRecentChange(string(line)); err == nil {
+			apply(change)
+		}
+	}
+}
+
+// writeRecentChanges writes changes until the connection is closed.
+func writeRecentChanges(conn net.Conn, changes <-chan recentChange) {
+	for change := range changes {
+		if _, err := io.WriteString(conn, change.line()); err != nil {
+			return
+		}
+	}
 }
 
 // readLine reads one line of at most about maxBytes.
