Begin no attempt for a client that may have left behind more unread input than shows its end

Cause: the end of a client stands behind what it has sent before. What the receive buffer does not hold waits at the client's machine, and the end with it, so the state of the connection still says open. Change: with 32 KiB and more unread, half of the smallest window, a client counts as there for 80 ms after it was last known to be: its bytes arrived while the node waited for them, or less was unread. After that no attempt begins for it, first or further; the attempt ends as not sent, and its request is rejected where it never ran.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -164,6 +164,7 @@
 	errEndpointDisabled localError = "endpoint is no longer eligible for new requests"
 	errAnswered         localError = "request has already been answered"
 	errClientGone       localError = "client disconnected"
+	errClientUncertain  localError = "client may have disconnected behind its unread input"
 	errDedupWindowOver  localError = "deduplication window of an earlier attempt has ended"
 )
 
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -24,6 +24,7 @@
 	frontend       *frontend
 	conn           *bufferedConn
 	arrivals       inputArrivals        // of conn
+	presence       clientPresence       // of the client
 	responseOrder  chan *pendingRequest // pending requests in the order received; closed by the read loop
 	requestLimiter *rate.Limiter        // used by the read loop
 	slotAcquiredAt time.Time            // when the connection got its slot; written before the loops start
@@ -72,20 +73,23 @@
 
 func newClientConn(f *frontend, raw net.Conn) *clientConn {
 	conn := newBufferedConn(raw, &f.node.memory)
-	return &clientConn{
+	c := &clientConn{
 		frontend:      f,
 		conn:          conn,
 		arrivals:      inputArrivals{conn: conn},
+		presence:      clientPresence{conn: conn, clock: f.node.clock},
 		responseOrder: make(chan *pendingRequest, maxPipelined),
 		lastUsedAt:    time.Now(),
 
 		requestLimiter: newConnRequestLimiter(),
 	}
+	c.presence.confirm()
+	return c
 }
 
 // clientGone reports whether the client has closed its connection, even if the read loop has not seen the end yet. Any
 // goroutine may call it; a worker does so just before it writes the client's request to an upstream.
-func (c *clientConn) clientGone() bool { return c.conn.closedByPeer() }
+func (c *clientConn) clientGone() bool { return c.presence.gone() }
 
 // readLoop reads requests until the connection ends, then cancels the requests that have no response.
 func (c *clientConn) readLoop() {
@@ -100,6 +104,7 @@
 	for {
 		pending := newPendingRequest()
 		pending.clientGone = c.clientGone
+		pending.clientUncertain = c.presence.uncertain
 		request, err := c.readRequest(pending)
 		inTurn := err != nil || c.awaitTurn(pending)
 		// If a client pipelines many requests and disconnects, the remaining ones must not be sent to upstreams one
--- a/internal/node/pendingrequest.go
+++ b/internal/node/pendingrequest.go
@@ -27,7 +27,8 @@
 
 	countedStreamed bool // counts as one of Node.streamedRequests
 
-	clientGone func() bool // reports whether the client has closed its connection; safe for concurrent use
+	clientGone      func() bool // reports whether the client has closed its connection; safe for concurrent use
+	clientUncertain func() bool // reports whether it may have, without a sign of it; safe for concurrent use
 
 	responses chan response // receives the single response; read by the write loop
 	answered  atomic.Bool   // the response has been sent to responses
@@ -38,7 +39,8 @@
 }
 
 func newPendingRequest() *pendingRequest {
-	return &pendingRequest{responses: make(chan response, 1), clientGone: func() bool { return false }}
+	never := func() bool { return false }
+	return &pendingRequest{responses: make(chan response, 1), clientGone: never, clientUncertain: never}
 }
 
 // answer sets the request's response. It reports false and discards the response if the request is already answered.
--- a/internal/node/requestread.go
+++ b/internal/node/requestread.go
@@ -68,7 +68,11 @@
 			timeout = max(time.Until(c.slotAcquiredAt.Add(headTimeout)), closeLinger)
 		}
 		c.setReadTimeout(timeout)
+		waits := !c.conn.hasInput()
 		err := c.conn.fill()
+		if err == nil && waits {
+			c.presence.confirm()
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && (c.conn.hasInput() || c.staysOpenAfterTimeout()) {
 			continue
 		}
--- a/internal/node/roundtrip.go
+++ b/internal/node/roundtrip.go
@@ -195,6 +195,8 @@
 		return errAnswered
 	case a.request.clientGone():
 		return errClientGone
+	case a.request.clientUncertain():
+		return errClientUncertain
 	case !u.mayUse(a.target):
 		return errEndpointDisabled
 	case a.dedupDeadline > 0 && u.node.clock.now() >= a.dedupDeadline:
