Keep the shared socket of hot restart tests non-blocking, which hung whole runs

Cause: the test's factory duplicated the listener by os.File.Fd, which switches the socket, shared by all processes of the test, to blocking mode; an accept that found its connection taken by another process then never returned. Changed: the descriptor is duplicated by Control, which switches nothing. No check of the test is changed; that a blocking socket does not hold up a shutdown is the matter of TestShutdownEndsWithBlockingListener.

--- a/internal/node/hotrestart_test.go
+++ b/internal/node/hotrestart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,13 +29,14 @@
 	return func() *Node {
 		n := newNode(t, func(c *Config) {
 			withAdmin(c)
-			file, err := listener.(*net.TCPListener).File()
+			raw, err := listener.(*net.TCPListener).SyscallConn()
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer file.Close()
-			fd, err := syscall.Dup(int(file.Fd())) // a duplicate, as the node closes its descriptor
-			if err != nil {
+			// A duplicate, as the node closes its descriptor; by Control, as File.Fd would switch the socket to blocking mode.
+			var fd int
+			controlErr := raw.Control(func(listenerFD uintptr) { fd, err = syscall.Dup(int(listenerFD)) })
+			if err := errors.Join(err, controlErr); err != nil {
 				t.Fatal(err)
 			}
 			c.filesDir, c.Listen, c.inheritedFD = dir, listener.Addr().String(), strconv.Itoa(fd)
