Count an endpoint as draining once another one has started at its address

Cause: each entry was applied on its own; nothing compared addresses. Change: an address belongs to the endpoint that started last. One that has lost its address counts as draining, until it moves, starts again, or the other is removed. Endpoints with the same start time share an address, as one process may serve for several.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -77,7 +77,7 @@
 // updateEndpoints updates the connection pools and the balancer with entries that already have the overrides applied.
 func (l *eventLoop) updateEndpoints(entries []endpointEntry, complete bool) {
 	list := make([]policy.EndpointInfo, 0, len(entries))
-	for _, e := range entries {
+	for _, e := range l.supersededEntries(entries) {
 		old, known := l.endpoints[e.ID]
 		if known && e.State == policy.StateRemoved { // a removal only carries the ID: keep zone, pod and start time
 			e.EndpointInfo = old.EndpointInfo
--- a/internal/node/eventloop.go
+++ b/internal/node/eventloop.go
@@ -24,6 +24,7 @@
 	timers             timerqueue.Queue
 	requests           map[policy.RequestID]*pendingRequest
 	endpoints          map[policy.EndpointID]knownEndpoint
+	addresses          addressOwners
 	recent             *recentRequests
 	rejectsNewRequests bool // the process is about to exit, new requests are rejected
 }
@@ -34,6 +35,7 @@
 		events:    make(chan func(), eventQueueLength),
 		requests:  map[policy.RequestID]*pendingRequest{},
 		endpoints: map[policy.EndpointID]knownEndpoint{},
+		addresses: newAddressOwners(),
 		recent:    newRecentRequests(n.config.Limits.MemoryMB),
 	}
 	l.balancer = policy.New(n.settings.Policy, n.config.seed, l)
--- a/internal/node/overrides.go
+++ b/internal/node/overrides.go
@@ -313,6 +313,15 @@
 	return changed
 }
 
+// listedEntry returns an endpoint's last entry with the overrides applied. It is called on the event loop only.
+func (o *overrides) listedEntry(name string) (e endpointEntry, listed bool) {
+	entry, listed := o.entries[name]
+	if !listed {
+		return e, false
+	}
+	return o.applied.apply(*entry), true
+}
+
 // encodeListWithoutOverrides encodes the endpoint list without the overrides, in discovery's format. It is called on
 // the event loop only.
 func (o *overrides) encodeListWithoutOverrides() []byte {
