Send no keyed retry to a process that may have replaced the one of an earlier attempt

Cause: a retry went by the endpoint's ID. The list tells of a new process later, and deduplication is a matter of the process's group. Change: once a connection to an endpoint has broken after the first attempt that may have run, a retry that relies on deduplication is written only to a connection that is older than the break and still open, which proves the process. Otherwise the attempt ends as not sent. Classes that all endpoints deduplicate, and idempotent ones, are retried as before.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -31,7 +31,10 @@
 	// left after that limits the wait for the response after the last byte.
 	deadline      policy.Time
 	dedupDeadline policy.Time // the request must not be written after this; 0: no limit
-	notExecuted   bool        // as proved by its result; used by the event loop only
+	// sameProcessSince is when an earlier attempt was sent that may have run and that only some endpoints know of; 0:
+	// there is none. The request must not be written to a process that is newer (processidentity.go).
+	sameProcessSince policy.Time
+	notExecuted      bool // as proved by its result; used by the event loop only
 
 	// For diagnostics. connection is written by the worker, the others belong to the event loop.
 	connection uint64 // ID of its connection; 0: it has none
@@ -165,6 +168,7 @@
 	errAnswered         localError = "request has already been answered"
 	errClientGone       localError = "client disconnected"
 	errClientUncertain  localError = "client may have disconnected behind its unread input"
+	errProcessUnknown   localError = "endpoint's process may be another than that of an earlier attempt"
 	errDedupWindowOver  localError = "deduplication window of an earlier attempt has ended"
 )
 
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -26,6 +26,8 @@
 		sentAt:        l.now,
 		deadline:      min(l.now.Add(timeout), request.request.Deadline),
 		dedupDeadline: l.dedupDeadline(request),
+
+		sameProcessSince: l.sameProcessSince(request),
 	}
 	if newAttempt.number == 0 {
 		l.recordFirstAttempt(request)
@@ -62,6 +64,20 @@
 	return deadline
 }
 
+// sameProcessSince returns when the first attempt was sent that may have run, if not every endpoint knows of it; else 0.
+func (l *eventLoop) sameProcessSince(request *pendingRequest) policy.Time {
+	class := l.node.settings.Policy.Classes[request.request.Class]
+	if class.Idempotency != policy.IdempotentByKey || class.DedupGroup == policy.DedupFleet {
+		return 0
+	}
+	for _, earlier := range request.attempts {
+		if !earlier.notExecuted {
+			return earlier.sentAt
+		}
+	}
+	return 0
+}
+
 // Cancel cancels an attempt of a request.
 func (l *eventLoop) Cancel(id policy.RequestID, number int) {
 	if request := l.requests[id]; request != nil && number < len(request.attempts) {
--- a/internal/node/roundtrip.go
+++ b/internal/node/roundtrip.go
@@ -60,6 +60,7 @@
 	if err == nil {
 		return answered
 	}
+	u.recordBreak(a.target, err)
 	return attemptResult{
 		outcome:    err.outcome(),
 		report:     parseLoadReport(""),
@@ -124,6 +125,9 @@
 	if err := trip.checkConnection(); err != nil {
 		return attemptResult{}, trip.errorAt(notConnected, err)
 	}
+	if err := u.checkProcess(a, conn); err != nil {
+		return attemptResult{}, trip.errorAt(notConnected, err)
+	}
 	conn.beginRequest(a.request.request.ID)
 	reply, err := trip.writeAndReadHead()
 	if err != nil {
--- a/internal/node/upstreampool.go
+++ b/internal/node/upstreampool.go
@@ -34,6 +34,7 @@
 type upstreamConn struct {
 	*bufferedConn
 	target       upstreamTarget
+	openedAt     time.Time
 	requestCount int           // requests written, health checks included
 	idleSince    time.Time     // when it last became idle; zero: never
 	idleElement  *list.Element // in upstreams.idleOrder
@@ -78,6 +79,7 @@
 
 	reuseCooldown   time.Duration // the constant, except in tests
 	recentResponses recentResponses
+	breaks          connectionBreaks
 
 	healthChecks chan struct{} // semaphore: one value for each health check in flight
 }
@@ -155,6 +157,7 @@
 		u.eligible[endpoint] = address
 	} else {
 		delete(u.eligible, endpoint)
+		u.breaks.forget(upstreamTarget{endpoint, address})
 	}
 }
 
@@ -181,7 +184,12 @@
 		return nil, err
 	}
 	u.node.counters.add(upstreamConnsOpened)
-	return &upstreamConn{bufferedConn: newBufferedConn(raw, &u.node.memory), target: a.target, id: u.connCount.Add(1)}, nil
+	return &upstreamConn{
+		bufferedConn: newBufferedConn(raw, &u.node.memory),
+		target:       a.target,
+		openedAt:     time.Now(),
+		id:           u.connCount.Add(1),
+	}, nil
 }
 
 // acquireIdle returns a reusable idle connection, or nil if there is none. It closes the unusable ones that it finds.
