--- a/internal/node/eventloop_test.go
+++ b/internal/node/eventloop_test.go
@@ -96,3 +96,24 @@
 		t.Errorf("after an empty complete list: got %d endpoints, want 0, applied in 2 events", len(n.loop.endpoints))
 	}
 }
+
+// Guards against a memory for IDs that grows without end, forgets the latest ones, or keeps those that never ran.
+func TestRecentRequestsAreBoundedAndKeepTheLatest(t *testing.T) {
+	r := newRecentRequests(1)
+	const added = 5 * minRecentRequests
+	for i := range added {
+		r.add(requestDigest(i))
+	}
+	if got := len(r.all()); got < minRecentRequests || got > 2*minRecentRequests {
+		t.Errorf("got %d IDs, want %d to %d", got, minRecentRequests, 2*minRecentRequests)
+	}
+	for i := added - minRecentRequests; i < added; i++ {
+		if !r.contains(requestDigest(i)) {
+			t.Fatalf("ID %d of %d is forgotten, want the latest %d", i, added, minRecentRequests)
+		}
+	}
+	r.remove(requestDigest(added - 1))
+	if r.contains(requestDigest(added - 1)) {
+		t.Error("an ID whose request never ran is still remembered")
+	}
+}
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -13,7 +13,7 @@
 
 const (
 	highMemoryPercent     = 80 // of MemoryMB, from which on the usage is logged
-	resourceCheckInterval = 200 * time.Millisecond
+	resourceCheckInterval = time.Second
 )
 
 // Metrics of package runtime/metrics.
