--- a/cmd/fawnglade/helper_test.go
+++ b/cmd/fawnglade/helper_test.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// startProcess starts a node's process that listens at an address, and waits until it is ready. It ends with the test.
+func startProcess(t *testing.T, config, listen string) {
+	t.Helper()
+	node := nodeCommand(t, config, "serve")
+	if err := node.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { killAndWait(node) })
+	eventually(t, "ready", func() bool { return requestStatus(listen, "GET /ready") == http.StatusOK })
+}
+
 // requestStatus sends one request to an admin API or a node and returns the status, or 0 if there is no response.
 func requestStatus(address, requestHead string) int {
 	c, err := net.Dial("tcp", address)
--- a/internal/node/responsestart.go
+++ b/internal/node/responsestart.go
@@ -73,9 +73,9 @@
 }
 
 // bufferBody reads from the connection into its buffer, without decoding, until its read deadline. It stops earlier if
-// the buffer holds the first bytes of a body with a length, or more than maxBufferedInput bytes, or can't grow. It reports whether
-// the rest of the body can be read without waiting: it is complete, malformed, or ended prematurely by the upstream. Its
-// error is that of a connection that has failed.
+// the buffer holds the first bytes of a body with a length, or more than maxBufferedInput bytes, or can't grow. It
+// reports whether the rest of the body can be read without waiting: it is complete, malformed, or ended prematurely by
+// the upstream. Its error is that of a connection that has failed.
 func (m *message) bufferBody() (settled bool, err error) {
 	for {
 		length := m.bufferedLength()
