--- a/cmd/fawnglade/longresponse_test.go
+++ b/cmd/fawnglade/longresponse_test.go
@@ -80,6 +80,7 @@
 			if err != nil {
 				return
 			}
+			forwardedIDs.Store(r.Header.Get("X-Txn"), true)
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				return
 			}
--- a/cmd/fawnglade/longupstream_test.go
+++ b/cmd/fawnglade/longupstream_test.go
@@ -19,6 +19,7 @@
 			if err != nil {
 				return
 			}
+			forwardedIDs.Store(r.Header.Get("X-Txn"), true)
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				return
 			}
