Count a client as there when its input was waiting and its end would have shown

Need, by reading: an upload that follows at once on a kept connection, read by a busy node, found its bytes waiting; its client was last known to be there at the request before, so that after 80 ms the upload would be rejected without need. Change: bytes that were waiting count as well if less than 32 KiB are unread behind them and no end is seen.

--- a/internal/node/clientpresence.go
+++ b/internal/node/clientpresence.go
@@ -27,16 +27,24 @@
 	seenAt atomic.Int64 // when the client was last known to be there, by the clock
 }
 
-// confirm records that the client has just sent something.
+// confirm records that the client is there: it has just sent something, or its end would be visible.
 func (p *clientPresence) confirm() { p.seenAt.Store(p.clock.nanos()) }
 
+// observe records that the client is there if its end would be visible.
+func (p *clientPresence) observe() (visible bool) {
+	visible = sockstate.UnreadBytes(p.conn.Conn) < visibleInputBytes
+	if visible {
+		p.confirm()
+	}
+	return visible
+}
+
 // gone reports whether the client has closed its connection.
 func (p *clientPresence) gone() bool { return p.conn.closedByPeer() }
 
 // uncertain reports whether the client may have left without a sign of it. It is called when gone has returned false.
 func (p *clientPresence) uncertain() bool {
-	if sockstate.UnreadBytes(p.conn.Conn) < visibleInputBytes {
-		p.confirm()
+	if p.observe() {
 		return false
 	}
 	return p.clock.nanos()-p.seenAt.Load() > int64(presenceTimeout)
--- a/internal/node/requestread.go
+++ b/internal/node/requestread.go
@@ -70,8 +70,11 @@
 		c.setReadTimeout(timeout)
 		waits := !c.conn.hasInput()
 		err := c.conn.fill()
-		if err == nil && waits {
+		switch {
+		case err == nil && waits:
 			c.presence.confirm()
+		case err == nil && !c.clientGone():
+			c.presence.observe()
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && (c.conn.hasInput() || c.staysOpenAfterTimeout()) {
 			continue
