--- a/internal/node/requestread_test.go
+++ b/internal/node/requestread_test.go
@@ -102,9 +102,10 @@
 	}
 	defer accepted.Close()
 	writeText(peer, "GET "+pathReady+" HTTP/1.1\r\nHost: h\r\n\r\n")
+	conn := newBufferedConn(accepted, nil)
 	c := &clientConn{
-		frontend: n.frontend, conn: newBufferedConn(accepted, nil), responseOrder: make(chan *pendingRequest, 1),
-		slotAcquiredAt: time.Now().Add(-headTimeout),
+		frontend: n.frontend, conn: conn, responseOrder: make(chan *pendingRequest, 1),
+		slotAcquiredAt: time.Now().Add(-headTimeout), presence: clientPresence{conn: conn},
 	}
 	eventually(t, "the request has arrived", c.conn.hasInput)
 	readErr := make(chan error, 1)
