Give the requests of each play IDs of their own

Trace: the process's counters say that each of its 512 accepted requests was answered; the ID had been forwarded by an earlier play of the same test process, as all plays named their requests alike. Change: a random part in the names. The check is as before.

--- a/cmd/fawnglade/ordinaryclient_test.go
+++ b/cmd/fawnglade/ordinaryclient_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -137,7 +138,7 @@
 	var done sync.WaitGroup
 	var clients []*ordinaryClient
 	for i := range count {
-		c := &ordinaryClient{address: address, deadline: deadline, name: fmt.Sprint("ordinary", i)}
+		c := &ordinaryClient{address: address, deadline: deadline, name: fmt.Sprintf("ordinary%d-%x", i, rand.Uint32())}
 		clients = append(clients, c)
 		done.Go(func() { c.run(stop) })
 	}
