Review case 9: a keyed retry whose body is read slowly runs after the window for repeats

The end of the deduplication window is checked before the first byte of a retry. A server that reads a long body slowly has its last byte after the window, when repeats are no longer dropped, and runs the request a second time.

--- a/review/standin2/caseaddress.go
+++ b/review/standin2/caseaddress.go
@@ -99,18 +99,18 @@
 	if err := w.awaitReady(n); err != nil {
 		return nil, err
 	}
-	w.keyedLoad(n, keyedCalls/4)
+	w.keyedLoad(n, keyedCalls/4, "one order")
 	if w.trouble {
 		uno.replace("s-nuevo", answerAfter(10*time.Millisecond))
 		d.change(entry("s-uno", uno.address, "removed", 0), entry("s-nuevo", uno.address, "up", time.Now().UnixMilli()))
 		time.Sleep(600 * time.Millisecond)
 	}
-	w.keyedLoad(n, keyedCalls)
+	w.keyedLoad(n, keyedCalls, "one order")
 	return ranTwice(servers), nil
 }
 
 // keyedLoad sends keyed requests one after another, each on the client's connection.
-func (w *world) keyedLoad(n *node, calls int) {
+func (w *world) keyedLoad(n *node, calls int, body string) {
 	var c *client
 	for range calls {
 		if c == nil {
@@ -121,7 +121,7 @@
 			}
 		}
 		request := newCall("order", 2500*time.Millisecond, true)
-		request.body = "one order"
+		request.body = body
 		c.do(request)
 		w.record("client: %s", request.describe())
 		if request.err != nil {
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,11 @@
 	"time"
 )
 
+const (
+	slowPieces    = 50        // a second
+	receiveBuffer = 128 << 10 // bytes that the machine of a slow server takes in ahead of it
+)
+
 // work is one request that a server got.
 type work struct {
 	server    string
@@ -40,6 +46,7 @@
 	conns   map[net.Conn]bool
 	got     []work
 	seen    func(work) bool // whether the group of the server has met the key of this work; nil: no group
+	slow    func() int      // draws at how many bytes a second the next body is read; 0: at once; nil: always at once
 }
 
 func newServer(w *world, name string, answer reply) (*server, error) {
@@ -63,18 +70,24 @@
 		}
 		s.mu.Lock()
 		s.conns[conn] = true
+		slow := s.slow != nil
 		s.mu.Unlock()
+		if tcp, ok := conn.(*net.TCPConn); ok && slow {
+			if err := tcp.SetReadBuffer(receiveBuffer); err != nil {
+				s.w.record("server %s: %v", s.name, err)
+			}
+		}
 		go s.serve(conn)
 	}
 }
 
-// replace ends the server's process and starts another server at its address.
+// replace ends the server's process, which resets its connections, and starts another server at its address.
 func (s *server) replace(name string, answer reply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.w.record("server %s has ended, %s starts at its address %s", s.name, name, s.address)
 	for conn := range s.conns {
-		conn.Close()
+		reset(conn)
 	}
 	s.conns = map[net.Conn]bool{}
 	s.name, s.reply = name, answer
@@ -98,7 +111,8 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		if err := s.readBody(request); err != nil {
+			s.w.record("server %s: the body of %s breaks off: %v", s.name, request.Header.Get("X-Txn"), err)
 			return
 		}
 		if request.URL.Path == "/health" || request.URL.Path == "/status/load" {
@@ -112,6 +126,29 @@
 	}
 }
 
+// readBody reads the body of a request, in small pieces if the server is slow.
+func (s *server) readBody(request *http.Request) error {
+	rate := 0
+	if s.slow != nil {
+		rate = s.slow()
+	}
+	if rate == 0 {
+		_, err := io.Copy(io.Discard, request.Body)
+		return err
+	}
+	s.w.record("server %s reads %s at %d bytes a second", s.name, request.Header.Get("X-Txn"), rate)
+	for {
+		_, err := io.CopyN(io.Discard, request.Body, int64(rate/slowPieces))
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		time.Sleep(time.Second / slowPieces)
+	}
+}
+
 // record records a request that has come whole.
 func (s *server) record(request *http.Request, first time.Time) (reply, work) {
 	s.mu.Lock()
