--- a/review/standin2/caseaddress.go
+++ b/review/standin2/caseaddress.go
@@ -83,15 +83,15 @@
 	for _, s := range servers {
 		list = append(list, entry(s.name, s.address, "up", 0))
 	}
-	d, err := newDiscovery(w, "main", 0, list...)
+	d, err := newDiscovery(w, 0, list...)
 	if err != nil {
 		return nil, err
 	}
 	n, err := w.startNode(nodeOptions{
-		name: "n1", discovery: d.address, known: known(40, list...),
+		name: "n1", discovery: d.address, known: known(list...),
 		settings: settings(
 			[]profile{class("order", "keyed", 600, 2500, profile{"group": "cell", "memory_span_us": keyedWindow.Microseconds()})},
-			map[string]any{"removal_not_binding": true}, nil),
+			map[string]any{"removal_not_binding": true}),
 	})
 	if err != nil {
 		return nil, err
--- a/review/standin2/casepipeline.go
+++ b/review/standin2/casepipeline.go
@@ -75,15 +75,15 @@
 		servers = append(servers, s)
 		list = append(list, host{Host: s.name, Dial: s.address, Site: "milano-1", Class: "fast", Health: "up", Share: 1})
 	}
-	d, err := newDiscovery(w, "main", 0, list...)
+	d, err := newDiscovery(w, 0, list...)
 	if err != nil {
 		return nil, err
 	}
 	n, err := w.startNode(nodeOptions{
-		name: "n1", discovery: d.address, known: known(40, list...),
+		name: "n1", discovery: d.address, known: known(list...),
 		settings: settings([]profile{
 			class("lookup", "safe", 1000, 3000, nil), class("booking", "unsafe", 1000, 3000, nil),
-		}, nil, nil),
+		}, nil),
 	})
 	if err != nil {
 		return nil, err
--- a/review/standin2/casestart.go
+++ b/review/standin2/casestart.go
@@ -35,13 +35,13 @@
 	if w.trouble {
 		delay = slowDiscovery
 	}
-	d, err := newDiscovery(w, "main", delay, now...)
+	d, err := newDiscovery(w, delay, now...)
 	if err != nil {
 		return nil, err
 	}
 	n, err := w.startNode(nodeOptions{
-		name: "n1", discovery: d.address, known: known(40, before...),
-		settings: settings([]profile{class("lookup", "safe", 500, 2000, nil)}, nil, nil),
+		name: "n1", discovery: d.address, known: known(before...),
+		settings: settings([]profile{class("lookup", "safe", 500, 2000, nil)}, nil),
 	})
 	if err != nil {
 		return nil, err
--- a/review/standin2/casewindow.go
+++ b/review/standin2/casewindow.go
@@ -68,15 +68,15 @@
 			Host: s.name, Dial: s.address, Site: "milano-1", Class: "fast", Block: 1, Health: "up", Share: 1,
 		})
 	}
-	d, err := newDiscovery(w, "main", 0, list...)
+	d, err := newDiscovery(w, 0, list...)
 	if err != nil {
 		return nil, err
 	}
 	n, err := w.startNode(nodeOptions{
-		name: "n1", discovery: d.address, known: known(40, list...),
+		name: "n1", discovery: d.address, known: known(list...),
 		settings: settings([]profile{
 			class("order", "keyed", 600, 2500, profile{"group": "cell", "memory_span_us": keyedWindow.Microseconds()}),
-		}, nil, nil),
+		}, nil),
 	})
 	if err != nil {
 		return nil, err
--- a/review/standin2/discovery.go
+++ b/review/standin2/discovery.go
@@ -12,7 +12,10 @@
 	"time"
 )
 
-const emptyLineInterval = 2 * time.Second
+const (
+	emptyLineInterval = 2 * time.Second
+	knownVersion      = 40
+)
 
 // host is one entry of the list, in discovery's form.
 type host struct {
@@ -29,7 +32,6 @@
 // discovery serves one list.
 type discovery struct {
 	w       *world
-	name    string
 	address string
 	delay   time.Duration // a call waits for so long before it is worked on
 
@@ -40,20 +42,20 @@
 	watches map[chan string]bool
 }
 
-func newDiscovery(w *world, name string, delay time.Duration, hosts ...host) (*discovery, error) {
+func newDiscovery(w *world, delay time.Duration, hosts ...host) (*discovery, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	d := &discovery{
-		w: w, name: name, address: listener.Addr().String(), delay: delay, version: 41, hosts: map[string]host{},
+		w: w, address: listener.Addr().String(), delay: delay, version: knownVersion + 1, hosts: map[string]host{},
 		watches: map[chan string]bool{},
 	}
 	for _, h := range hosts {
 		d.order = append(d.order, h.Host)
 		d.hosts[h.Host] = h
 	}
-	go func() { w.record("discovery %s ended: %v", name, http.Serve(listener, d)) }()
+	go func() { w.record("discovery ended: %v", http.Serve(listener, d)) }()
 	return d, nil
 }
 
@@ -76,9 +78,9 @@
 	return encode(d.version, true, hosts)
 }
 
-// known returns the present list in the form of the configuration.
-func known(version int64, hosts ...host) map[string]any {
-	return map[string]any{"seq": version, "whole": true, "hosts": hosts}
+// known returns a list in the form of the configuration, one version before that of discovery.
+func known(hosts ...host) map[string]any {
+	return map[string]any{"seq": knownVersion, "whole": true, "hosts": hosts}
 }
 
 // change changes entries, and writes them to all watches as one line.
@@ -94,7 +96,7 @@
 		if h.Health == "removed" {
 			delete(d.hosts, h.Host)
 		}
-		d.w.record("discovery %s: %s at %s is %s, block %d", d.name, h.Host, h.Dial, h.Health, h.Block)
+		d.w.record("discovery: %s at %s is %s, block %d", h.Host, h.Dial, h.Health, h.Block)
 	}
 	line := encode(d.version, false, hosts)
 	for watch := range d.watches {
@@ -108,7 +110,7 @@
 	if err != nil {
 		after = 0
 	}
-	d.w.record("discovery %s: call %s", d.name, r.URL)
+	d.w.record("discovery: call %s", r.URL)
 	select {
 	case <-time.After(d.delay):
 	case <-r.Context().Done():
@@ -154,6 +156,6 @@
 		return
 	}
 	if line != "\n" {
-		d.w.record("discovery %s: written: %.200s", d.name, line)
+		d.w.record("discovery: written: %.200s", line)
 	}
 }
--- a/review/standin2/settings.go
+++ b/review/standin2/settings.go
@@ -4,8 +4,8 @@
 
 type profile = map[string]any
 
-// settings returns the settings of a deployment with some classes. change sets what a case needs.
-func settings(profiles []profile, rules map[string]any, limits map[string]any) map[string]any {
+// settings returns the settings of a deployment with some classes, and with the rules that a case changes.
+func settings(profiles []profile, rules map[string]any) map[string]any {
 	all := map[string]any{
 		"discovery": "push", "group_size": 1, "position": 0, "layer": 0, "domain_type": "proxy", "quantum_us": 5000,
 		"over_share_worth": 1.0, "value_by": "request", "weights": "off", "zone": 0, "zones": []string{"milano-1"},
@@ -25,9 +25,6 @@
 	for name, value := range rules {
 		all["rules"].(map[string]any)[name] = value
 	}
-	for name, value := range limits {
-		all["limits"].(map[string]any)[name] = value
-	}
 	return all
 }
 
