--- a/review/standin2/caseaddress.go
+++ b/review/standin2/caseaddress.go
@@ -1,6 +1,6 @@
 package main
 
-// A server has gone, and another one stands at its address (cases 6 and 7).
+// A server has gone, and another one stands at its address (case 6).
 
 import (
 	"fmt"
--- a/review/standin2/casedrain.go
+++ b/review/standin2/casedrain.go
@@ -1,6 +1,6 @@
 package main
 
-// A drain, while clients send the next request before they have the answer to the one before.
+// A drain, while clients send the next request before they have the answer to the one before (case 10).
 
 import (
 	"fmt"
--- a/review/standin2/casepipeline.go
+++ b/review/standin2/casepipeline.go
@@ -1,6 +1,6 @@
 package main
 
-// A request behind another one on its connection, whose answer breaks off.
+// A request behind another one on its connection, whose answer breaks off (case 7).
 
 import (
 	"fmt"
--- a/review/standin2/casewindow.go
+++ b/review/standin2/casewindow.go
@@ -1,6 +1,6 @@
 package main
 
-// A keyed request that is sent again to a server that reads slowly (case 9).
+// A keyed request that is sent again to a server that reads slowly (case 8).
 
 import (
 	"fmt"
