--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # 2 if the case could not run. Before it: the build of deploy/balancer.toml, and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x bin/fawnglade ] && [ -x bin/standin2 ] || { echo "not built: see review/build-2.sh"; exit 2; }
-exec bin/standin2 drain review/10/record.txt
+exec bin/standin2 start review/10/record.txt
--- a/review/standin2/casestart.go
+++ b/review/standin2/casestart.go
@@ -1,6 +1,6 @@
 package main
 
-// A node that starts while discovery is slow (case 9).
+// A node that starts while discovery is slow (case 10).
 
 import (
 	"fmt"
