Withhold the end of a keyed request until its upstream has read the rest in time

Cause: the end of the deduplication window was looked at before the first byte alone. Then the whole request was written with the request's deadline as the only limit. In the records the retries' last bytes came 1.5 s after the first run, with a window of 0.8 s. A limit on the write alone would not do: measured with a reader at 600 kB/s, Write took 900 KiB at once, and the two machines' buffers went on delivering; a body of 180 KiB was whole in the upstream's machine while its process read it for another second. An attempt that is overtaken by a hedged one had no limit at all.

Change: the last KiB of a keyed request of 4 KiB or more is withheld until the upstream's process has read all before it (internal/node/guardedwrite.go says how that is seen), and the attempt is given up, never run, when the window ends before. Each attempt in flight has the windows of all others as its limit, kept up to date as attempts start and end. An attempt that would not be read in time at its rate so far ends early, so that another endpoint can serve the request within the window.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fawnglade/policy"
@@ -29,8 +30,10 @@
 	sentAt  policy.Time
 	// deadline is that of the response. If the request body is streamed, it limits opening the connection, and the time
 	// left after that limits the wait for the response after the last byte.
-	deadline      policy.Time
-	dedupDeadline policy.Time // the request must not be written after this; 0: no limit
+	deadline policy.Time
+	// dedupDeadline is the policy.Time at which the request must have been read by the upstream, as the deduplication
+	// window of another attempt ends then; 0: no limit. The event loop changes it while the attempt is in flight.
+	dedupDeadline atomic.Int64
 	// sameProcessSince is when an earlier attempt was sent that may have run and that only some endpoints know of; 0:
 	// there is none. The request must not be written to a process that is newer (processidentity.go).
 	sameProcessSince policy.Time
@@ -78,6 +81,20 @@
 	return a.canceled
 }
 
+// reasonToEnd returns why the attempt is no longer wanted, or nil. While a body is being written, nobody reads from the
+// client, so that its close is seen here alone.
+func (a *attempt) reasonToEnd() error {
+	switch {
+	case a.isCanceled():
+		return errCanceled
+	case a.request.answered.Load():
+		return errAnswered
+	case a.request.clientGone():
+		return errClientGone
+	}
+	return nil
+}
+
 // setDeadline sets a read or write deadline, which has already expired if the attempt is canceled. The lock
 // ensures that a concurrent call does not replace the expired deadline that cancel sets.
 func (a *attempt) setDeadline(set func(time.Time) error, deadline time.Time) error {
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -20,12 +20,11 @@
 		return
 	}
 	newAttempt := &attempt{
-		request:       request,
-		number:        len(request.attempts),
-		target:        upstreamTarget{endpoint, l.endpoints[endpoint].address},
-		sentAt:        l.now,
-		deadline:      min(l.now.Add(timeout), request.request.Deadline),
-		dedupDeadline: l.dedupDeadline(request),
+		request:  request,
+		number:   len(request.attempts),
+		target:   upstreamTarget{endpoint, l.endpoints[endpoint].address},
+		sentAt:   l.now,
+		deadline: min(l.now.Add(timeout), request.request.Deadline),
 
 		sameProcessSince: l.sameProcessSince(request),
 	}
@@ -34,6 +33,7 @@
 	}
 	request.attempts = append(request.attempts, newAttempt)
 	request.inFlight++
+	l.updateDedupDeadlines(request)
 	if request.answered.Load() { // a panic can keep the policy from recording that the request has ended
 		result := attemptResult{outcome: policy.OutcomeNotSent, report: parseLoadReport(""), endedAt: newAttempt.sentAt}
 		go l.post(func() { l.attemptEnded(newAttempt, result) })
@@ -47,19 +47,30 @@
 	l.node.upstreams.startAttempt(newAttempt)
 }
 
-// dedupDeadline returns the end of the deduplication window of the first attempt that may have run. A retry with the
-// same idempotency key must be sent before then. It returns 0 if no attempt may have run, or if the request's class is
-// not idempotent by key.
-func (l *eventLoop) dedupDeadline(request *pendingRequest) (deadline policy.Time) {
-	class := l.node.settings.Policy.Classes[request.request.Class]
+// updateDedupDeadlines sets for each attempt in flight when the request must have been read: before the end of the
+// deduplication window of each other attempt that may have run, those in flight included. It is called whenever an
+// attempt starts or ends.
+func (l *eventLoop) updateDedupDeadlines(request *pendingRequest) {
+	class := &l.node.settings.Policy.Classes[request.request.Class]
 	if class.Idempotency != policy.IdempotentByKey {
-		return 0
+		return
 	}
-	for _, earlier := range request.attempts {
-		if !earlier.notExecuted {
-			windowEnd := earlier.sentAt.Add(class.DedupWindow)
-			deadline = min(cmp.Or(deadline, windowEnd), windowEnd)
+	for _, a := range request.attempts {
+		if !a.ended {
+			a.dedupDeadline.Store(int64(dedupDeadline(class, request.attempts, a)))
+		}
+	}
+}
+
+// dedupDeadline returns the earliest end of the deduplication windows of the attempts other than this one that may have
+// run, or 0 if there is none.
+func dedupDeadline(class *policy.Class, attempts []*attempt, this *attempt) (deadline policy.Time) {
+	for _, other := range attempts {
+		if other == this || other.notExecuted {
+			continue
 		}
+		windowEnd := other.sentAt.Add(class.DedupWindow)
+		deadline = min(cmp.Or(deadline, windowEnd), windowEnd)
 	}
 	return deadline
 }
--- a/internal/node/eventloop.go
+++ b/internal/node/eventloop.go
@@ -177,6 +177,7 @@
 	request.inFlight--
 	finished.cancel()
 	finished.recordEnd(result)
+	l.updateDedupDeadlines(request)
 	l.forwardResponse(request, result)
 	l.node.counters.add(attemptCounter(result))
 	l.handle(request, func() { l.balancer.AttemptEnded(l.now, finished.resultFor(request, result)) })
--- a/internal/node/roundtrip.go
+++ b/internal/node/roundtrip.go
@@ -5,7 +5,6 @@
 
 import (
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -203,7 +202,8 @@
 		return errClientUncertain
 	case !u.mayUse(a.target):
 		return errEndpointDisabled
-	case a.dedupDeadline > 0 && u.node.clock.now() >= a.dedupDeadline:
+	}
+	if end := policy.Time(a.dedupDeadline.Load()); end > 0 && u.node.clock.now() >= end {
 		return errDedupWindowOver
 	}
 	return nil
@@ -216,14 +216,38 @@
 	if request.source != nil {
 		return t.streamAndReadHead(timeout)
 	}
-	buffers := net.Buffers{request.headWithTimeout(timeout), request.body}
-	if _, err := buffers.WriteTo(t.conn.Conn); err != nil {
+	err := t.writeBuffered(request.headWithTimeout(timeout), request.body)
+	switch {
+	case errors.Is(err, errResponseStarted):
+		return t.readEarlyHead()
+	case err != nil:
 		return upstreamReply{stage: partlyWritten}, err
 	}
 	head, m, err := t.conn.readResponseHead(request.method)
 	return upstreamReply{Response: head, message: m, stage: fullyWritten}, err
 }
 
+// readEarlyHead reads the head of a response that has started before the request's last byte was written.
+func (t *roundTrip) readEarlyHead() (upstreamReply, error) {
+	head, m, err := t.conn.readResponseHead(t.attempt.request.method)
+	switch {
+	case err != nil && t.conn.closedByPeer():
+		return upstreamReply{stage: partlyWritten}, errClosedDuringWrite
+	case err != nil:
+		return upstreamReply{stage: partlyWritten}, err
+	}
+	return earlyReply(head, m)
+}
+
+// earlyReply returns a response whose head came before the request's last byte was written, if it is valid there.
+func earlyReply(head *http.Response, m *message) (upstreamReply, error) {
+	if !mayPrecedeRequestEnd(head) {
+		m.end()
+		return upstreamReply{stage: partlyWritten}, errEarlyResponse
+	}
+	return upstreamReply{Response: head, message: m, stage: partlyWritten}, nil
+}
+
 // streamAndReadHead writes a request whose body is still being received, and reads the response head concurrently.
 func (t *roundTrip) streamAndReadHead(timeout time.Duration) (upstreamReply, error) {
 	request := t.attempt.request
@@ -244,12 +268,11 @@
 	if err != nil {
 		return upstreamReply{stage: partlyWritten}, up.failure(err)
 	}
-	if !mayPrecedeRequestEnd(head) {
-		m.end()
-		return upstreamReply{stage: partlyWritten}, errEarlyResponse
+	reply, err := earlyReply(head, m)
+	if err != nil {
+		return reply, err
 	}
 	t.deadline = up.earlyResponseDeadline(time.Now())
-	reply := upstreamReply{Response: head, message: m, stage: partlyWritten}
 	return reply, t.attempt.setDeadline(t.conn.SetReadDeadline, t.deadline)
 }
 
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -147,7 +147,7 @@
 	if !now.Before(u.limit()) || !now.Before(stalledAt) {
 		return errUploadTimeout
 	}
-	if err := u.reasonToEnd(); err != nil {
+	if err := u.attempt.reasonToEnd(); err != nil {
 		return err
 	}
 	u.mu.Lock()
@@ -158,21 +158,6 @@
 	return u.attempt.setDeadline(u.conn.SetWriteDeadline, now.Add(arrivalPollInterval))
 }
 
-// reasonToEnd returns why the request is no longer wanted, or nil. Until the upload has ended nobody reads from the
-// client, so that its close is seen here alone.
-func (u *upload) reasonToEnd() error {
-	request := u.attempt.request
-	switch {
-	case u.attempt.isCanceled():
-		return errCanceled
-	case request.answered.Load():
-		return errAnswered
-	case request.clientGone():
-		return errClientGone
-	}
-	return nil
-}
-
 // copyBody copies a source to its end. written is the number of body bytes written before. It returns errBodyTooLong if
 // the body is longer than maxBodyBytes.
 func copyBody(source *bodySource, written int64, writePart func([]byte) error) error {
--- a/internal/sockstate/sockstate_test.go
+++ b/internal/sockstate/sockstate_test.go
@@ -133,3 +133,25 @@
 		}
 	}
 }
+
+// Guards against a sending side whose peer seems ready to take in more than it is, or whose state is not known.
+func TestSendShowsWhatThePeerHasNotTakenIn(t *testing.T) {
+	peer, own := connect(t)
+	before := Send(own)
+	if before.Unacknowledged != 0 || before.PeerWindow == 0 || before.RoundTrip == 0 {
+		t.Errorf("got %+v of an idle connection, want a window, a round trip and no bytes", before)
+	}
+	own.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+	if written, err := own.Write(make([]byte, 64<<20)); written == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %d bytes written, error %v, want some and a timeout", written, err)
+	}
+	if full := Send(own); full.Unacknowledged == 0 || full.PeerWindow >= before.PeerWindow {
+		t.Errorf("got %+v beside a peer that does not read, want unacknowledged bytes and a narrower window", full)
+	}
+	peer.Close()
+	local, remote := net.Pipe()
+	defer remote.Close()
+	if state := Send(local); state != (SendState{}) {
+		t.Errorf("got %+v without a socket, want nothing", state)
+	}
+}
