Serve quick keyed retries beside load: count acknowledgments instead of probes

Callers would have seen: on a busy machine a keyed retry that its upstream reads at once was given up.

Cause: 24 probes in a row had to be acknowledged within 3 ms each, which two processes that wait for a core do not manage.

Evidence: a reader at 300 kB/s, alone on the machine, acknowledges small segments after 12 to 48 ms while something waits unread, but for runs of 16 segments; once all is read, within 0.05 ms.

Change: a probe has eight segments, which use up such a run within two probes, and what counts are the acknowledgments that came (TCP_INFO), so that three probes are enough where each segment has its own.

--- a/internal/node/guardedwrite.go
+++ b/internal/node/guardedwrite.go
@@ -7,11 +7,11 @@
 // process reads long after the write has returned. A guarded write therefore withholds the last bytes until the
 // upstream's process has read all others, and gives the attempt up at the end of the window. Such an attempt never ran.
 //
-// That the process has read is concluded from two signs together. Some of the withheld bytes are sent as probes, each in
-// two small segments. Linux acknowledges these at once if its process has read all there is (tcp_cleanup_rbuf), and else
-// only when a timer fires, some milliseconds later; but up to 16 in a row at once all the same (TCP_MAX_QUICKACKS). And
-// the receive window that the upstream's machine offers shrinks by what waits unread, and opens as far as before once all
-// has been read; but it may grow meanwhile, so that this alone proves nothing.
+// That the process has read is concluded from two signs together. Some of the withheld bytes are sent as probes, in small
+// segments. Linux acknowledges these at once if its process has read all there is (tcp_cleanup_rbuf), and else only when
+// a timer fires, some milliseconds later; but it sends up to 16 acknowledgments in a row at once all the same
+// (TCP_MAX_QUICKACKS). And the receive window that the upstream's machine offers shrinks by what waits unread, and opens
+// as far as before once all has been read; but it may grow meanwhile, so that this alone proves nothing.
 
 import (
 	"errors"
@@ -27,12 +27,12 @@
 
 const (
 	minGuardedBody       = 4 << 10 // shorter bodies are read at once or not at all
-	withheldBytes        = 1 << 10
+	withheldBytes        = 2 << 10
 	guardedWriteInterval = 5 * time.Millisecond // between looks at an attempt whose write is blocked
 
-	probeSegments        = 2                    // of one byte each
-	promptAcksNeeded     = 24                   // in a row
-	promptAck            = 3 * time.Millisecond // beyond the round trip
+	probeSegments        = 8                    // of one byte each
+	promptAcksNeeded     = 24                   // in a row, more than are sent at once in any case
+	promptAck            = 5 * time.Millisecond // beyond the round trip
 	ackPollInterval      = 100 * time.Microsecond
 	lateAckPollInterval  = time.Millisecond
 	closedWindowBytes    = 8 << 10 // missing from the widest window while something waits unread, or more
@@ -138,7 +138,7 @@
 		if len(withheld) <= probeSegments {
 			return nil, errReadUnknown
 		}
-		sentAt := time.Now()
+		sentAt, acksBefore := time.Now(), w.state.SegmentsReceived
 		for range probeSegments {
 			if err := w.write(withheld[:1]); err != nil {
 				return nil, err
@@ -150,7 +150,7 @@
 		}
 		now := time.Now()
 		if w.isWindowOpen() && now.Sub(sentAt) < promptAck+w.state.RoundTrip {
-			prompt++
+			prompt += max(w.state.SegmentsReceived-acksBefore, 1)
 			continue
 		}
 		prompt = 0
--- a/internal/sockstate/sendstate.go
+++ b/internal/sockstate/sendstate.go
@@ -15,6 +15,9 @@
 	// each acknowledgment. It shrinks while the peer's process does not read. 0: none, or unknown.
 	PeerWindow int
 	RoundTrip  time.Duration // the shortest measured on this connection; 0: unknown
+	// SegmentsReceived is how many segments have come from the peer on this connection, acknowledgments included. 0:
+	// unknown.
+	SegmentsReceived int
 }
 
 // Send returns the state of a connection's sending side. It is zero if it is unknown.
@@ -34,6 +37,7 @@
 	})
 	if err == nil && controlErr == nil {
 		state.PeerWindow = int(info.Snd_wnd)
+		state.SegmentsReceived = int(info.Segs_in)
 		state.RoundTrip = time.Duration(info.Min_rtt) * time.Microsecond
 	}
 	return state
