Replace a hedged attempt that this node has given up by another one

Callers saw: a request whose first answer never comes got 502 at its deadline although its hedged attempt had been given up long before, as its upstream read too slowly.

Cause: a request is hedged by a timer that is set with its first attempt alone, and after the end of an attempt only a request without any in flight was sent again.

Measured: TestHedgedAttemptThatWasNotSentIsReplaced failed before (2 attempts instead of 3).

--- a/policy/hedging_test.go
+++ b/policy/hedging_test.go
@@ -145,3 +145,31 @@
 		t.Errorf("got a budget of %g hedged requests, want %d", budget.available, maxHedgeBudget)
 	}
 }
+
+// Guards against an overdue request that waits until its deadline because its hedged attempt was never sent.
+func TestHedgedAttemptThatWasNotSentIsReplaced(t *testing.T) {
+	fleet := newTestFleet(t, 3, nil)
+	fleet.serve(60, respondPromptly)
+	fleet.tick()
+	id := fleet.arrive(0)
+	fleet.now += 200 * ms
+	fleet.TimerFired(fleet.now, fleet.timers[len(fleet.timers)-1])
+	req := fleet.requests.byID[id]
+	fleet.endAttempt(id, 1, OutcomeNotSent, 10*ms)
+	if len(req.attempts) != 3 || req.inFlight != 2 || req.attempts[2].endpoint == req.attempts[0].endpoint {
+		t.Fatalf("got %d attempts, %d in flight, want a third attempt at another endpoint than the first",
+			len(req.attempts), req.inFlight)
+	}
+	for number := 2; number < fleet.settings.MaxAttempts; number++ {
+		fleet.endAttempt(id, number, OutcomeNotSent, 10*ms)
+	}
+	if req.inFlight != 1 {
+		t.Errorf("got %d attempts in flight once all attempts are used up, want 1", req.inFlight)
+	}
+	overdue := fleet.requests.byID[fleet.arrive(2)]
+	fleet.now += 200 * ms
+	fleet.handleOverdueAttempt(fleet.now, overdue, 0)
+	if len(overdue.attempts) != 1 {
+		t.Errorf("got %d attempts of a non-idempotent request, want 1", len(overdue.attempts))
+	}
+}
--- a/policy/request.go
+++ b/policy/request.go
@@ -173,6 +173,8 @@
 		b.giveUp(now, req, ReasonBodyConsumed)
 	case req.inFlight == 0:
 		b.sendOrGiveUp(now, req)
+	case result.Outcome == OutcomeNotSent && b.settings.MayHedge && req.classSettings.Idempotency != NonIdempotent:
+		b.hedge(now, req) // in place of a hedged attempt that this node has given up
 	}
 }
 
