Do not take window updates and pauses of this node for signs of a reader

Callers would have seen: a keyed retry still ran late at an upstream that stops reading and has a large receive buffer, some in a hundred.

Cause: acknowledgments were counted as segments that came, so that those which tell of an opening window counted as well: beside a run of 16 that Linux sends at once in any case they made up the 24 wanted. And a pause of this node between two probes was not seen, although Linux begins a new run after one.

Change: each segment of a probe counts for one acknowledgment at most, 32 are wanted in a row, and the time of a probe counts from the one before.

--- a/cmd/fawnglade/dedupwindow_test.go
+++ b/cmd/fawnglade/dedupwindow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -285,3 +286,39 @@
 		})
 	}
 }
+
+// drawWindowCase draws a case from a seed.
+func drawWindowCase(seed uint64) windowCase {
+	r := rand.New(rand.NewPCG(seed, 7))
+	c := windowCase{
+		window:        time.Duration(200+r.IntN(1800)) * time.Millisecond,
+		bodyBytes:     8<<10 + r.IntN(1000<<10),
+		chunked:       r.IntN(2) == 0,
+		receiveBuffer: []int{0, 16 << 10, 64 << 10, 128 << 10, 1 << 20}[r.IntN(5)],
+		heldUp:        r.IntN(5) == 0,
+		untroubled:    r.IntN(2),
+	}
+	if r.IntN(2) == 0 {
+		c.rate = 30_000 + r.IntN(2_000_000)
+		return c
+	}
+	c.stopAfter = r.IntN(c.bodyBytes)
+	c.stopFor = time.Duration(100+r.IntN(2500)) * time.Millisecond
+	return c
+}
+
+// Guards against the same with drawn windows, bodies, rates, buffers and stops: 13, 69 and 83 ran late.
+func TestRetryDoesNotRunAfterDrawnDedupWindow(t *testing.T) {
+	seeds := []uint64{13, 69, 83}
+	for seed := range uint64(24) {
+		seeds = append(seeds, 100+seed)
+	}
+	for _, seed := range seeds {
+		c := drawWindowCase(seed)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			play := &windowPlay{windowCase: c, attempts: map[string]int{}, runs: map[string][]time.Time{}}
+			play.check(t, play.play(t))
+		})
+	}
+}
--- a/internal/node/guardedwrite.go
+++ b/internal/node/guardedwrite.go
@@ -31,7 +31,7 @@
 	guardedWriteInterval = 5 * time.Millisecond // between looks at an attempt whose write is blocked
 
 	probeSegments        = 8                    // of one byte each
-	promptAcksNeeded     = 24                   // in a row, more than are sent at once in any case
+	promptAcksNeeded     = 32                   // in a row, twice as many as are sent at once in any case
 	promptAck            = 5 * time.Millisecond // beyond the round trip
 	ackPollInterval      = 100 * time.Microsecond
 	lateAckPollInterval  = time.Millisecond
@@ -134,34 +134,48 @@
 		return nil, err
 	}
 	began := time.Now()
-	for prompt := 0; prompt < promptAcksNeeded && !w.windowEnd().IsZero(); {
+	lastAckAt := began
+	for promptAcks := 0; promptAcks < promptAcksNeeded && !w.windowEnd().IsZero(); {
 		if len(withheld) <= probeSegments {
 			return nil, errReadUnknown
 		}
-		sentAt, acksBefore := time.Now(), w.state.SegmentsReceived
-		for range probeSegments {
-			if err := w.write(withheld[:1]); err != nil {
-				return nil, err
-			}
-			withheld = withheld[1:]
-		}
-		if err := w.awaitAcknowledged(); err != nil {
+		acks, err := w.probe(withheld[:probeSegments])
+		if err != nil {
 			return nil, err
 		}
+		withheld = withheld[probeSegments:]
 		now := time.Now()
-		if w.isWindowOpen() && now.Sub(sentAt) < promptAck+w.state.RoundTrip {
-			prompt += max(w.state.SegmentsReceived-acksBefore, 1)
+		// A pause of this node between two probes counts too: Linux begins a new run of acknowledgments after one.
+		isPrompt := now.Sub(lastAckAt) < promptAck+w.state.RoundTrip
+		lastAckAt = now
+		if isPrompt && w.isWindowOpen() {
+			promptAcks += acks
 			continue
 		}
-		prompt = 0
+		promptAcks = 0
 		w.readAtMost, w.observedAt = w.written-(w.widest-w.state.PeerWindow), now
 		if err := w.pause(now.Sub(began) / probeIntervalDivisor); err != nil {
 			return nil, err
 		}
+		lastAckAt = time.Now()
 	}
 	return withheld, nil
 }
 
+// probe writes bytes in a segment each, and returns how many acknowledgments came until all were acknowledged, 1 if that
+// is unknown. Segments beyond one for each byte tell of a window that opens.
+func (w *guardedWrite) probe(segments []byte) (acks int, err error) {
+	before := w.state.SegmentsReceived
+	for i := range segments {
+		if err := w.write(segments[i : i+1]); err != nil {
+			return 0, err
+		}
+	}
+	err = w.awaitAcknowledged()
+	received := w.state.SegmentsReceived - before
+	return min(max(received, 1), len(segments)), err
+}
+
 // pause waits as long as mayContinue allows it.
 func (w *guardedWrite) pause(duration time.Duration) error {
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(lateAckPollInterval) {
