--- a/internal/node/guardedwrite_test.go
+++ b/internal/node/guardedwrite_test.go
@@ -18,7 +18,9 @@
 		counted counter
 	}{
 		"rejection": {
-			func(conn net.Conn) { writeText(conn, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n") },
+			func(conn net.Conn) {
+				writeText(conn, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+			},
 			attemptsRejected,
 		},
 		"answer that can't be one": {
