--- a/internal/node/guardedwrite.go
+++ b/internal/node/guardedwrite.go
@@ -7,11 +7,11 @@
 // process reads long after the write has returned. A guarded write therefore withholds the last bytes until the
 // upstream's process has read all others, and gives the attempt up at the end of the window. Such an attempt never ran.
 //
-// That the process has read is concluded from two signs together. Some of the withheld bytes are sent as probes, in small
-// segments. Linux acknowledges these at once if its process has read all there is (tcp_cleanup_rbuf), and else only when
-// a timer fires, some milliseconds later; but it sends up to 16 acknowledgments in a row at once all the same
-// (TCP_MAX_QUICKACKS). And the receive window that the upstream's machine offers shrinks by what waits unread, and opens
-// as far as before once all has been read; but it may grow meanwhile, so that this alone proves nothing.
+// That the process has read is concluded from two signs together. Some of the withheld bytes are sent as probes, in
+// small segments. Linux acknowledges these at once if its process has read all there is (tcp_cleanup_rbuf), and else
+// only when a timer fires, some milliseconds later; but it sends up to 16 acknowledgments in a row at once all the same
+// (TCP_MAX_QUICKACKS). And the receive window that the upstream's machine offers shrinks by what waits unread, and
+// opens as far as before once all has been read; but it may grow meanwhile, so that this alone proves nothing.
 
 import (
 	"errors"
@@ -66,8 +66,8 @@
 	observedAt time.Time
 }
 
-// needsGuard reports whether an attempt's write has to be guarded: the request is idempotent by key, and another attempt
-// may have run or may be sent before this one ends.
+// needsGuard reports whether an attempt's write has to be guarded: the request is idempotent by key, and another
+// attempt may have run or may be sent before this one ends.
 func (t *roundTrip) needsGuard() bool {
 	a := t.attempt
 	settings := &t.upstreams.node.settings.Policy
@@ -80,8 +80,8 @@
 	return settings.MayHedge || a.dedupDeadline.Load() > 0
 }
 
-// writeBuffered writes a request whose body is buffered. It returns errResponseStarted if the upstream has sent something
-// before the last byte.
+// writeBuffered writes a request whose body is buffered. It returns errResponseStarted if the upstream has sent
+// something before the last byte.
 func (t *roundTrip) writeBuffered(head, body []byte) error {
 	if !t.needsGuard() {
 		buffers := net.Buffers{head, body}
@@ -162,8 +162,8 @@
 	return withheld, nil
 }
 
-// probe writes bytes in a segment each, and returns how many acknowledgments came until all were acknowledged, 1 if that
-// is unknown. Segments beyond one for each byte tell of a window that opens.
+// probe writes bytes in a segment each, and returns how many acknowledgments came until all were acknowledged, 1 if
+// that is unknown. Segments beyond one for each byte tell of a window that opens.
 func (w *guardedWrite) probe(segments []byte) (acks int, err error) {
 	before := w.state.SegmentsReceived
 	for i := range segments {
--- a/policy/hedging.go
+++ b/policy/hedging.go
@@ -4,8 +4,8 @@
 
 // A hedged request is a second attempt at another endpoint that is sent while the first one is overdue. Inputs are the
 // latency at which an attempt is overdue, the time left until the effective deadline, and a budget of one hedged
-// request per ten requests. There is none for a non-idempotent class or without Settings.MayHedge. A hedged attempt that
-// was not sent is replaced by another one, within the same budget.
+// request per ten requests. There is none for a non-idempotent class or without Settings.MayHedge. A hedged attempt
+// that was not sent is replaced by another one, within the same budget.
 //
 // Without MayHedge, an overdue idempotent attempt is canceled and sent elsewhere if another endpoint may take it now
 // and its own endpoint has answered no other request since: an endpoint that responds to others is busy with a heavy
