Answer requests that arrive while a starting node waits for discovery

Callers saw: where discovery pushes the list and is slow, a new process had its listening socket open for up to a second before it accepted anything. By the contract a request is taken once the node's machine has accepted its connection, and lost half a second after its time.

Cause: start waited for the first event of the watch (1 s at most) before it started the accept loop, so requests stood in the listen backlog. GET /ready at the clients' address hung as well, where the README promises 503.

Change: the accept loop starts after 0.2 s if discovery has not answered by then, and until the node serves requests are rejected (503, nothing was sent) and counted as "requests before serving". Within 0.2 s nothing is rejected, so a start beside a quick discovery serves what came meanwhile, as before.

--- /dev/null
+++ b/cmd/fawnglade/firstlist_test.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Plays of processes that start while discovery is slow, failing, down, silent or has nothing new.
+
+const (
+	startReadyTimeout   = 6 * time.Second
+	startRequestTime    = 400 * time.Millisecond
+	startAnswerSlack    = 500 * time.Millisecond // after its time a request earns nothing; later it is lost
+	startServedFor      = 1500 * time.Millisecond
+	startKnownVersion   = 40
+	startWatchHead      = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	startEmptyLineEvery = 2 * time.Second
+)
+
+// startDiscovery is a stand-in for discovery that handles each call with a function.
+type startDiscovery struct {
+	address   string
+	startedAt time.Time
+	calls     atomic.Int64
+	handle    func(c *startCall)
+}
+
+// startCall is one call, in the order of arrival from 0.
+type startCall struct {
+	conn   net.Conn
+	number int64
+	since  time.Duration // from the start of the process until the call
+}
+
+// listen answers calls at the address until the test ends.
+func (d *startDiscovery) listen(t *testing.T) {
+	listener, err := net.Listen("tcp", d.address)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				d.handle(&startCall{conn, d.calls.Add(1) - 1, time.Since(d.startedAt)})
+			}()
+		}
+	}()
+}
+
+func (c *startCall) head() {
+	writeText(c.conn, startWatchHead)
+}
+
+func (c *startCall) chunk(text string) {
+	writef(c.conn, "%x\r\n%s\r\n", len(text), text)
+}
+
+// stayOpen sends empty lines, as discovery does while nothing changes.
+func (c *startCall) stayOpen() {
+	for {
+		time.Sleep(startEmptyLineEvery)
+		if _, err := c.conn.Write([]byte("1\r\n\n\r\n")); err != nil {
+			return
+		}
+	}
+}
+
+// silent sends nothing until the node closes the connection.
+func (c *startCall) silent() {
+	_, _ = bytes.NewBuffer(nil).ReadFrom(c.conn)
+}
+
+// tell sends the list after a time.
+func (c *startCall) tell(after time.Duration, line string) {
+	time.Sleep(after)
+	c.head()
+	c.chunk(line)
+	c.stayOpen()
+}
+
+// startPlay is a node's process, its upstreams and its clients.
+type startPlay struct {
+	t         *testing.T
+	listen    string
+	config    string
+	command   *exec.Cmd
+	log       *bytes.Buffer
+	startedAt time.Time
+	discovery *startDiscovery
+
+	drained   string // address of s-1
+	mu        sync.Mutex
+	atDrained []time.Time // when each request reached s-1
+	readyAt   time.Time
+	statuses  map[int]int // of requests sent after readyAt
+	lost      []string
+	stop      atomic.Bool
+	clients   sync.WaitGroup
+}
+
+// newStartPlay prepares upstreams s-1 to s-3, which the configuration lists as up.
+func newStartPlay(t *testing.T) *startPlay {
+	p := &startPlay{t: t, listen: freeAddress(t), log: new(bytes.Buffer), statuses: map[int]int{}}
+	p.discovery = &startDiscovery{address: freeAddress(t)}
+	var upstreams []string
+	for i := range 3 {
+		upstreams = append(upstreams, startTCPServer(t, func(conn net.Conn) { p.serve(conn, i == 0) }))
+	}
+	p.drained = upstreams[0]
+	profile := fmt.Sprintf(`{"deadline_us":%d,"group":"all","name":"view","objective_us":200000,"late_worth":0.5,"repeat":"safe"}`,
+		startRequestTime.Microseconds())
+	p.config = strings.NewReplacer(`"discovery":"ask"`, `"discovery":"push"`, "127.0.0.1:1", p.discovery.address,
+		`"rules":{`, `"rules":{"stop_sending_within_us":500000,`, `"seq":1,`, fmt.Sprintf(`"seq":%d,`, startKnownVersion)).
+		Replace(playConfig(p.listen, profile, upstreams...))
+	return p
+}
+
+func (p *startPlay) serve(conn net.Conn, isDrained bool) {
+	for in := bufio.NewReader(conn); ; {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		if isDrained {
+			p.mu.Lock()
+			p.atDrained = append(p.atDrained, time.Now())
+			p.mu.Unlock()
+		}
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		writeText(conn, responseWith("200 OK", r.Header.Get("X-Txn")))
+	}
+}
+
+// draining is a line of the list by which s-1 drains.
+func (p *startPlay) draining() string {
+	return p.change("draining")
+}
+
+func (p *startPlay) change(health string) string {
+	entry := strings.Replace(listEntries(p.drained), `"health":"up"`, fmt.Sprintf(`"health":%q`, health), 1)
+	return fmt.Sprintf(`{"seq":%d,"whole":false,"hosts":[%s]}`+"\n", startKnownVersion+1, entry)
+}
+
+// start starts the process with further settings of its environment.
+func (p *startPlay) start(env ...string) {
+	p.t.Helper()
+	p.command = nodeCommand(p.t, p.config, "serve")
+	p.command.Env = append(append(p.command.Env, "TMPDIR="+p.t.TempDir()), env...)
+	p.command.Stderr = p.log
+	p.startedAt = time.Now()
+	p.discovery.startedAt = p.startedAt
+	if err := p.command.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	command := p.command
+	p.t.Cleanup(func() { killAndWait(command) })
+}
+
+// send keeps sending requests on new connections, from before the node is ready.
+func (p *startPlay) send() {
+	p.clients.Go(func() {
+		for i := 0; !p.stop.Load(); i++ {
+			p.clients.Go(func() { p.request(fmt.Sprintf("r%d", i)) })
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
+
+func (p *startPlay) request(id string) {
+	began := time.Now()
+	conn, err := net.Dial("tcp", p.listen)
+	if err != nil {
+		return // not listening yet, or no longer
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(startRequestTime + startAnswerSlack))
+	writef(conn, "GET /view HTTP/1.1\r\nHost: h\r\nX-Txn: %s\r\nX-Remaining-Ms: %d\r\n\r\n", id, startRequestTime.Milliseconds())
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err != nil:
+		p.lost = append(p.lost, fmt.Sprintf("%s, sent %v after the start: %v", id, began.Sub(p.startedAt), err))
+	case !p.readyAt.IsZero() && began.After(p.readyAt):
+		p.statuses[r.StatusCode]++
+	}
+}
+
+// awaitReady waits until the node is ready at an address and returns how long after its start that was.
+func (p *startPlay) awaitReady(address string) time.Duration {
+	p.t.Helper()
+	eventually(p.t, "ready", func() bool { return requestStatus(address, "GET /ready") == http.StatusOK })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readyAt = time.Now()
+	return p.readyAt.Sub(p.startedAt)
+}
+
+// end ends the clients, and checks that each request was answered and that all after the node was ready were served.
+func (p *startPlay) end() {
+	p.t.Helper()
+	p.stop.Store(true)
+	p.clients.Wait()
+	if len(p.lost) > 0 {
+		p.t.Errorf("%d requests have no answer in time, the first: %s", len(p.lost), p.lost[0])
+	}
+	served := p.statuses[http.StatusOK]
+	for status, count := range p.statuses {
+		if status != http.StatusOK {
+			p.t.Errorf("once ready, %d requests got status %d and %d were served, want all served", count, status, served)
+		}
+	}
+	if p.t.Failed() {
+		p.t.Logf("%s", p.log)
+	}
+	if served == 0 {
+		p.t.Error("no request was served once the node was ready")
+	}
+}
+
+// Guards against requests that wait in the listen backlog beyond their deadline while a process waits for discovery.
+func TestRequestsBeforeReadyAreAnswered(t *testing.T) {
+	for name, handle := range map[string]func(p *startPlay, c *startCall){
+		"silent":       func(_ *startPlay, c *startCall) { c.silent() },
+		"after 0.95 s": func(p *startPlay, c *startCall) { c.tell(950*time.Millisecond, p.draining()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newStartPlay(t)
+			p.discovery.handle = func(c *startCall) { handle(p, c) }
+			p.discovery.listen(t)
+			p.start()
+			p.send()
+			p.awaitReady(p.listen)
+			time.Sleep(startServedFor)
+			p.end()
+		})
+	}
+}
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -24,6 +24,14 @@
 	}
 }
 
+// startAccepting starts the accept loop. Later calls have no effect.
+func (f *frontend) startAccepting() {
+	f.acceptOnce.Do(func() {
+		f.accepting.Store(true)
+		go f.acceptLoop()
+	})
+}
+
 // pause stops accepting until resume is called, so that another process accepts all new connections from the shared
 // socket.
 func (f *frontend) pause() {
@@ -50,8 +58,13 @@
 //
 // It gives up earlier if nothing is accepted for acceptStallTimeout. Any process that shares the socket may switch it
 // to blocking mode, and starting another process does so briefly; an accept that blocks in the kernel ignores its
-// deadline and returns only with the next connection.
+// deadline and returns only with the next connection. If nothing has been accepted yet, another process accepts from the
+// socket, and the listener is closed at once.
 func (f *frontend) drainAndClose(deadline time.Time) {
+	if !f.accepting.Load() {
+		f.listener.Close()
+		return
+	}
 	f.draining.Store(true)
 	f.setAcceptDeadline(expiredDeadline)
 	f.wakeAccept()
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -20,6 +20,7 @@
 	requestsAccepted
 	requestsMalformed
 	requestsOverCapacity
+	requestsBeforeServing
 	requestsPaced
 	requestsSucceeded
 	requestsRejected
@@ -102,6 +103,7 @@
 	requestsAccepted:         "requests accepted",
 	requestsMalformed:        "requests malformed",
 	requestsOverCapacity:     "requests over capacity",
+	requestsBeforeServing:    "requests before serving",
 	requestsPaced:            "requests paced",
 	requestsSucceeded:        "requests succeeded",
 	requestsRejected:         "requests rejected",
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -33,6 +33,8 @@
 	acceptWake     chan struct{} // holds one value after resume or drainAndClose, for a paused acceptLoop
 	paused         atomic.Bool   // another process accepts from the shared socket
 	draining       atomic.Bool   // the listener closes once its backlog is empty
+	acceptOnce     sync.Once
+	accepting      atomic.Bool   // acceptLoop has been started
 	acceptDone     chan struct{} // closed when acceptLoop has ended
 	usedConns      atomic.Int64  // open connections with at least one request so far
 	activeConns    atomic.Int64  // open connections with an unanswered request
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,7 +25,7 @@
 	clock            clock
 	counters         counters
 	diagnostics      *diagnostics
-	serving          atomic.Bool // the endpoint list has been applied and clients are accepted
+	serving          atomic.Bool // the endpoint list has been applied; requests before that are rejected
 	shuttingDown     atomic.Bool
 	memory           memoryBudget  // for messages
 	streamedRequests atomic.Int64  // unanswered requests whose body is streamed
--- a/internal/node/requestparse.go
+++ b/internal/node/requestparse.go
@@ -20,13 +20,17 @@
 )
 
 // handle passes a request to the event loop. It answers directly if the request is a readiness check, exceeds the
-// node's capacity or is malformed.
+// node's capacity or is malformed, or if the node does not serve yet.
 func (c *clientConn) handle(pending *pendingRequest, r *http.Request) {
 	node := c.frontend.node
 	if r.URL.Path == pathReady {
 		pending.answer(response{status: node.readyStatus()})
 		return
 	}
+	if !node.serving.Load() {
+		c.reject(pending, r, requestsBeforeServing, "starting")
+		return
+	}
 	if int(c.frontend.activeConns.Load()) > c.frontend.capacity() {
 		pending.closeAfter = true
 		c.rejectOverCapacity(pending, r)
@@ -76,9 +80,14 @@
 }
 
 func (c *clientConn) rejectOverCapacity(pending *pendingRequest, r *http.Request) {
+	c.reject(pending, r, requestsOverCapacity, "over capacity")
+}
+
+// reject rejects a request that never ran, counts it and records the reason.
+func (c *clientConn) reject(pending *pendingRequest, r *http.Request, counted counter, reason string) {
 	node := c.frontend.node
-	node.counters.add(requestsOverCapacity)
-	node.recordRefused(r.Header.Get(headerRequestID), http.StatusServiceUnavailable, "over capacity")
+	node.counters.add(counted)
+	node.recordRefused(r.Header.Get(headerRequestID), http.StatusServiceUnavailable, reason)
 	pending.answer(node.overCapacityResponse())
 }
 
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -7,6 +7,10 @@
 	"go.uber.org/zap"
 )
 
+// startAcceptDelay is how long a starting process leaves connections in the listen backlog, so that their requests need
+// not be rejected if discovery answers soon.
+const startAcceptDelay = 200 * time.Millisecond
+
 // Startup, in this order: apply the initial endpoint list, inherit the estimates of an earlier process, start the
 // goroutines, wait for the first watch event if the discovery service pushes the list, and accept clients. During a hot
 // restart clients are accepted without waiting for the watch event.
@@ -51,9 +55,20 @@
 	if n.settings.Policy.MustPollList || n.inherited != nil {
 		return
 	}
-	select {
-	case <-n.endpointWatch.firstEvent:
-	case <-time.After(listConnectTimeout):
+	timeout := time.NewTimer(listConnectTimeout)
+	defer timeout.Stop()
+	accept := time.NewTimer(startAcceptDelay)
+	defer accept.Stop()
+	for {
+		select {
+		case <-n.endpointWatch.firstEvent:
+			return
+		case <-timeout.C:
+			return
+		case <-accept.C:
+			// Requests are rejected, as they would otherwise wait in the listen backlog beyond their deadlines.
+			n.frontend.startAccepting()
+		}
 	}
 }
 
@@ -65,8 +80,8 @@
 }
 
 func (n *Node) serveClients() {
-	go n.frontend.acceptLoop()
 	n.serving.Store(true)
+	n.frontend.startAccepting()
 	n.hotRestart.announceServing()
 	if n.members != nil {
 		go n.members.run()
