Handle signals while a starting node waits for discovery

Operators saw: SIGTERM in the wait for discovery had no effect until the wait was over. With deadlines of 0.4 s the platform may send SIGKILL 1.1 s after SIGTERM; a process that got SIGTERM 0.1 s after its start, with a silent discovery, ended 0.26 s after that time. What it had taken by then and not answered would be lost.

Cause: Run called start, which waits, before it read the first signal.

Change: the components start first, the wait goes on in a goroutine of its own, and signals are handled from then on. A shutdown ends the wait; the process then never serves. A lock orders "begins to serve" and "begins to shut down", so that a process does not announce itself to its predecessor while it ends.

--- a/cmd/fawnglade/firstlist_test.go
+++ b/cmd/fawnglade/firstlist_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -18,6 +20,7 @@
 
 const (
 	startReadyTimeout   = 6 * time.Second
+	startDrainGrace     = 550 * time.Millisecond // stop_sending_within_us, and 50 ms on sockets
 	startRequestTime    = 400 * time.Millisecond
 	startAnswerSlack    = 500 * time.Millisecond // after its time a request earns nothing; later it is lost
 	startServedFor      = 1500 * time.Millisecond
@@ -162,6 +165,14 @@
 	return fmt.Sprintf(`{"seq":%d,"whole":false,"hosts":[%s]}`+"\n", startKnownVersion+1, entry)
 }
 
+// withoutDrained is a whole list that leaves s-1 out.
+func (p *startPlay) withoutDrained() string {
+	_, hosts, _ := strings.Cut(p.config, `"hosts":[`)
+	hosts, _, _ = strings.Cut(hosts, "]")
+	_, rest, _ := strings.Cut(hosts, "},")
+	return fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[%s]}`+"\n", startKnownVersion+1, rest)
+}
+
 // start starts the process with further settings of its environment.
 func (p *startPlay) start(env ...string) {
 	p.t.Helper()
@@ -207,14 +218,16 @@
 	}
 }
 
-// awaitReady waits until the node is ready at an address and returns how long after its start that was.
-func (p *startPlay) awaitReady(address string) time.Duration {
+// awaitReady waits until the node is ready at an address, and checks that it is in time.
+func (p *startPlay) awaitReady(address string) {
 	p.t.Helper()
 	eventually(p.t, "ready", func() bool { return requestStatus(address, "GET /ready") == http.StatusOK })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.readyAt = time.Now()
-	return p.readyAt.Sub(p.startedAt)
+	if took := p.readyAt.Sub(p.startedAt); took > startReadyTimeout {
+		p.t.Errorf("ready %v after the start, want %v at most", took, startReadyTimeout)
+	}
 }
 
 // end ends the clients, and checks that each request was answered and that all after the node was ready were served.
@@ -239,6 +252,20 @@
 	}
 }
 
+// checkDrained checks that s-1 got nothing after the grace, counted from a time.
+func (p *startPlay) checkDrained(from time.Time) {
+	p.t.Helper()
+	late := 0
+	for _, at := range p.atDrained {
+		if at.Sub(from) > startDrainGrace {
+			late++
+		}
+	}
+	if late > 0 {
+		p.t.Errorf("%d requests reached a draining upstream after the grace", late)
+	}
+}
+
 // Guards against requests that wait in the listen backlog beyond their deadline while a process waits for discovery.
 func TestRequestsBeforeReadyAreAnswered(t *testing.T) {
 	for name, handle := range map[string]func(p *startPlay, c *startCall){
@@ -258,3 +285,57 @@
 		})
 	}
 }
+
+// Guards against a SIGTERM that has no effect, or a request that is lost, while a process waits for discovery.
+func TestShutdownWhileDiscoveryIsAwaited(t *testing.T) {
+	for name, after := range map[string]time.Duration{
+		"at the start": 100 * time.Millisecond, "later": 700 * time.Millisecond, "near the end of the wait": 5300 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newStartPlay(t)
+			p.discovery.handle = (*startCall).silent
+			p.discovery.listen(t)
+			p.start()
+			p.send()
+			time.Sleep(after)
+			killAt := time.Now().Add(startRequestTime + 700*time.Millisecond)
+			sendSignal(t, p.command, syscall.SIGTERM)
+			if err := p.command.Wait(); err != nil || time.Now().After(killAt) {
+				t.Errorf("got %v, %v after the earliest SIGKILL, want an exit in time", err, time.Since(killAt))
+			}
+			p.stop.Store(true)
+			p.clients.Wait()
+			if len(p.lost) > 0 {
+				t.Errorf("%d requests have no answer, the first: %s", len(p.lost), p.lost[0])
+			}
+		})
+	}
+}
+
+// Guards against a SIGHUP that moves discovery only after the wait for the old address has ended.
+func TestReloadWhileDiscoveryIsAwaited(t *testing.T) {
+	p := newStartPlay(t)
+	p.discovery.handle = (*startCall).silent
+	p.discovery.listen(t)
+	moved := &startDiscovery{address: freeAddress(t)}
+	moved.handle = func(c *startCall) { c.tell(0, p.withoutDrained()) }
+	moved.listen(t)
+	p.start()
+	time.Sleep(time.Second)
+	text := strings.Replace(p.config, p.discovery.address, moved.address, 1)
+	for _, setting := range p.command.Env {
+		if path, found := strings.CutPrefix(setting, "NODE_CONFIG="); found {
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	reloadedAt := time.Now()
+	sendSignal(t, p.command, syscall.SIGHUP)
+	p.awaitReady(p.listen)
+	p.send()
+	time.Sleep(startServedFor)
+	p.end()
+	p.checkDrained(reloadedAt)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"fawnglade/internal/endpointlist"
@@ -27,6 +28,8 @@
 	diagnostics      *diagnostics
 	serving          atomic.Bool // the endpoint list has been applied; requests before that are rejected
 	shuttingDown     atomic.Bool
+	lifecycle        sync.Mutex    // held while the node begins to serve or to shut down
+	shutdownBegan    chan struct{} // closed by beginShutdown
 	memory           memoryBudget  // for messages
 	streamedRequests atomic.Int64  // unanswered requests whose body is streamed
 	requestLimiter   *rate.Limiter // shared by the connections that send more than their own rate
@@ -57,6 +60,7 @@
 	parsed := &config.parsedSettings
 	n := &Node{
 		config: config, settings: parsed, log: log, clock: newClock(), diagnostics: newDiagnostics(log),
+		shutdownBegan:  make(chan struct{}),
 		requestLimiter: newSharedRequestLimiter(config.Limits.Cores),
 		listLimits:     endpointlist.LimitsFor(config.Limits.MemoryMB * bytesPerMiB),
 		classIndex:     indexByName(parsed.Classes), tenantIndex: indexByName(parsed.Tenants),
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -22,10 +22,12 @@
 }
 
 // Run serves until SIGTERM or SIGINT, then shuts down gracefully and returns. Further SIGTERM and SIGINT signals are
-// ignored during the shutdown. SIGUSR1 logs the counters and SIGHUP reloads the configuration at any time.
+// ignored during the shutdown. SIGUSR1 logs the counters and SIGHUP reloads the configuration at any time. All signals
+// are handled as well while the node waits for discovery and is not ready yet.
 func (n *Node) Run(signals <-chan os.Signal) error {
 	n.limitRuntime()
-	n.start()
+	n.startComponents()
+	go n.becomeReady()
 	sweep := time.NewTicker(idleSweepInterval)
 	defer sweep.Stop()
 	var shutDown chan struct{} // closed when the shutdown has ended; nil until it begins
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -34,9 +34,18 @@
 	clientPollInterval           = 10 * time.Millisecond  // between checks for remaining client connections
 )
 
-// beginShutdown starts the graceful shutdown and returns a channel that is closed when all clients are answered.
+// beginShutdown starts the graceful shutdown and returns a channel that is closed when all clients are answered. A node
+// that does not serve yet never will. It is called once.
 func (n *Node) beginShutdown() chan struct{} {
-	n.members.leave()
+	n.lifecycle.Lock()
+	close(n.shutdownBegan)
+	served := n.serving.Load()
+	n.lifecycle.Unlock()
+	if served {
+		n.members.leave()
+	} else if n.inherited == nil {
+		n.frontend.startAccepting() // what is in the listen backlog is rejected
+	}
 	ended := make(chan struct{})
 	go func() {
 		n.shutDown()
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -15,13 +15,24 @@
 // goroutines, wait for the first watch event if the discovery service pushes the list, and accept clients. During a hot
 // restart clients are accepted without waiting for the watch event.
 
+// start starts the node and returns once it serves.
 func (n *Node) start() {
+	n.startComponents()
+	n.becomeReady()
+}
+
+// startComponents starts everything but serving clients.
+func (n *Node) startComponents() {
 	n.loop.now = n.clock.now()
 	n.initialList = n.chooseInitialList()
 	n.hasList.Store(n.initialList.watchResumes || len(n.initialList.entries) > 0 || n.inherited != nil)
 	n.loop.endpointsUpdated(n.initialList.entries, true)
 	n.inheritEstimates()
 	n.startGoroutines()
+}
+
+// becomeReady waits for the first event of the watch and then serves clients. It returns early if a shutdown begins.
+func (n *Node) becomeReady() {
 	n.awaitFirstWatchEvent()
 	n.awaitLoop()
 	n.serveClients()
@@ -63,6 +74,8 @@
 		select {
 		case <-n.endpointWatch.firstEvent:
 			return
+		case <-n.shutdownBegan:
+			return
 		case <-timeout.C:
 			return
 		case <-accept.C:
@@ -79,7 +92,13 @@
 	<-handled
 }
 
+// serveClients accepts clients and admits their requests, unless a shutdown has begun.
 func (n *Node) serveClients() {
+	n.lifecycle.Lock()
+	defer n.lifecycle.Unlock()
+	if n.shutdownHasBegun() {
+		return
+	}
 	n.serving.Store(true)
 	n.frontend.startAccepting()
 	n.hotRestart.announceServing()
@@ -88,3 +107,13 @@
 	}
 	n.log.Info("serving", zap.String("name", n.config.Name), zap.String("listen", n.config.Listen))
 }
+
+// shutdownHasBegun reports whether beginShutdown was called.
+func (n *Node) shutdownHasBegun() bool {
+	select {
+	case <-n.shutdownBegan:
+		return true
+	default:
+		return false
+	}
+}
