Do not serve from an old list while discovery is slow to a new process

Cause: awaitFirstWatchEvent took two things for an answer that are none. The end of a wait of one second (listConnectTimeout, the limit of a dial), and the failure of any call; by the protocol calls also fail because they waited too long. The other way round, a discovery with nothing new sends empty lines alone, which were not seen, so such a start always took the whole second.

Change (internal/node/firstlist.go): the process is ready once its list is known to be current: a line of a watch has come, or an empty line with a second of silence behind it on a watch that asked for changes after the list's version. Failed, refused and waiting calls do not end the wait. It ends 5.5 s after the start at the latest, as the contract wants a process ready within 6 s, discovery down or not; then the process serves with the list of its start and goes on calling. Why a start was ready is in the log ("first list": received, unchanged, too long, missing). The membership starts before the wait, so that other nodes do not miss this one for longer than before.

--- a/internal/endpointlist/reader.go
+++ b/internal/endpointlist/reader.go
@@ -36,6 +36,8 @@
 	limits                Limits
 	lineBytes, valueBytes int64 // read since the end of the last line or value
 	betweenLines          bool
+	emptyLine             func() // called for an empty line; may be nil
+	lineStarted           func() // called for the first byte of another line; may be nil
 }
 
 func (b *boundedInput) Read(p []byte) (int, error) {
@@ -50,8 +52,12 @@
 		if rest := bytes.TrimLeft(p[:n], " \t\r\n"); len(rest) > 0 {
 			n = copy(p, rest)
 			b.betweenLines = false
+			notify(b.lineStarted)
 			break
 		}
+		if bytes.IndexByte(p[:n], '\n') >= 0 {
+			notify(b.emptyLine)
+		}
 		if err != nil {
 			return 0, err
 		}
@@ -61,6 +67,18 @@
 	return n, err
 }
 
+func notify(handler func()) {
+	if handler != nil {
+		handler()
+	}
+}
+
+// Notify sets functions that Next calls while it reads: emptyLine when one or more empty lines have arrived, lineStarted
+// when another line begins to arrive. A line that arrives together with the one before it is not reported.
+func (r *Reader) Notify(emptyLine, lineStarted func()) {
+	r.in.emptyLine, r.in.lineStarted = emptyLine, lineStarted
+}
+
 // Next reads a line. It calls begin before the first entry and accept with each entry; an entry for which accept
 // returns an error is skipped. If begin is called again (a repeated field), the caller must discard the entries before
 // it. If Next returns an error, the caller must discard all entries, and the reader can't be used any more. Next
--- a/internal/endpointlist/reader_test.go
+++ b/internal/endpointlist/reader_test.go
@@ -235,3 +235,43 @@
 		})
 	}
 }
+
+// Guards against an empty line that is missed, and a line of the list that passes for one.
+func TestReaderNotifiesOfEmptyLines(t *testing.T) {
+	const line = `{"seq":1,"whole":false,"hosts":[]}`
+	for _, c := range []struct {
+		name   string
+		pieces []string
+		want   string
+	}{
+		{"nothing", nil, ""},
+		{"empty line", []string{"\n"}, "empty "},
+		{"empty lines", []string{"\r\n", "\n"}, "empty empty "},
+		{"white space within a line", []string{"  "}, ""},
+		{"list", []string{line + "\n"}, "started "},
+		{"list behind an empty line", []string{"\n" + line + "\n"}, "started "},
+		{"list later than an empty line", []string{"\n", line[:9], line[9:] + "\n"}, "empty started "},
+		{"empty line behind a list", []string{line + "\n", "\n"}, "started empty "},
+		{"indented list in pieces", []string{"{\n", "\n", ` "seq": 1}` + "\n"}, "started "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in, out := io.Pipe()
+			go func() {
+				for _, piece := range c.pieces {
+					_, _ = io.WriteString(out, piece)
+				}
+				out.Close()
+			}()
+			got := ""
+			r := NewReader(in, Limits{ValueBytes: 1 << 10, LineBytes: 1 << 10, Endpoints: 10})
+			r.Notify(func() { got += "empty " }, func() { got += "started " })
+			var err error
+			for err == nil {
+				_, err = r.Next(func() {}, func(Entry) error { return nil })
+			}
+			if !errors.Is(err, io.EOF) || got != c.want {
+				t.Errorf("got %q and error %v, want %q and EOF", got, err, c.want)
+			}
+		})
+	}
+}
--- a/internal/node/endpointwatch.go
+++ b/internal/node/endpointwatch.go
@@ -58,8 +58,8 @@
 	retryInterval      time.Duration
 	oversizedBackoff   time.Duration // last backoff for a list that exceeds the limits; 0: the last list did not
 	reopensSilentWatch bool          // whether the next call reopens a silent watch
-	firstEvent         chan struct{} // closed once a list was applied (of discovery or relays) or a watch failed
-	firstEventOnce     sync.Once
+	firstList          *firstList
+	unchangedTimer     *time.Timer  // settles firstList after an empty line; nil: none is due
 	lastReceivedAt     atomic.Int64 // when the open watch last received data, Unix nanoseconds; 0: none is open
 
 	mu      sync.Mutex
@@ -78,7 +78,7 @@
 		silenceTimeout:    listSilenceTimeout,
 		parallelCallDelay: listParallelCallDelay,
 		retryInterval:     maxRetryInterval,
-		firstEvent:        make(chan struct{}),
+		firstList:         newFirstList(),
 	}
 	if grace := time.Duration(n.settings.DrainGrace); grace > 0 {
 		w.retryInterval = max(min(w.retryInterval, grace/drainGraceDivisor), minRetryInterval)
@@ -130,9 +130,6 @@
 	}
 }
 
-// markFirstEvent unblocks a start that waits for the first list or failure.
-func (w *endpointWatch) markFirstEvent() { w.firstEventOnce.Do(func() { close(w.firstEvent) }) }
-
 // run opens watches, one at a time, until the process ends.
 func (w *endpointWatch) run() {
 	if !w.node.settings.Policy.MustPollList {
@@ -159,7 +156,6 @@
 		return
 	}
 	w.node.counters.add(listWatchesFailed)
-	w.markFirstEvent()
 	select {
 	case <-time.After(w.backoff(opened, err, time.Since(began))):
 	case <-w.callRequests:
@@ -197,6 +193,7 @@
 		w.node.log.Error("endpoint list exceeds the limits; keeping the previous list", zap.Error(err))
 	}
 	w.oversizedBackoff = min(max(2*w.oversizedBackoff, maxRetryInterval), maxOversizedBackoff)
+	w.firstList.settle(firstListTooLong)
 }
 
 // watch opens a watch and applies its updates until it fails. It returns whether the watch was open and the error.
@@ -213,6 +210,10 @@
 	defer w.lastReceivedAt.Store(0)
 	defer stream.Close()
 	reader := endpointlist.NewReader(stream, w.node.listLimits)
+	if w.version > 0 && w.firstList.current() == firstListMissing {
+		reader.Notify(w.emptyLineReceived, w.lineStarted)
+		defer w.lineStarted()
+	}
 	for {
 		update, err := w.node.readList(reader.Next)
 		if err != nil {
@@ -225,6 +226,22 @@
 	}
 }
 
+// emptyLineReceived handles an empty line of a watch that requested the changes after a version. Discovery sends the
+// changes first, so if none follow there are none.
+func (w *endpointWatch) emptyLineReceived() {
+	if w.unchangedTimer == nil {
+		w.unchangedTimer = time.AfterFunc(unchangedListDelay, func() { w.firstList.settle(firstListUnchanged) })
+	}
+}
+
+// lineStarted handles the start of a line of the list, and the end of the watch: an empty line before is no answer.
+func (w *endpointWatch) lineStarted() {
+	if w.unchangedTimer != nil {
+		w.unchangedTimer.Stop()
+		w.unchangedTimer = nil
+	}
+}
+
 func (w *endpointWatch) call(address string) discovery.Call {
 	call := discovery.Call{
 		Address:        address,
--- /dev/null
+++ b/internal/node/firstlist.go
@@ -0,0 +1,102 @@
+package node
+
+// The wait of a starting process for discovery. Where discovery pushes the endpoint list, each change that discovery has
+// is binding from the start of a process, but the list of the configuration or of the state directory may be old. So the
+// process waits until its list is known to be current, and sends nothing to endpoints before.
+//
+// A failed, refused or unanswered call does not end the wait: discovery may be slow or overloaded, and from a single
+// call that can't be told from an outage. The wait is limited, as a process must also be ready in time during an
+// outage. After that the process serves with the list that it has, and goes on calling.
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// Given by the deployment's contract.
+	readyTimeout = 6 * time.Second // from the start of a process until it is ready
+
+	readyMargin = 500 * time.Millisecond // of readyTimeout, for starting the program and for readiness checks
+	// startAcceptDelay is how long a starting process leaves connections in the listen backlog, so that their requests
+	// need not be rejected if discovery answers soon.
+	startAcceptDelay = 200 * time.Millisecond
+	// unchangedListDelay is how long a watch is silent after an empty line until that counts as its answer. A line of
+	// the list may follow at once.
+	unchangedListDelay = time.Second
+)
+
+// firstListResult is why a starting process stops waiting for discovery.
+type firstListResult int
+
+const (
+	firstListMissing   firstListResult = iota // not settled
+	firstListReceived                         // discovery or a relay has sent the list, or changes of it
+	firstListUnchanged                        // discovery has nothing newer than the list of the start
+	firstListTooLong                          // discovery's list exceeds the limits and can't be used
+	firstListResultCount
+)
+
+var firstListNames = [firstListResultCount]string{
+	firstListMissing:   "missing",
+	firstListReceived:  "received",
+	firstListUnchanged: "unchanged",
+	firstListTooLong:   "too long",
+}
+
+func (r firstListResult) String() string { return nameOf(firstListNames[:], int(r)) }
+
+// firstList records the first answer of discovery or relays. Its methods are safe for concurrent use.
+type firstList struct {
+	once    sync.Once
+	settled chan struct{} // closed once result is set
+	result  firstListResult
+}
+
+func newFirstList() *firstList { return &firstList{settled: make(chan struct{})} }
+
+// settle records the first answer. Later calls have no effect.
+func (f *firstList) settle(result firstListResult) {
+	f.once.Do(func() {
+		f.result = result
+		close(f.settled)
+	})
+}
+
+// current returns the result so far, without waiting.
+func (f *firstList) current() firstListResult {
+	select {
+	case <-f.settled:
+		return f.result
+	default:
+		return firstListMissing
+	}
+}
+
+// awaitFirstList waits until the first list is settled, the timeout has passed or a shutdown has begun.
+func (n *Node) awaitFirstList() {
+	if n.settings.Policy.MustPollList || n.inherited != nil {
+		return
+	}
+	timeout := time.NewTimer(time.Until(n.clock.start.Add(readyTimeout - readyMargin)))
+	defer timeout.Stop()
+	accept := time.NewTimer(startAcceptDelay)
+	defer accept.Stop()
+	for {
+		select {
+		case <-n.endpointWatch.firstList.settled:
+			return
+		case <-n.shutdownBegan:
+			return
+		case <-timeout.C:
+			n.log.Warn("discovery has not sent the endpoint list in time; serving with the list of the start",
+				zap.Duration("after", time.Since(n.clock.start)), zap.Int("endpoints", len(n.initialList.entries)))
+			return
+		case <-accept.C:
+			// Requests are rejected, as they would otherwise wait in the listen backlog beyond their deadlines.
+			n.frontend.startAccepting()
+		}
+	}
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fawnglade/internal/datagram"
@@ -30,7 +31,7 @@
 
 // memberAgent runs the membership of package members on a UDP socket, in its own goroutines: if it fails, the node
 // loses its view of other nodes, but no request. It is nil where the settings don't allow messages between nodes, or
-// the features file configures no members. Only query, viewJSON, leave and end may be called on a nil agent.
+// the features file configures no members. Only launch, query, viewJSON, leave and end may be called on a nil agent.
 type memberAgent struct {
 	node       *Node
 	config     *features.Members
@@ -39,6 +40,8 @@
 	received   chan []byte
 	queries    chan func()
 	done       chan struct{}
+	startOnce  sync.Once
+	started    atomic.Bool // run has been started
 	endOnce    sync.Once
 }
 
@@ -72,6 +75,16 @@
 	_, _ = a.socket.WriteToUDPAddrPort(datagram, a.config.Addresses[to]) // treated as a lost datagram
 }
 
+// launch starts run. Later calls have no effect.
+func (a *memberAgent) launch() {
+	if a != nil {
+		a.startOnce.Do(func() {
+			a.started.Store(true)
+			go a.run()
+		})
+	}
+}
+
 // run runs the membership until the process ends or a successor serves.
 func (a *memberAgent) run() {
 	defer a.end()
@@ -202,7 +215,7 @@
 
 // leave notifies the other nodes that this node ends, unless a successor continues under its name.
 func (a *memberAgent) leave() {
-	if a == nil || a.node.hotRestart.hasServingSuccessor() {
+	if a == nil || !a.started.Load() || a.node.hotRestart.hasServingSuccessor() {
 		return
 	}
 	if err := a.query(func(m *members.Members, _ int64) { m.Leave() }); err != nil {
--- a/internal/node/relays.go
+++ b/internal/node/relays.go
@@ -94,7 +94,7 @@
 		n.listGossip.primaryListUpdated(listUpdate{entries, version, complete})
 	}
 	n.hasList.Store(true)
-	n.endpointWatch.markFirstEvent()
+	n.endpointWatch.firstList.settle(firstListReceived)
 }
 
 // listConfirmedAt returns when the list was last known to be current, in Unix nanoseconds; 0: it is not known to be.
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -41,11 +41,10 @@
 	close(n.shutdownBegan)
 	served := n.serving.Load()
 	n.lifecycle.Unlock()
-	if served {
-		n.members.leave()
-	} else if n.inherited == nil {
+	if !served && n.inherited == nil {
 		n.frontend.startAccepting() // what is in the listen backlog is rejected
 	}
+	n.members.leave()
 	ended := make(chan struct{})
 	go func() {
 		n.shutDown()
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -7,13 +7,8 @@
 	"go.uber.org/zap"
 )
 
-// startAcceptDelay is how long a starting process leaves connections in the listen backlog, so that their requests need
-// not be rejected if discovery answers soon.
-const startAcceptDelay = 200 * time.Millisecond
-
 // Startup, in this order: apply the initial endpoint list, inherit the estimates of an earlier process, start the
-// goroutines, wait for the first watch event if the discovery service pushes the list, and accept clients. During a hot
-// restart clients are accepted without waiting for the watch event.
+// goroutines, wait for the first list of discovery if that pushes the list (firstlist.go), and serve clients.
 
 // start starts the node and returns once it serves.
 func (n *Node) start() {
@@ -31,9 +26,14 @@
 	n.startGoroutines()
 }
 
-// becomeReady waits for the first event of the watch and then serves clients. It returns early if a shutdown begins.
+// becomeReady serves clients once the endpoint list is known to be current, or can't be awaited any longer. It returns
+// early if a shutdown begins. The membership of a predecessor runs until this process serves; otherwise the membership
+// starts before the wait.
 func (n *Node) becomeReady() {
-	n.awaitFirstWatchEvent()
+	if n.inherited == nil {
+		n.members.launch()
+	}
+	n.awaitFirstList()
 	n.awaitLoop()
 	n.serveClients()
 }
@@ -60,31 +60,6 @@
 	go n.gossiper.sendLoop()
 }
 
-// awaitFirstWatchEvent waits up to listConnectTimeout until the watch has returned an event or failed. A pushed list is
-// binding from the start of the process, so it is applied before the first request.
-func (n *Node) awaitFirstWatchEvent() {
-	if n.settings.Policy.MustPollList || n.inherited != nil {
-		return
-	}
-	timeout := time.NewTimer(listConnectTimeout)
-	defer timeout.Stop()
-	accept := time.NewTimer(startAcceptDelay)
-	defer accept.Stop()
-	for {
-		select {
-		case <-n.endpointWatch.firstEvent:
-			return
-		case <-n.shutdownBegan:
-			return
-		case <-timeout.C:
-			return
-		case <-accept.C:
-			// Requests are rejected, as they would otherwise wait in the listen backlog beyond their deadlines.
-			n.frontend.startAccepting()
-		}
-	}
-}
-
 // awaitLoop waits until the event loop has handled all events queued so far.
 func (n *Node) awaitLoop() {
 	handled := make(chan struct{})
@@ -102,10 +77,10 @@
 	n.serving.Store(true)
 	n.frontend.startAccepting()
 	n.hotRestart.announceServing()
-	if n.members != nil {
-		go n.members.run()
-	}
-	n.log.Info("serving", zap.String("name", n.config.Name), zap.String("listen", n.config.Listen))
+	n.members.launch()
+	n.log.Info("serving", zap.String("name", n.config.Name), zap.String("listen", n.config.Listen),
+		zap.Stringer("first list", n.endpointWatch.firstList.current()),
+		zap.Duration("since the start", time.Since(n.clock.start)))
 }
 
 // shutdownHasBegun reports whether beginShutdown was called.
