Accept a reload where the clients' socket is inherited and there is no console

Operators saw: with the clients' listening socket inherited (NODE_INHERITED_FD) and no console configured, SIGHUP was refused, "expected a listening socket, got descriptor 3, which does not listen", and the watch stayed at the old discovery address.

Cause: a reload read the configuration as a start does, with the check of the inherited descriptor. The node duplicates that descriptor at its start and closes it, so by then its number stands for another file. With a console it was by chance the console's listening socket.

Change: a reload ignores the descriptor.

The plays of firstlist_test.go now have their ports from sockets that the test holds: in one run some of them fell because another had taken the port that they had looked up. So a request is lost if it comes to the shared socket after the process has ended; clients of the shutdown plays come for 0.4 s after SIGTERM, as the contract says.

--- a/cmd/fawnglade/firstlist_test.go
+++ b/cmd/fawnglade/firstlist_test.go
@@ -19,20 +19,22 @@
 // Plays of processes that start while discovery is slow, failing, down, silent or has nothing new.
 
 const (
-	startReadyTimeout   = 6 * time.Second
-	startDrainGrace     = 550 * time.Millisecond // stop_sending_within_us, and 50 ms on sockets
-	askedListGrace      = 6 * time.Second        // until a list is binding at the latest where nodes ask for it
-	startRequestTime    = 400 * time.Millisecond
-	startAnswerSlack    = 500 * time.Millisecond // after its time a request earns nothing; later it is lost
-	startServedFor      = 1500 * time.Millisecond
-	startKnownVersion   = 40
-	startWatchHead      = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	startEmptyLineEvery = 2 * time.Second
+	startReadyTimeout     = 6 * time.Second
+	startDrainGrace       = 550 * time.Millisecond // stop_sending_within_us, and 50 ms on sockets
+	askedListGrace        = 6 * time.Second        // until a list is binding at the latest where nodes ask for it
+	startRequestTime      = 400 * time.Millisecond
+	startAnswerSlack      = 500 * time.Millisecond // after its time a request earns nothing; later it is lost
+	startClientsAfterTerm = 400 * time.Millisecond // new connections go on coming after SIGTERM
+	startServedFor        = 1500 * time.Millisecond
+	startKnownVersion     = 40
+	startWatchHead        = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	startEmptyLineEvery   = 2 * time.Second
 )
 
 // startDiscovery is a stand-in for discovery that handles each call with a function.
 type startDiscovery struct {
 	address   string
+	socket    *os.File // bound to address; connections are refused until listen
 	startedAt time.Time
 	calls     atomic.Int64
 	handle    func(c *startCall)
@@ -45,9 +47,32 @@
 	since  time.Duration // from the start of the process until the call
 }
 
+// newStartDiscovery reserves an address.
+func newStartDiscovery(t *testing.T) *startDiscovery {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket := os.NewFile(uintptr(fd), "discovery")
+	t.Cleanup(func() { socket.Close() })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &startDiscovery{address: fmt.Sprint("127.0.0.1:", bound.(*syscall.SockaddrInet4).Port), socket: socket}
+}
+
 // listen answers calls at the address until the test ends.
 func (d *startDiscovery) listen(t *testing.T) {
-	listener, err := net.Listen("tcp", d.address)
+	if err := syscall.Listen(int(d.socket.Fd()), syscall.SOMAXCONN); err != nil {
+		t.Error(err)
+		return
+	}
+	listener, err := net.FileListener(d.socket)
 	if err != nil {
 		t.Error(err)
 		return
@@ -111,14 +136,15 @@
 
 // startPlay is a node's process, its upstreams and its clients.
 type startPlay struct {
-	t         *testing.T
-	listen    string
-	config    string
-	command   *exec.Cmd
-	log       *bytes.Buffer
-	startedAt time.Time
-	discovery *startDiscovery
-	slowStart bool // endpoints are in slow start, so that some requests are rejected
+	t            *testing.T
+	listen       string
+	config       string
+	listenerFile *os.File // the clients' socket, which all processes inherit
+	command      *exec.Cmd
+	log          *bytes.Buffer
+	startedAt    time.Time
+	discovery    *startDiscovery
+	slowStart    bool // endpoints are in slow start, so that some requests are rejected
 
 	drained   string // address of s-1
 	mu        sync.Mutex
@@ -132,8 +158,9 @@
 
 // newStartPlay prepares upstreams s-1 to s-3, which the configuration lists as up.
 func newStartPlay(t *testing.T) *startPlay {
-	p := &startPlay{t: t, listen: freeAddress(t), log: new(bytes.Buffer), statuses: map[int]int{}}
-	p.discovery = &startDiscovery{address: freeAddress(t)}
+	p := &startPlay{t: t, log: new(bytes.Buffer), statuses: map[int]int{}, discovery: newStartDiscovery(t)}
+	listener, listenerFile := inheritedListener(t)
+	p.listen, p.listenerFile = listener.Addr().String(), listenerFile
 	var upstreams []string
 	for i := range 3 {
 		upstreams = append(upstreams, startTCPServer(t, func(conn net.Conn) { p.serve(conn, i == 0) }))
@@ -191,7 +218,8 @@
 func (p *startPlay) start(env ...string) {
 	p.t.Helper()
 	p.command = nodeCommand(p.t, p.config, "serve")
-	p.command.Env = append(append(p.command.Env, "TMPDIR="+p.t.TempDir()), env...)
+	p.command.Env = append(append(p.command.Env, "TMPDIR="+p.t.TempDir(), "NODE_INHERITED_FD=3"), env...)
+	p.command.ExtraFiles = []*os.File{p.listenerFile}
 	p.command.Stderr = p.log
 	p.startedAt = time.Now()
 	p.discovery.startedAt = p.startedAt
@@ -216,7 +244,8 @@
 	began := time.Now()
 	conn, err := net.Dial("tcp", p.listen)
 	if err != nil {
-		return // not listening yet, or no longer
+		p.t.Error(err)
+		return
 	}
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(startRequestTime + startAnswerSlack))
@@ -474,10 +503,10 @@
 			time.Sleep(after)
 			killAt := time.Now().Add(startRequestTime + 700*time.Millisecond)
 			sendSignal(t, p.command, syscall.SIGTERM)
+			time.AfterFunc(startClientsAfterTerm, func() { p.stop.Store(true) })
 			if err := p.command.Wait(); err != nil || time.Now().After(killAt) {
 				t.Errorf("got %v, %v after the earliest SIGKILL, want an exit in time", err, time.Since(killAt))
 			}
-			p.stop.Store(true)
 			p.clients.Wait()
 			if len(p.lost) > 0 {
 				t.Errorf("%d requests have no answer, the first: %s", len(p.lost), p.lost[0])
@@ -491,7 +520,7 @@
 	p := newStartPlay(t)
 	p.discovery.handle = (*startCall).silent
 	p.discovery.listen(t)
-	moved := &startDiscovery{address: freeAddress(t)}
+	moved := newStartDiscovery(t)
 	moved.handle = func(c *startCall) { c.tell(0, p.withoutDrained()) }
 	moved.listen(t)
 	p.start()
--- a/internal/endpointlist/reader_test.go
+++ b/internal/endpointlist/reader_test.go
@@ -260,7 +260,7 @@
 				for _, piece := range c.pieces {
 					_, _ = io.WriteString(out, piece)
 				}
-				out.Close()
+				_ = out.Close()
 			}()
 			got := ""
 			r := NewReader(in, Limits{ValueBytes: 1 << 10, LineBytes: 1 << 10, Endpoints: 10})
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -78,12 +78,18 @@
 }
 
 // ReadConfig reads and validates a configuration file; errors name the file and the key.
-func ReadConfig(path string) (*Config, error) {
+func ReadConfig(path string) (*Config, error) { return readConfig(path, os.Getenv(envInherited)) }
+
+// rereadConfig is ReadConfig for a running node. It ignores the inherited descriptor, which the node has duplicated and
+// closed: by now its number may stand for another file.
+func rereadConfig(path string) (*Config, error) { return readConfig(path, "") }
+
+func readConfig(path, inheritedFD string) (*Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{path: path, filesDir: os.TempDir(), inheritedFD: os.Getenv(envInherited)}
+	c := &Config{path: path, filesDir: os.TempDir(), inheritedFD: inheritedFD}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -55,7 +55,7 @@
 // reload reads the configuration file again. Only the discovery address can change while the node runs; the keys that
 // changedKeys returns are logged as taking effect only after a restart. An invalid file changes nothing.
 func (n *Node) reload() {
-	reloaded, err := ReadConfig(n.config.path)
+	reloaded, err := rereadConfig(n.config.path)
 	if err != nil {
 		n.counters.add(configReloadsRejected)
 		n.log.Error("invalid configuration rejected; keeping the previous one", zap.Error(err))
