Have a successor wait for discovery as well, and the old process accept meanwhile

Callers saw: in an upgrade the new process was ready at once, with the list that the old one had when it started. A drain that only the old process was told of reached the new one with discovery's answer.

Evidence: TestUpgradeWithSlowDiscovery fails in these two cases without this change.

Change: a successor waits too, 3.5 s after its start at the longest, 2 s less than others, as changes bind it 2 s after it is ready. What the wait needs beside it: the successor reads the old process's changes from its start on, not only once it serves; an old process that is told to stop while its successor still starts goes on accepting until shortly before its end, and if it ends the successor rejects what comes until it serves (cases "the old process ends": requests on the shared socket are all answered in time). Where the old process could not be asked for its state but may run, the new one accepts nothing before it serves.

--- a/cmd/fawnglade/firstlist_test.go
+++ b/cmd/fawnglade/firstlist_test.go
@@ -21,6 +21,7 @@
 const (
 	startReadyTimeout     = 6 * time.Second
 	startDrainGrace       = 550 * time.Millisecond // stop_sending_within_us, and 50 ms on sockets
+	successorListGrace    = 2 * time.Second        // from a ready successor until the list is binding for it
 	askedListGrace        = 6 * time.Second        // until a list is binding at the latest where nodes ask for it
 	startRequestTime      = 400 * time.Millisecond
 	startAnswerSlack      = 500 * time.Millisecond // after its time a request earns nothing; later it is lost
@@ -541,3 +542,99 @@
 	p.end()
 	p.checkDrained(reloadedAt)
 }
+
+// startSuccessor starts a second process of the play's node.
+func (p *startPlay) startSuccessor(env ...string) {
+	p.t.Helper()
+	successor := nodeCommand(p.t, p.config, "serve")
+	successor.Env = append(append(successor.Env, "NODE_INHERITED_FD=3"), env...)
+	successor.ExtraFiles = p.command.ExtraFiles
+	if err := successor.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { killAndWait(successor) })
+}
+
+// upgradeCase is a hot restart while discovery leaves new calls waiting.
+type upgradeCase struct {
+	answerAfter time.Duration // of new calls; 0: never
+	oldEndsAt   time.Duration // SIGTERM to the old process, from the start of the successor; 0: once that is ready
+}
+
+func (c *upgradeCase) play(t *testing.T) {
+	p := newStartPlay(t)
+	dir, oldConsole, newConsole := t.TempDir(), freeAddress(t), freeAddress(t)
+	var mu sync.Mutex
+	var watches []*startCall
+	p.discovery.handle = func(call *startCall) {
+		if call.number == 0 { // of the old process
+			call.head()
+			call.chunk("\n")
+			mu.Lock()
+			watches = append(watches, call)
+			mu.Unlock()
+			call.stayOpen()
+		}
+		if c.answerAfter == 0 {
+			call.silent()
+		}
+		call.tell(c.answerAfter, p.withoutDrained())
+	}
+	p.discovery.listen(t)
+	env := func(console string) []string {
+		return []string{"TMPDIR=" + dir, "NODE_CONSOLE=" + console}
+	}
+	p.start(env(oldConsole)...)
+	old := p.command
+	p.awaitReady(oldConsole)
+	p.send()
+	successorStart := time.Now()
+	p.startSuccessor(env(newConsole)...)
+	time.AfterFunc(300*time.Millisecond, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		watches[0].chunk(p.draining())
+	})
+	if c.oldEndsAt > 0 {
+		p.mu.Lock()
+		p.readyAt = time.Time{} // requests may be rejected while nobody serves
+		p.mu.Unlock()
+		time.Sleep(c.oldEndsAt - time.Since(successorStart))
+		sendSignal(t, old, syscall.SIGTERM)
+	}
+	eventually(t, "the successor is ready", func() bool {
+		return requestStatus(newConsole, "GET /ready") == http.StatusOK
+	})
+	successorReady := time.Now()
+	if took := successorReady.Sub(successorStart); took > startReadyTimeout {
+		t.Errorf("the successor is ready after %v, want %v at most", took, startReadyTimeout)
+	}
+	p.mu.Lock()
+	p.readyAt = successorReady
+	p.mu.Unlock()
+	if c.oldEndsAt == 0 {
+		sendSignal(t, old, syscall.SIGTERM)
+	}
+	time.Sleep(successorListGrace + startServedFor)
+	p.end()
+	if c.answerAfter > 0 {
+		p.checkDrained(successorReady.Add(successorListGrace))
+	}
+}
+
+// Guards against an upgraded process that misses a drain, or loses requests, while discovery leaves its call waiting.
+func TestUpgradeWithSlowDiscovery(t *testing.T) {
+	for name, c := range map[string]upgradeCase{
+		"answers at once":                         {answerAfter: time.Millisecond},
+		"answers after 4 s":                       {answerAfter: 4 * time.Second},
+		"answers after 5.5 s":                     {answerAfter: 5500 * time.Millisecond},
+		"never answers":                           {},
+		"never answers, the old process ends":     {oldEndsAt: 500 * time.Millisecond},
+		"answers after 2 s, the old process ends": {answerAfter: 2 * time.Second, oldEndsAt: 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.play(t)
+		})
+	}
+}
--- a/internal/node/firstlist.go
+++ b/internal/node/firstlist.go
@@ -17,7 +17,8 @@
 
 const (
 	// Given by the deployment's contract.
-	readyTimeout = 6 * time.Second // from the start of a process until it is ready
+	readyTimeout       = 6 * time.Second // from the start of a process until it is ready
+	successorListDelay = 2 * time.Second // from a ready successor until changes of the list are binding for it
 
 	readyMargin = 500 * time.Millisecond // of readyTimeout, for starting the program and for readiness checks
 	// startAcceptDelay is how long a starting process leaves connections in the listen backlog, so that their requests
@@ -75,14 +76,24 @@
 	}
 }
 
+// firstListTimeout returns how long after its start a process waits for the first list. Changes become binding later for
+// a successor, so it need not wait as long.
+func (n *Node) firstListTimeout() time.Duration {
+	timeout := readyTimeout - readyMargin
+	if n.inherited != nil {
+		timeout -= successorListDelay
+	}
+	return timeout
+}
+
 // awaitFirstList waits until the first list is settled, the timeout has passed or a shutdown has begun.
 func (n *Node) awaitFirstList() {
-	if n.settings.Policy.MustPollList || n.inherited != nil {
+	if n.settings.Policy.MustPollList {
 		return
 	}
-	timeout := time.NewTimer(time.Until(n.clock.start.Add(readyTimeout - readyMargin)))
+	timeout := time.NewTimer(time.Until(n.clock.start.Add(n.firstListTimeout())))
 	defer timeout.Stop()
-	accept := time.NewTimer(startAcceptDelay)
+	accept := time.NewTicker(startAcceptDelay)
 	defer accept.Stop()
 	for {
 		select {
@@ -96,7 +107,9 @@
 			return
 		case <-accept.C:
 			// Requests are rejected, as they would otherwise wait in the listen backlog beyond their deadlines.
-			n.frontend.startAccepting()
+			if !n.hotRestart.mayShareListener() {
+				n.frontend.startAccepting()
+			}
 		}
 	}
 }
--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,6 +42,7 @@
 	predecessorInput *bufio.Reader
 	toPredecessor    <-chan recentChange
 	successorServing bool // the successor accepts the new connections
+	unusable         bool // a predecessor whose state could not be inherited may be running; set before the node starts
 }
 
 func newHotRestart(n *Node) *hotRestart {
@@ -59,6 +61,7 @@
 	case errors.Is(err, os.ErrNotExist):
 		return nil
 	case err != nil:
+		h.unusable = !errors.Is(err, syscall.ECONNREFUSED) // refused: that process has ended
 		h.node.counters.add(hotRestartsIgnored)
 		h.node.log.Warn("hot restart: predecessor is not usable; starting without its state",
 			zap.String("socket", h.path), zap.Error(err))
@@ -93,6 +96,23 @@
 	return state, nil
 }
 
+// hasPredecessor reports whether a predecessor is running.
+func (h *hotRestart) hasPredecessor() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.predecessor != nil
+}
+
+// mayShareListener reports whether another process may be accepting clients from the same socket.
+func (h *hotRestart) mayShareListener() bool { return h.unusable || h.hasPredecessor() }
+
+// followPredecessor applies the changes of the predecessor, if there is one, until it ends.
+func (h *hotRestart) followPredecessor() {
+	if h.predecessor != nil {
+		go h.awaitPredecessorEnd(h.predecessor)
+	}
+}
+
 // announceServing notifies the predecessor that this process serves, and opens the socket for a successor.
 func (h *hotRestart) announceServing() {
 	h.mu.Lock()
@@ -103,7 +123,6 @@
 			h.node.log.Warn("hot restart: notifying the predecessor failed", zap.Error(err))
 		}
 		go writeRecentChanges(predecessor, h.toPredecessor)
-		go h.awaitPredecessorEnd(predecessor)
 	}
 	h.openSocket()
 }
@@ -303,6 +322,19 @@
 	return h.successorServing
 }
 
+// awaitStartingSuccessor waits until a successor that does not serve yet serves or ends, or the given time is reached.
+func (h *hotRestart) awaitStartingSuccessor(until time.Time) {
+	for h.hasStartingSuccessor() && time.Now().Before(until) {
+		time.Sleep(clientPollInterval)
+	}
+}
+
+func (h *hotRestart) hasStartingSuccessor() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.successor != nil && !h.successorServing
+}
+
 // processCount returns the number of running processes of the node, including this one.
 func (h *hotRestart) processCount() int {
 	h.mu.Lock()
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -9,7 +9,7 @@
 //
 //  1. The node reports that it is not ready, notifies the other members, and announces with each response that it will
 //     close the client connection. It still accepts connections and requests for acceptAfterTerm, because load
-//     balancers need that long to notice.
+//     balancers need that long to notice, and while a successor is still starting, because nobody else accepts then.
 //  2. The listener is closed after its backlog is drained, idle client connections are closed, and requests in flight
 //     continue, with retries, until they are answered.
 //  3. At answerMargin before the platform may kill the process, each unanswered request is answered: rejected if no
@@ -41,7 +41,7 @@
 	close(n.shutdownBegan)
 	served := n.serving.Load()
 	n.lifecycle.Unlock()
-	if !served && n.inherited == nil {
+	if !served && !n.hotRestart.hasPredecessor() {
 		n.frontend.startAccepting() // what is in the listen backlog is rejected
 	}
 	n.members.leave()
@@ -71,6 +71,7 @@
 		time.Sleep(acceptAfterTerm)
 	}
 	answerBy := killAt.Add(-answerMargin)
+	n.hotRestart.awaitStartingSuccessor(answerBy)
 	n.frontend.drainAndClose(answerBy)
 	n.hotRestart.close()
 	if n.awaitClients(answerBy) {
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -30,7 +30,7 @@
 // early if a shutdown begins. The membership of a predecessor runs until this process serves; otherwise the membership
 // starts before the wait.
 func (n *Node) becomeReady() {
-	if n.inherited == nil {
+	if !n.hotRestart.hasPredecessor() {
 		n.members.launch()
 	}
 	n.awaitFirstList()
@@ -58,6 +58,7 @@
 	go n.endpointWatch.run()
 	go n.relays.Run(context.Background())
 	go n.gossiper.sendLoop()
+	n.hotRestart.followPredecessor()
 }
 
 // awaitLoop waits until the event loop has handled all events queued so far.
