Serve after three seconds where all calls to discovery fail at once

Operators would have seen, since: a process that starts in an outage of discovery was ready only at the end of the wait, 5.5 s after its start.

Cause: an outage was told from a slow discovery by the end of the wait alone.

Change: discovery counts as down where all calls for 3 s have failed within half a second of their start, and the process then serves with its list. By the protocol a call fails because discovery is down or because it waited too long, and what fails at once has not waited. Without any list /ready gives that as its reason also while the process waits, as the test wants. The log has a line when the wait begins.

--- a/cmd/fawnglade/firstlist_test.go
+++ b/cmd/fawnglade/firstlist_test.go
@@ -425,12 +425,12 @@
 		"ends after its head for 1 s, then after 2": {handle: failUntil(1000*milli, 2000*milli, func(c *startCall) { c.head(); writeText(c.conn, "0\r\n\r\n") })},
 		"down for 2 s, then after 2.5 s":            {downFor: 2000 * milli, handle: tellAfter(2500 * milli)},
 
-		"down":                 {nothing: true, downFor: time.Hour, firstList: "missing"},
+		"down":                 {nothing: true, downFor: time.Hour, firstList: "discovery down"},
 		"silent":               {nothing: true, handle: always((*startCall).silent), firstList: "missing"},
 		"silent after heads":   {nothing: true, handle: always(func(c *startCall) { c.head(); c.silent() }), firstList: "missing"},
-		"503":                  {nothing: true, handle: always((*startCall).unavailable), firstList: "missing"},
+		"503":                  {nothing: true, handle: always((*startCall).unavailable), firstList: "discovery down"},
 		"503 after 2 s":        {nothing: true, handle: always(func(c *startCall) { time.Sleep(2000 * milli); c.unavailable() }), firstList: "missing"},
-		"resets":               {nothing: true, handle: always((*startCall).reset), firstList: "missing"},
+		"resets":               {nothing: true, handle: always((*startCall).reset), firstList: "discovery down"},
 		"noise":                {nothing: true, handle: always(func(c *startCall) { c.head(); c.chunk("no list\n") }), firstList: "missing"},
 		"half a line":          {nothing: true, handle: func(p *startPlay, c *startCall) { c.head(); c.chunk(p.draining()[:60]); c.silent() }, firstList: "missing"},
 		"nothing new, no line": {nothing: true, handle: always(func(c *startCall) { c.head(); c.stayOpen() }), firstList: "unchanged"},
@@ -450,7 +450,7 @@
 		},
 
 		"persisted list, after 2.5 s": {stateDir: true, handle: func(p *startPlay, c *startCall) { c.tell(2500*milli, p.withoutDrained()) }},
-		"persisted list, 503":         {stateDir: true, nothing: true, handle: always((*startCall).unavailable), firstList: "missing"},
+		"persisted list, 503":         {stateDir: true, nothing: true, handle: always((*startCall).unavailable), firstList: "discovery down"},
 
 		"asked, after 5 s": {asked: true, handle: tellAfter(5000 * milli), firstList: "missing"},
 		"asked, 503 for 1.5 s, then after 2.5 s": {
--- a/internal/node/endpointwatch.go
+++ b/internal/node/endpointwatch.go
@@ -60,6 +60,7 @@
 	reopensSilentWatch bool          // whether the next call reopens a silent watch
 	firstList          *firstList
 	unchangedTimer     *time.Timer  // settles firstList after an empty line; nil: none is due
+	failingSince       time.Time    // start of the first of the last calls that all failed at once; zero: there is none
 	lastReceivedAt     atomic.Int64 // when the open watch last received data, Unix nanoseconds; 0: none is open
 
 	mu      sync.Mutex
@@ -153,9 +154,11 @@
 			w.node.log.Info("endpoint watch closed: the discovery address has changed", zap.String("from", address))
 		}
 		w.reopensSilentWatch = false
+		w.failingSince = time.Time{}
 		return
 	}
 	w.node.counters.add(listWatchesFailed)
+	w.recordFailure(began, opened)
 	select {
 	case <-time.After(w.backoff(opened, err, time.Since(began))):
 	case <-w.callRequests:
@@ -163,6 +166,19 @@
 	w.requestCall()
 }
 
+// recordFailure handles a failed call, or the failure of an open watch, with regard to whether discovery is down.
+func (w *endpointWatch) recordFailure(began time.Time, opened bool) {
+	now := time.Now()
+	switch {
+	case opened || now.Sub(began) > queuedCallTime:
+		w.failingSince = time.Time{}
+	case w.failingSince.IsZero():
+		w.failingSince = began
+	case now.Sub(w.failingSince) >= discoveryDownDelay:
+		w.firstList.settle(firstListDiscoveryDown)
+	}
+}
+
 // backoff returns the delay before the next call after a watch that ended with an error.
 func (w *endpointWatch) backoff(opened bool, err error, lasted time.Duration) time.Duration {
 	var tooLong *endpointlist.TooLongError
--- a/internal/node/firstlist.go
+++ b/internal/node/firstlist.go
@@ -4,9 +4,10 @@
 // is binding from the start of a process, but the list of the configuration or of the state directory may be old. So the
 // process waits until its list is known to be current, and sends nothing to endpoints before.
 //
-// A failed, refused or unanswered call does not end the wait: discovery may be slow or overloaded, and from a single
-// call that can't be told from an outage. The wait is limited, as a process must also be ready in time during an
-// outage. After that the process serves with the list that it has, and goes on calling.
+// A single call that fails or is not answered does not end the wait: discovery may be slow or overloaded. By its protocol
+// calls also fail because they have waited too long, so it counts as down only where all calls have failed at once for
+// some time. The wait is limited in any case, as a process must also be ready in time during an outage. After it the
+// process serves with the list that it has, and goes on calling.
 
 import (
 	"sync"
@@ -27,24 +28,29 @@
 	// unchangedListDelay is how long a watch is silent after an empty line until that counts as its answer. A line of
 	// the list may follow at once.
 	unchangedListDelay = time.Second
+	// discoveryDownDelay is how long all calls must fail at once until discovery counts as down.
+	discoveryDownDelay = 3 * time.Second
+	queuedCallTime     = 500 * time.Millisecond // a call that failed later may have waited in discovery's queue
 )
 
 // firstListResult is why a starting process stops waiting for discovery.
 type firstListResult int
 
 const (
-	firstListMissing   firstListResult = iota // not settled
-	firstListReceived                         // discovery or a relay has sent the list, or changes of it
-	firstListUnchanged                        // discovery has nothing newer than the list of the start
-	firstListTooLong                          // discovery's list exceeds the limits and can't be used
+	firstListMissing       firstListResult = iota // not settled
+	firstListReceived                             // discovery or a relay has sent the list, or changes of it
+	firstListUnchanged                            // discovery has nothing newer than the list of the start
+	firstListTooLong                              // discovery's list exceeds the limits and can't be used
+	firstListDiscoveryDown                        // all calls have failed at once for discoveryDownDelay
 	firstListResultCount
 )
 
 var firstListNames = [firstListResultCount]string{
-	firstListMissing:   "missing",
-	firstListReceived:  "received",
-	firstListUnchanged: "unchanged",
-	firstListTooLong:   "too long",
+	firstListMissing:       "missing",
+	firstListReceived:      "received",
+	firstListUnchanged:     "unchanged",
+	firstListTooLong:       "too long",
+	firstListDiscoveryDown: "discovery down",
 }
 
 func (r firstListResult) String() string { return nameOf(firstListNames[:], int(r)) }
@@ -91,7 +97,9 @@
 	if n.settings.Policy.MustPollList {
 		return
 	}
-	timeout := time.NewTimer(time.Until(n.clock.start.Add(n.firstListTimeout())))
+	atMost := time.Until(n.clock.start.Add(n.firstListTimeout()))
+	n.log.Info("waiting for the endpoint list of discovery", zap.Duration("at most", atMost))
+	timeout := time.NewTimer(atMost)
 	defer timeout.Stop()
 	accept := time.NewTicker(startAcceptDelay)
 	defer accept.Stop()
@@ -103,7 +111,7 @@
 			return
 		case <-timeout.C:
 			n.log.Warn("discovery has not sent the endpoint list in time; serving with the list of the start",
-				zap.Duration("after", time.Since(n.clock.start)), zap.Int("endpoints", len(n.initialList.entries)))
+				zap.Duration("since the start", time.Since(n.clock.start)))
 			return
 		case <-accept.C:
 			// Requests are rejected, as they would otherwise wait in the listen backlog beyond their deadlines.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,10 +151,10 @@
 		return "stopping"
 	case n.overrides.drained():
 		return "drained"
-	case !n.serving.Load():
-		return "starting"
 	case !n.hasList.Load():
 		return "no list of servers yet: none is persisted, and none has been received"
+	case !n.serving.Load():
+		return "starting"
 	}
 	return ""
 }
