Plays of outages that end after three seconds; make the start plays free of races

Two more cases for TestStartWithUnavailableDiscovery: discovery is down, or fails all calls with 503, for 4 s and then answers at once. The process serves from 3 s on by its list; from the return on the drain binds, and nothing reaches the draining upstream after its grace.

The detector's own wait of a second at the exit of a process is switched off where the play looks at the time of an exit.

--- a/cmd/fawnglade/firstlist_test.go
+++ b/cmd/fawnglade/firstlist_test.go
@@ -35,8 +35,8 @@
 // startDiscovery is a stand-in for discovery that handles each call with a function.
 type startDiscovery struct {
 	address   string
-	socket    *os.File // bound to address; connections are refused until listen
-	startedAt time.Time
+	socket    *os.File                  // bound to address; connections are refused until listen
+	startedAt atomic.Pointer[time.Time] // of the process
 	calls     atomic.Int64
 	handle    func(c *startCall)
 }
@@ -64,7 +64,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &startDiscovery{address: fmt.Sprint("127.0.0.1:", bound.(*syscall.SockaddrInet4).Port), socket: socket}
+	d := &startDiscovery{address: fmt.Sprint("127.0.0.1:", bound.(*syscall.SockaddrInet4).Port), socket: socket}
+	d.startedAt.Store(&time.Time{})
+	return d
 }
 
 // listen answers calls at the address until the test ends.
@@ -90,7 +92,7 @@
 				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 					return
 				}
-				d.handle(&startCall{conn, d.calls.Add(1) - 1, time.Since(d.startedAt)})
+				d.handle(&startCall{conn, d.calls.Add(1) - 1, time.Since(*d.startedAt.Load())})
 			}()
 		}
 	}()
@@ -135,6 +137,24 @@
 	c.stayOpen()
 }
 
+// processLog is what a process writes while it runs.
+type processLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *processLog) Write(text []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(text)
+}
+
+func (l *processLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // startPlay is a node's process, its upstreams and its clients.
 type startPlay struct {
 	t            *testing.T
@@ -142,7 +162,7 @@
 	config       string
 	listenerFile *os.File // the clients' socket, which all processes inherit
 	command      *exec.Cmd
-	log          *bytes.Buffer
+	log          *processLog
 	startedAt    time.Time
 	discovery    *startDiscovery
 	slowStart    bool // endpoints are in slow start, so that some requests are rejected
@@ -159,7 +179,7 @@
 
 // newStartPlay prepares upstreams s-1 to s-3, which the configuration lists as up.
 func newStartPlay(t *testing.T) *startPlay {
-	p := &startPlay{t: t, log: new(bytes.Buffer), statuses: map[int]int{}, discovery: newStartDiscovery(t)}
+	p := &startPlay{t: t, log: new(processLog), statuses: map[int]int{}, discovery: newStartDiscovery(t)}
 	listener, listenerFile := inheritedListener(t)
 	p.listen, p.listenerFile = listener.Addr().String(), listenerFile
 	var upstreams []string
@@ -167,8 +187,8 @@
 		upstreams = append(upstreams, startTCPServer(t, func(conn net.Conn) { p.serve(conn, i == 0) }))
 	}
 	p.drained = upstreams[0]
-	profile := fmt.Sprintf(`{"deadline_us":%d,"group":"all","name":"view","objective_us":200000,"late_worth":0.5,"repeat":"safe"}`,
-		startRequestTime.Microseconds())
+	profile := fmt.Sprintf(`{"deadline_us":%d,"group":"all","name":"view","objective_us":200000,"late_worth":0.5,`+
+		`"repeat":"safe"}`, startRequestTime.Microseconds())
 	p.config = strings.NewReplacer(`"discovery":"ask"`, `"discovery":"push"`, "127.0.0.1:1", p.discovery.address,
 		`"rules":{`, `"rules":{"stop_sending_within_us":500000,`, `"seq":1,`, fmt.Sprintf(`"seq":%d,`, startKnownVersion)).
 		Replace(playConfig(p.listen, profile, upstreams...))
@@ -222,8 +242,9 @@
 	p.command.Env = append(append(p.command.Env, "TMPDIR="+p.t.TempDir(), "NODE_INHERITED_FD=3"), env...)
 	p.command.ExtraFiles = []*os.File{p.listenerFile}
 	p.command.Stderr = p.log
-	p.startedAt = time.Now()
-	p.discovery.startedAt = p.startedAt
+	startedAt := time.Now()
+	p.startedAt = startedAt
+	p.discovery.startedAt.Store(&startedAt)
 	if err := p.command.Start(); err != nil {
 		p.t.Fatal(err)
 	}
@@ -250,7 +271,8 @@
 	}
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(startRequestTime + startAnswerSlack))
-	writef(conn, "GET /view HTTP/1.1\r\nHost: h\r\nX-Txn: %s\r\nX-Remaining-Ms: %d\r\n\r\n", id, startRequestTime.Milliseconds())
+	writef(conn, "GET /view HTTP/1.1\r\nHost: h\r\nX-Txn: %s\r\nX-Remaining-Ms: %d\r\n\r\n", id,
+		startRequestTime.Milliseconds())
 	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -317,7 +339,8 @@
 	downFor   time.Duration // nobody listens for discovery
 	nothing   bool          // nothing is ever told
 	asked     bool          // nodes ask for the list
-	stateDir  bool          // the process keeps state, and has run before: endpoints count as just started (docs/operate/state.md)
+	stateDir  bool          // the process has run before and kept state; its endpoints count as just started
+	bindsFrom time.Duration // from the start of the process until the list is binding
 	firstList string        // logged by the process
 }
 
@@ -343,10 +366,7 @@
 	}
 	p.send()
 	p.awaitReady(p.listen)
-	binding := p.startedAt
-	if c.asked {
-		binding = binding.Add(askedListGrace)
-	}
+	binding := p.startedAt.Add(c.bindsFrom)
 	time.Sleep(max(startServedFor, time.Until(binding.Add(startDrainGrace+startServedFor))))
 	p.end()
 	killAndWait(p.command)
@@ -419,21 +439,49 @@
 			}
 			c.stayOpen()
 		}},
-		"503 for 1.5 s, then after 2.5 s":           {handle: failUntil(1500*milli, 2500*milli, (*startCall).unavailable)},
-		"resets for 2 s, then after 2 s":            {handle: failUntil(2000*milli, 2000*milli, (*startCall).reset)},
-		"503 after waits of 1 s, then after 1.5 s":  {handle: failUntil(2000*milli, 1500*milli, func(c *startCall) { time.Sleep(1000 * milli); c.unavailable() })},
-		"ends after its head for 1 s, then after 2": {handle: failUntil(1000*milli, 2000*milli, func(c *startCall) { c.head(); writeText(c.conn, "0\r\n\r\n") })},
-		"down for 2 s, then after 2.5 s":            {downFor: 2000 * milli, handle: tellAfter(2500 * milli)},
-
-		"down":                 {nothing: true, downFor: time.Hour, firstList: "discovery down"},
-		"silent":               {nothing: true, handle: always((*startCall).silent), firstList: "missing"},
-		"silent after heads":   {nothing: true, handle: always(func(c *startCall) { c.head(); c.silent() }), firstList: "missing"},
-		"503":                  {nothing: true, handle: always((*startCall).unavailable), firstList: "discovery down"},
-		"503 after 2 s":        {nothing: true, handle: always(func(c *startCall) { time.Sleep(2000 * milli); c.unavailable() }), firstList: "missing"},
-		"resets":               {nothing: true, handle: always((*startCall).reset), firstList: "discovery down"},
-		"noise":                {nothing: true, handle: always(func(c *startCall) { c.head(); c.chunk("no list\n") }), firstList: "missing"},
-		"half a line":          {nothing: true, handle: func(p *startPlay, c *startCall) { c.head(); c.chunk(p.draining()[:60]); c.silent() }, firstList: "missing"},
-		"nothing new, no line": {nothing: true, handle: always(func(c *startCall) { c.head(); c.stayOpen() }), firstList: "unchanged"},
+		"503 for 1.5 s, then after 2.5 s": {handle: failUntil(1500*milli, 2500*milli, (*startCall).unavailable)},
+		"resets for 2 s, then after 2 s":  {handle: failUntil(2000*milli, 2000*milli, (*startCall).reset)},
+		"503 after waits of 1 s, then after 1.5 s": {handle: failUntil(2000*milli, 1500*milli, func(c *startCall) {
+			time.Sleep(1000 * milli)
+			c.unavailable()
+		})},
+		"ends after its head for 1 s, then after 2 s": {handle: failUntil(1000*milli, 2000*milli, func(c *startCall) {
+			c.head()
+			writeText(c.conn, "0\r\n\r\n")
+		})},
+		"503 for 4 s, then at once": {
+			bindsFrom: 4000 * milli, handle: failUntil(4000*milli, 0, (*startCall).unavailable), firstList: "discovery down",
+		},
+		"down for 4 s, then at once": {
+			bindsFrom: 4000 * milli, downFor: 4000 * milli, handle: tellAfter(0), firstList: "discovery down",
+		},
+		"down for 2 s, then after 2.5 s": {downFor: 2000 * milli, handle: tellAfter(2500 * milli)},
+
+		"down":   {nothing: true, downFor: time.Hour, firstList: "discovery down"},
+		"silent": {nothing: true, handle: always((*startCall).silent), firstList: "missing"},
+		"silent after heads": {nothing: true, firstList: "missing", handle: always(func(c *startCall) {
+			c.head()
+			c.silent()
+		})},
+		"503": {nothing: true, handle: always((*startCall).unavailable), firstList: "discovery down"},
+		"503 after 2 s": {nothing: true, firstList: "missing", handle: always(func(c *startCall) {
+			time.Sleep(2000 * milli)
+			c.unavailable()
+		})},
+		"resets": {nothing: true, handle: always((*startCall).reset), firstList: "discovery down"},
+		"noise": {nothing: true, firstList: "missing", handle: always(func(c *startCall) {
+			c.head()
+			c.chunk("no list\n")
+		})},
+		"half a line": {nothing: true, firstList: "missing", handle: func(p *startPlay, c *startCall) {
+			c.head()
+			c.chunk(p.draining()[:60])
+			c.silent()
+		}},
+		"nothing new, no line": {nothing: true, firstList: "unchanged", handle: always(func(c *startCall) {
+			c.head()
+			c.stayOpen()
+		})},
 		"nothing new, an empty line at once": {
 			nothing: true, firstList: "unchanged",
 			handle: always(func(c *startCall) { c.tell(0, "\n") }),
@@ -449,12 +497,17 @@
 			}),
 		},
 
-		"persisted list, after 2.5 s": {stateDir: true, handle: func(p *startPlay, c *startCall) { c.tell(2500*milli, p.withoutDrained()) }},
-		"persisted list, 503":         {stateDir: true, nothing: true, handle: always((*startCall).unavailable), firstList: "discovery down"},
+		"persisted list, after 2.5 s": {stateDir: true, handle: func(p *startPlay, c *startCall) {
+			c.tell(2500*milli, p.withoutDrained())
+		}},
+		"persisted list, 503": {
+			stateDir: true, nothing: true, handle: always((*startCall).unavailable), firstList: "discovery down",
+		},
 
-		"asked, after 5 s": {asked: true, handle: tellAfter(5000 * milli), firstList: "missing"},
+		"asked, after 5 s": {asked: true, bindsFrom: askedListGrace, handle: tellAfter(5000 * milli), firstList: "missing"},
 		"asked, 503 for 1.5 s, then after 2.5 s": {
-			asked: true, firstList: "missing", handle: failUntil(1500*milli, 2500*milli, (*startCall).unavailable),
+			asked: true, bindsFrom: askedListGrace, firstList: "missing",
+			handle: failUntil(1500*milli, 2500*milli, (*startCall).unavailable),
 		},
 		"asked, silent": {asked: true, nothing: true, handle: always((*startCall).silent), firstList: "missing"},
 		"asked, down":   {asked: true, nothing: true, downFor: time.Hour, firstList: "missing"},
@@ -492,14 +545,16 @@
 // Guards against a SIGTERM that has no effect, or a request that is lost, while a process waits for discovery.
 func TestShutdownWhileDiscoveryIsAwaited(t *testing.T) {
 	for name, after := range map[string]time.Duration{
-		"at the start": 100 * time.Millisecond, "later": 700 * time.Millisecond, "near the end of the wait": 5300 * time.Millisecond,
+		"at the start":             100 * time.Millisecond,
+		"later":                    700 * time.Millisecond,
+		"near the end of the wait": 5300 * time.Millisecond,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := newStartPlay(t)
 			p.discovery.handle = (*startCall).silent
 			p.discovery.listen(t)
-			p.start()
+			p.start("GORACE=atexit_sleep_ms=0") // the race detector's own wait at the exit
 			p.send()
 			time.Sleep(after)
 			killAt := time.Now().Add(startRequestTime + 700*time.Millisecond)
