--- a/internal/endpointlist/reader.go
+++ b/internal/endpointlist/reader.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// Notify sets functions that Next calls while it reads: emptyLine when one or more empty lines have arrived, lineStarted
+// Notify sets functions that Next calls while it reads: emptyLine when empty lines have arrived, lineStarted
 // when another line begins to arrive. A line that arrives together with the one before it is not reported.
 func (r *Reader) Notify(emptyLine, lineStarted func()) {
 	r.in.emptyLine, r.in.lineStarted = emptyLine, lineStarted
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -58,8 +58,8 @@
 //
 // It gives up earlier if nothing is accepted for acceptStallTimeout. Any process that shares the socket may switch it
 // to blocking mode, and starting another process does so briefly; an accept that blocks in the kernel ignores its
-// deadline and returns only with the next connection. If nothing has been accepted yet, another process accepts from the
-// socket, and the listener is closed at once.
+// deadline and returns only with the next connection. If accepting has not begun, another process accepts from
+// the socket, and the listener is closed at once.
 func (f *frontend) drainAndClose(deadline time.Time) {
 	if !f.accepting.Load() {
 		f.listener.Close()
--- a/internal/node/firstlist.go
+++ b/internal/node/firstlist.go
@@ -1,10 +1,10 @@
 package node
 
-// The wait of a starting process for discovery. Where discovery pushes the endpoint list, each change that discovery has
-// is binding from the start of a process, but the list of the configuration or of the state directory may be old. So the
+// The wait of a starting process for discovery. Where discovery pushes the endpoint list, each change that it has
+// is binding from the start of a process, but the list of the configuration or state directory may be old. So the
 // process waits until its list is known to be current, and sends nothing to endpoints before.
 //
-// A single call that fails or is not answered does not end the wait: discovery may be slow or overloaded. By its protocol
+// A single call that fails or is not answered does not end the wait: it may be slow or overloaded. By its protocol
 // calls also fail because they have waited too long, so it counts as down only where all calls have failed at once for
 // some time. The wait is limited in any case, as a process must also be ready in time during an outage. After it the
 // process serves with the list that it has, and goes on calling.
@@ -82,7 +82,7 @@
 	}
 }
 
-// firstListTimeout returns how long after its start a process waits for the first list. Changes become binding later for
+// firstListTimeout returns how long after its start a process waits for the first list. Changes bind later for
 // a successor, so it need not wait as long.
 func (n *Node) firstListTimeout() time.Duration {
 	timeout := readyTimeout - readyMargin
