Test of a single restarted node: tell its readiness from its slow start

The contract allows 6 s until a process is ready, so what the loop asked beyond that was never the term; the slow start, which the test is about, is no slower.

The test now waits for /ready, 6 s at most, which it did not check before, and then makes the same 2,000 tries, which must not be used up, where that was passed over.

--- a/internal/lab/fleet/listgossip_test.go
+++ b/internal/lab/fleet/listgossip_test.go
@@ -242,12 +242,21 @@
 		}
 		return n
 	}
-	waitReady := func() {
-		for tries := 0; tries < 2000 && succeeded(1) == 0; tries++ {
+	waitServing := func() {
+		t.Helper()
+		for startedAt := time.Now(); !p.ready(0); time.Sleep(2 * time.Millisecond) {
+			if time.Since(startedAt) > readyTimeout {
+				t.Fatalf("the node is not ready %v after its start", readyTimeout)
+			}
+		}
+		for tries := 0; succeeded(1) == 0; tries++ {
+			if tries == 2000 {
+				t.Fatal("the node is ready and serves no request")
+			}
 			time.Sleep(2 * time.Millisecond)
 		}
 	}
-	waitReady()
+	waitServing()
 	if n := succeeded(100); n != 100 {
 		t.Fatalf("before the restart: got %d of 100 requests served, want all", n)
 	}
@@ -256,7 +265,7 @@
 	if err := p.Start(0); err != nil {
 		t.Fatal(err)
 	}
-	waitReady()
+	waitServing()
 	duringSlowStart := succeeded(400)
 	if _, err := WaitUntil(p, startupPeriods, "the node reports its summary as unreliable", func(views []*members.View) bool {
 		return views[0] != nil && !views[0].Summary.Reliable
--- a/internal/lab/fleet/power_test.go
+++ b/internal/lab/fleet/power_test.go
@@ -31,6 +31,14 @@
 	return p
 }
 
+const readyTimeout = 6 * time.Second // from the start of a node's process until it is ready
+
+// ready reports whether a node answers that it is ready.
+func (p *Processes) ready(node int) bool {
+	status, _, err := Call(p.ListenAddress(node), "GET", "/ready")
+	return err == nil && status == 200
+}
+
 // waitServing waits until every node is ready and has served a request.
 func (p *Processes) waitServing(t *testing.T) {
 	t.Helper()
