Apply discovery's changes at a node that follows relays and has a known list

Cause: a start from a configured list asks discovery for the changes after its version. Where the node follows relays, the choice of the source (endpointsource) uses discovery only once it has a complete list of it, and the changes alone never make one. So they were dropped, and the next call asked for what came after them. All tests with relays started without a known list, and stand-ins sent whole lists whatever was asked for.

A node that follows relays now asks for the complete list at its start.

--- a/internal/node/initiallist.go
+++ b/internal/node/initiallist.go
@@ -45,8 +45,11 @@
 		persisted.entries = n.persistence.addFromOlderList(persisted.entries, configured.entries, configured.version)
 		return persisted
 	}
-	n.endpointWatch.version = configured.version
 	entries := n.persistence.recordList(configured.entries, configured.version, configured.complete)
+	if n.relays != nil { // the choice of the source needs a complete list of discovery
+		return initialList{entries: entries, version: configured.version}
+	}
+	n.endpointWatch.version = configured.version
 	return initialList{entries, configured.version, true}
 }
 
--- a/internal/node/relayed_test.go
+++ b/internal/node/relayed_test.go
@@ -384,3 +384,40 @@
 		t.Error("discovery was not called")
 	}
 }
+
+// Guards against losing the changes that discovery sends after the version of the configuration's list.
+func TestRelayedNodeAppliesChangesOfKnownList(t *testing.T) {
+	a, requestsToA := startNamedUpstream(t, "a")
+	b, _ := startNamedUpstream(t, "b")
+	lines := map[string]string{
+		"0": listText(6, true, listEntry("a", a, "draining"), listEntry("b", b, "up")),
+		"5": listText(6, false, listEntry("a", a, "draining")),
+		"6": "",
+	}
+	discovery := listen(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		line := lines[r.URL.Query().Get("after")]
+		writef(c, "%s%x\r\n%s\n\r\n", watchResponseHead, len(line)+1, line)
+		for err == nil {
+			time.Sleep(300 * time.Millisecond)
+			_, err = c.Write([]byte("1\r\n\n\r\n"))
+		}
+	})
+	n := startNode(t, func(c *Config) {
+		withRelays(discovery, "127.0.0.1:1")(c)
+		c.KnownList = json.RawMessage(listText(5, true, listEntry("a", a, "up"), listEntry("b", b, "up")))
+	})
+	eventually(t, "ready", func() bool { return n.notReadyReason() == "" })
+	eventually(t, "the list of discovery to be in use", func() bool { return relayStatus(t, n).By == "discovery" })
+	for i := range 20 {
+		if !isServedBy(t, n, fmt.Sprint("one", i), "b") {
+			t.Fatal("request was not served by the endpoint that is up")
+		}
+	}
+	if requestsToA.Load() > 0 {
+		t.Errorf("got %d requests at an endpoint that drains, want 0", requestsToA.Load())
+	}
+}
