Keep a relay client from crashing its process as a connection ends

In operation the whole process of a node or relay that follows relays would end.

Cause: the function that closes the connection when the context ends used the named result. Returning an error sets that to nil before the deferred stop runs, and a stop does not wait for a function that has begun. So it takes a session that ends while its client dials the first choice again, and that first choice closing at the same moment.

The function now uses a variable that is no result.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -232,11 +232,12 @@
 
 // connect opens a connection and waits for the greeting: the system accepts connections for a stopped process as well,
 // but the process then sends nothing.
-func (c *Client) connect(ctx context.Context, address string) (conn net.Conn, fresh bool, err error) {
+func (c *Client) connect(ctx context.Context, address string) (_ net.Conn, fresh bool, err error) {
 	c.counters.dials.Add(1)
 	connectCtx, cancel := context.WithTimeout(ctx, c.config.ConnectTimeout)
 	defer cancel()
-	conn, err = c.config.Dial(connectCtx, address)
+	// Not a named result: returning an error would set it to nil while the function below may still run.
+	conn, err := c.config.Dial(connectCtx, address)
 	if err != nil {
 		return nil, false, err
 	}
--- a/internal/relay/tcp_test.go
+++ b/internal/relay/tcp_test.go
@@ -543,3 +543,31 @@
 		}
 	}
 }
+
+// cancelingConn fails its first read and cancels a context just before.
+type cancelingConn struct {
+	net.Conn
+	cancel context.CancelFunc
+}
+
+func (c cancelingConn) Read([]byte) (int, error) {
+	c.cancel()
+	return 0, io.ErrUnexpectedEOF
+}
+
+// Guards against a crash of the process if a client stops at the moment when its upstream closes the connection.
+func TestConnectCanceledWhileUpstreamCloses(t *testing.T) {
+	for range 2000 {
+		ctx, cancel := context.WithCancel(t.Context())
+		near, far := net.Pipe()
+		client := NewClient(ClientConfig{
+			Upstreams: []string{"unused"},
+			Dial:      func(context.Context, string) (net.Conn, error) { return cancelingConn{near, cancel}, nil },
+		}, nil, zap.NewNop())
+		if conn, _, err := client.connect(ctx, "unused"); err == nil || conn != nil {
+			t.Fatalf("got connection %v and error %v, want an error alone", conn, err)
+		}
+		cancel()
+		far.Close()
+	}
+}
