Move what tells a starting process's first list into firstList

endpointwatch.go kept the timer of empty lines and the time of failing calls, which only the wait in firstlist.go uses. They are fields and methods of firstList now: emptyLineReceived, lineStarted, callFailed, callClosed.

--- a/internal/node/endpointwatch.go
+++ b/internal/node/endpointwatch.go
@@ -65,8 +65,6 @@
 	oversizedBackoff   time.Duration // last backoff for a list that exceeds the limits; 0: the last list did not
 	reopensSilentWatch bool          // whether the next call reopens a silent watch
 	firstList          *firstList
-	unchangedTimer     *time.Timer  // settles firstList after an empty line; nil: none is due
-	failingSince       time.Time    // start of the first of the last calls that all failed at once; zero: there is none
 	lastReceivedAt     atomic.Int64 // when the open watch last received data, Unix nanoseconds; 0: none is open
 
 	mu      sync.Mutex
@@ -160,11 +158,11 @@
 			w.node.log.Info("endpoint watch closed: the discovery address has changed", zap.String("from", address))
 		}
 		w.reopensSilentWatch = false
-		w.failingSince = time.Time{}
+		w.firstList.callClosed()
 		return
 	}
 	w.node.counters.add(listWatchesFailed)
-	w.recordFailure(began, opened)
+	w.firstList.callFailed(began, opened)
 	select {
 	case <-time.After(w.backoff(opened, err, time.Since(began))):
 	case <-w.callRequests:
@@ -172,19 +170,6 @@
 	w.requestCall()
 }
 
-// recordFailure handles a failed call, or the failure of an open watch, with regard to whether discovery is down.
-func (w *endpointWatch) recordFailure(began time.Time, opened bool) {
-	now := time.Now()
-	switch {
-	case opened || now.Sub(began) > queuedCallTime:
-		w.failingSince = time.Time{}
-	case w.failingSince.IsZero():
-		w.failingSince = began
-	case now.Sub(w.failingSince) >= discoveryDownDelay:
-		w.firstList.settle(firstListDiscoveryDown)
-	}
-}
-
 // backoff returns the delay before the next call after a watch that ended with an error.
 func (w *endpointWatch) backoff(opened bool, err error, lasted time.Duration) time.Duration {
 	var tooLong *endpointlist.TooLongError
@@ -233,8 +218,8 @@
 	defer stream.Close()
 	reader := endpointlist.NewReader(stream, w.node.listLimits)
 	if w.version > 0 && w.firstList.current() == firstListMissing {
-		reader.Notify(w.emptyLineReceived, w.lineStarted)
-		defer w.lineStarted()
+		reader.Notify(w.firstList.emptyLineReceived, w.firstList.lineStarted)
+		defer w.firstList.lineStarted()
 	}
 	for {
 		update, err := w.node.readList(reader.Next)
@@ -248,22 +233,6 @@
 	}
 }
 
-// emptyLineReceived handles an empty line of a watch that requested the changes after a version. Discovery sends the
-// changes first, so if none follow there are none.
-func (w *endpointWatch) emptyLineReceived() {
-	if w.unchangedTimer == nil {
-		w.unchangedTimer = time.AfterFunc(unchangedListDelay, func() { w.firstList.settle(firstListUnchanged) })
-	}
-}
-
-// lineStarted handles the start of a line of the list, and the end of the watch: an empty line before is no answer.
-func (w *endpointWatch) lineStarted() {
-	if w.unchangedTimer != nil {
-		w.unchangedTimer.Stop()
-		w.unchangedTimer = nil
-	}
-}
-
 func (w *endpointWatch) call(address string) discovery.Call {
 	call := discovery.Call{
 		Address:        address,
--- a/internal/node/firstlist.go
+++ b/internal/node/firstlist.go
@@ -55,11 +55,15 @@
 
 func (r firstListResult) String() string { return nameOf(firstListNames[:], int(r)) }
 
-// firstList records the first answer of discovery or relays. Its methods are safe for concurrent use.
+// firstList records the first answer of discovery or relays. Its methods settle and current are safe for concurrent
+// use; the others are for the goroutine of the endpoint watch.
 type firstList struct {
 	once    sync.Once
 	settled chan struct{} // closed once result is set
 	result  firstListResult
+
+	unchangedTimer *time.Timer // settles after an empty line; nil: none is due
+	failingSince   time.Time   // start of the first of the last calls that all failed at once; zero: there is none
 }
 
 func newFirstList() *firstList { return &firstList{settled: make(chan struct{})} }
@@ -82,6 +86,38 @@
 	}
 }
 
+// emptyLineReceived handles an empty line of a watch that requested the changes after a version. Discovery sends the
+// changes first, so if none follow there are none.
+func (f *firstList) emptyLineReceived() {
+	if f.unchangedTimer == nil {
+		f.unchangedTimer = time.AfterFunc(unchangedListDelay, func() { f.settle(firstListUnchanged) })
+	}
+}
+
+// lineStarted handles the start of a line of the list, and the end of the watch: an empty line before is no answer.
+func (f *firstList) lineStarted() {
+	if f.unchangedTimer != nil {
+		f.unchangedTimer.Stop()
+		f.unchangedTimer = nil
+	}
+}
+
+// callFailed handles a failed call to discovery, or the failure of an open watch.
+func (f *firstList) callFailed(began time.Time, opened bool) {
+	now := time.Now()
+	switch {
+	case opened || now.Sub(began) > queuedCallTime:
+		f.failingSince = time.Time{}
+	case f.failingSince.IsZero():
+		f.failingSince = began
+	case now.Sub(f.failingSince) >= discoveryDownDelay:
+		f.settle(firstListDiscoveryDown)
+	}
+}
+
+// callClosed handles a call that the process has ended itself, as for another address.
+func (f *firstList) callClosed() { f.failingSince = time.Time{} }
+
 // firstListTimeout returns how long after its start a process waits for the first list. Changes bind later for
 // a successor, so it need not wait as long.
 func (n *Node) firstListTimeout() time.Duration {
