Lab: measure a start from disk only once the node has written its list

The measurement takes the state for stored when the size of its files is the same at two looks, and a store that has just been opened has a header of 20 bytes. On a busy disk the node was killed before its first batch, so there was no list to start from.

The measurement now wants a batch written as well (`batches_written` of the admin API), and no longer waits without a limit. TestStateIsStoredOnceABatchIsWritten has the case; the check was part of a loop before, so it could not be run on the code before.

--- a/internal/lab/scale/process.go
+++ b/internal/lab/scale/process.go
@@ -301,19 +301,39 @@
 	if _, err := p.node.waitUntilReady(p.ctx, p.timeout); err != nil {
 		return "with a memory: " + err.Error(), nil
 	}
-	for before := -1.0; ; time.Sleep(min(p.idleTime, diskPoll)) {
-		stored := sizeOfFiles(dir)
-		p.values["disk"] = stored
-		if stored == before && stored > 0 {
-			break
-		}
-		before = stored
-	}
-	var state struct {
-		Endpoints float64 `json:"servers"`
-	}
-	if err := adminGet(p.node.admin, "/state", &state); err == nil {
-		p.values["remembered"] = state.Endpoints
+	state, err := p.waitUntilStored(dir)
+	if err != nil {
+		return "with a memory: " + err.Error(), nil
 	}
+	p.values["disk"] = state.bytes
+	p.values["remembered"] = state.Endpoints
 	return "", nil
 }
+
+// storedState is what a node has written to its state directory.
+type storedState struct {
+	bytes          float64 // sizes of the files
+	Endpoints      float64 `json:"servers"`
+	BatchesWritten int64   `json:"batches_written"`
+}
+
+// isSettled reports whether nothing was written since an earlier look. Files alone do not tell that anything was: a
+// store that has just been opened has one with a header.
+func (s storedState) isSettled(before storedState) bool {
+	return s.BatchesWritten > 0 && s.bytes == before.bytes
+}
+
+// waitUntilStored waits until the node's state on disk no longer grows. It returns an error if that takes too long.
+func (p *processMeasurement) waitUntilStored(dir string) (state storedState, err error) {
+	for began := time.Now(); time.Since(began) < 3*p.timeout; time.Sleep(min(p.idleTime, diskPoll)) {
+		before := state
+		if err := adminGet(p.node.admin, "/state", &state); err != nil {
+			return state, err
+		}
+		state.bytes = sizeOfFiles(dir)
+		if state.isSettled(before) {
+			return state, nil
+		}
+	}
+	return state, fmt.Errorf("not stored within %v", 3*p.timeout)
+}
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -371,3 +371,22 @@
 		t.Errorf("got error %v, memory %+v, want at least 1e6 bytes and a peak not below them", err, memory)
 	}
 }
+
+// Guards against a start from disk that is measured before the node has written anything but its store's header.
+func TestStateIsStoredOnceABatchIsWritten(t *testing.T) {
+	header, first, grown := storedState{bytes: 20}, storedState{9049, 100, 1}, storedState{9124, 100, 2}
+	for name, c := range map[string]struct {
+		before, now storedState
+		want        bool
+	}{
+		"header alone":           {header, header, false},
+		"first batch":            {header, first, false},
+		"first batch, no more":   {first, first, true},
+		"another batch":          {first, grown, false},
+		"another batch, no more": {grown, grown, true},
+	} {
+		if got := c.now.isSettled(c.before); got != c.want {
+			t.Errorf("%s: got stored %t, want %t", name, got, c.want)
+		}
+	}
+}
