Wait longer for the list behind an empty line of discovery

A process that starts with a known list took an empty line with a second of silence behind it for "nothing has changed". A slow discovery that keeps its watch alive with an empty line before it sends the list, 2.2 s later, was taken to have none: the process served by the old list, and 15 requests reached a draining endpoint after the grace.

Empty lines come every 2 s, so a second of silence tells nothing. It now takes 2.5 s: no line of the list until the next empty line was due.

--- a/cmd/fawnglade/drawnfirstlist_test.go
+++ b/cmd/fawnglade/drawnfirstlist_test.go
@@ -22,6 +22,7 @@
 	drawnDelivery    = 100 * time.Millisecond  // from a written list to a process that goes by it
 	drawnMaxFailing  = 4500 * time.Millisecond
 	drawnMaxDelay    = 4 * time.Second
+	drawnMaxLateLine = 2 * time.Second // from an empty line to the list
 	drawnMaxHeldCall = 2500 * time.Millisecond
 )
 
@@ -81,7 +82,7 @@
 	{"late start of the line", func(c *startCall, line string, delay time.Duration) {
 		c.head()
 		c.chunk("\n")
-		time.Sleep(min(delay, 500*time.Millisecond))
+		time.Sleep(min(delay, drawnMaxLateLine))
 		c.chunk(line)
 	}},
 }
--- a/cmd/fawnglade/firstlist_test.go
+++ b/cmd/fawnglade/firstlist_test.go
@@ -446,6 +446,13 @@
 			}
 			c.stayOpen()
 		}},
+		"an empty line at once, list after 2.2 s": {handle: func(p *startPlay, c *startCall) {
+			c.head()
+			c.chunk("\n")
+			time.Sleep(2200 * milli)
+			c.chunk(p.draining())
+			c.stayOpen()
+		}},
 		"503 for 1.5 s, then after 2.5 s": {handle: failUntil(1500*milli, 2500*milli, (*startCall).unavailable)},
 		"resets for 2 s, then after 2 s":  {handle: failUntil(2000*milli, 2000*milli, (*startCall).reset)},
 		"503 after waits of 1 s, then after 1.5 s": {handle: failUntil(2000*milli, 1500*milli, func(c *startCall) {
--- a/internal/node/firstlist.go
+++ b/internal/node/firstlist.go
@@ -25,9 +25,9 @@
 	// startAcceptDelay is how long a starting process leaves connections in the listen backlog, so that their requests
 	// need not be rejected if discovery answers soon.
 	startAcceptDelay = 200 * time.Millisecond
-	// unchangedListDelay is how long a watch is silent after an empty line until that counts as its answer. A line of
-	// the list may follow at once.
-	unchangedListDelay = time.Second
+	// unchangedListDelay is how long a watch has no line of the list after its first empty one until that counts as the
+	// answer: longer than the interval of empty lines, as a slow discovery may send one before its list.
+	unchangedListDelay = 2500 * time.Millisecond
 	// discoveryDownDelay is how long all calls must fail at once until discovery counts as down.
 	discoveryDownDelay = 3 * time.Second
 	queuedCallTime     = 500 * time.Millisecond // a call that failed later may have waited in discovery's queue
